--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scenarios, load generation and reports.
--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims of non-idempotent requests.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The catalog, acceptance of documents and their dissemination.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' and testers' tool.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: sockets, timers and threads around the decision crates.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Contracts, admission, slot queues, connection counts and searcher health.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Members, heartbeats, assignment, ownership rights and entry addresses.
--- /dev/null
+++ b/crates/model/src/document.rs
@@ -0,0 +1,82 @@
+//! Parsing and checking of environment documents.
+
+mod check;
+mod position;
+mod raw;
+
+use std::fmt;
+
+use crate::code::ResultCode;
+use crate::environment::Environment;
+
+/// The largest document, in bytes. The store holds values of up to a megabyte, so a
+/// document is split into parts; this bounds their number.
+pub const MAX_DOCUMENT_BYTES: usize = 32 * 1024 * 1024;
+
+/// One fault of a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Line of the fault, from 1.
+    pub line: usize,
+    /// Column of the fault, from 1.
+    pub column: usize,
+    /// Path of the faulty field, like `services[3].class`; empty for syntax errors.
+    pub field: String,
+    /// What was expected or is wrong.
+    pub message: String,
+}
+
+/// All faults of a document, in document order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Faults {
+    /// The code that covers them.
+    pub code: ResultCode,
+    /// At least one fault.
+    pub list: Vec<Fault>,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: ", self.line, self.column)?;
+        if !self.field.is_empty() {
+            write!(f, "{}: ", self.field)?;
+        }
+        f.write_str(&self.message)
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {} fault(s)", self.code, self.list.len())?;
+        for fault in &self.list {
+            write!(f, "\n  {fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
+
+pub(crate) fn parse(text: &str) -> Result<Environment, Faults> {
+    if text.len() > MAX_DOCUMENT_BYTES {
+        return Err(Faults {
+            code: ResultCode::DocumentTooLarge,
+            list: vec![Fault {
+                line: 1,
+                column: 1,
+                field: String::new(),
+                message: format!("expected at most {MAX_DOCUMENT_BYTES} bytes"),
+            }],
+        });
+    }
+    let raw: raw::Document = serde_jsonc::from_str(text).map_err(|error| Faults {
+        code: ResultCode::InvalidDocument,
+        list: vec![Fault {
+            line: error.line(),
+            column: error.column(),
+            field: String::new(),
+            message: error.to_string(),
+        }],
+    })?;
+    check::check(text, &raw)
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,40 @@
+//! Data model shared by all crates: keys and arenas, the environment document and
+//! its checker, snapshots and revisions, and the numbered result codes.
+//!
+//! An operator's document is parsed by [`Environment::parse`], which reports every
+//! fault at once. The checked [`Environment`] holds its objects in arenas; all other
+//! code refers to them by small `Copy` keys such as [`ShardId`] and [`SearcherId`].
+
+mod arena;
+mod code;
+mod digest;
+mod document;
+mod environment;
+mod keys;
+
+pub use arena::Arena;
+pub use arena::Key;
+pub use code::Ran;
+pub use code::ResultCode;
+pub use digest::Digest;
+pub use document::Fault;
+pub use document::Faults;
+pub use environment::Class;
+pub use environment::Contract;
+pub use environment::Domain;
+pub use environment::Environment;
+pub use environment::Preference;
+pub use environment::Searcher;
+pub use environment::SearcherState;
+pub use environment::Service;
+pub use environment::Shard;
+pub use keys::ClassId;
+pub use keys::DomainId;
+pub use keys::Epoch;
+pub use keys::Incarnation;
+pub use keys::Revision;
+pub use keys::SearcherId;
+pub use keys::ServiceId;
+pub use keys::ShardId;
+pub use keys::Snapshot;
+pub use keys::VmId;
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's store and VM list.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Query decisions: planning, snapshot choice, hedges, retries and coverage.
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between daemons and their generated tonic code.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform and the searchers, for tests, demo and bench.
