--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 mod document;
 mod environment;
 mod keys;
+mod store;
 
 pub use arena::Arena;
 pub use arena::Key;
@@ -38,3 +39,6 @@
 pub use keys::ShardId;
 pub use keys::Snapshot;
 pub use keys::VmId;
+pub use store::MAX_VALUE_BYTES;
+pub use store::StoreCall;
+pub use store::StoreReply;
