--- /dev/null
+++ b/crates/model/tests/codes.rs
@@ -0,0 +1,42 @@
+//! The table of result codes in the docs matches the enum.
+
+use std::fmt::Write;
+
+use tt_model::Ran;
+use tt_model::ResultCode;
+
+fn table() -> String {
+    let mut text = String::new();
+    for &code in ResultCode::ALL {
+        let ran = match code.ran() {
+            Ran::Yes => "yes",
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+        };
+        let (number, name, status) = (code.number(), code.name(), code.http_status());
+        writeln!(text, "| {number} | `{name}` | {status} | {ran} | {} |", code.text())
+            .expect("writing to a string");
+    }
+    text
+}
+
+// Guards against a code that operators meet and cannot look up.
+#[test]
+fn the_page_lists_every_code() {
+    let path = format!("{}/../../docs/result-codes.md", env!("CARGO_MANIFEST_DIR"));
+    let page = std::fs::read_to_string(path).expect("the page is in the repository");
+    let rows: String = page
+        .lines()
+        .filter(|line| line.starts_with("| ") && line.as_bytes()[2].is_ascii_digit())
+        .map(|line| format!("{line}\n"))
+        .collect();
+    assert_eq!(rows, table());
+}
+
+// Guards against two meanings of one number.
+#[test]
+fn numbers_are_unique_and_found() {
+    for &code in ResultCode::ALL {
+        assert_eq!(ResultCode::from_number(code.number()), Some(code));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/http.rs
@@ -0,0 +1,137 @@
+//! A minimal HTTP/1.1 server loop with control over its connections.
+
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// A request whose body has been read.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) request: Request<()>,
+    pub(crate) body: Bytes,
+}
+
+/// A reply, or the end of the connection without one.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    Reply(Response<Full<Bytes>>),
+    Close,
+}
+
+/// What a stand-in does with connections and calls.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// State kept while a connection is open; dropped when it ends.
+    type Connection: Send + Sync + 'static;
+
+    /// Decides about a new connection; `None` closes it.
+    fn connected(self: &Arc<Self>) -> impl Future<Output = Option<Self::Connection>> + Send;
+
+    /// Answers one call.
+    fn call(self: &Arc<Self>, call: Call) -> impl Future<Output = Answer> + Send;
+}
+
+/// Ends the accept loop when dropped.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) address: SocketAddr,
+    accept: JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.accept.abort();
+    }
+}
+
+/// Serves `handler` at `address`; port 0 picks a free one.
+pub(crate) async fn serve<H>(address: SocketAddr, handler: Arc<H>) -> std::io::Result<Server>
+where
+    H: Handler,
+{
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let accept = tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            while connections.try_join_next().is_some() {}
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            connections.spawn(connection(stream, handler.clone()));
+        }
+    });
+    Ok(Server { address, accept })
+}
+
+async fn connection<H>(stream: TcpStream, handler: Arc<H>)
+where
+    H: Handler,
+{
+    let _ = stream.set_nodelay(true);
+    let Some(_guard) = handler.connected().await else {
+        return;
+    };
+    let service = service_fn(move |request: Request<Incoming>| {
+        let handler = handler.clone();
+        async move {
+            let (parts, body) = request.into_parts();
+            let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+                return Ok::<_, Closed>(reply(StatusCode::PAYLOAD_TOO_LARGE, Bytes::new()));
+            };
+            let call = Call { request: Request::from_parts(parts, ()), body: body.to_bytes() };
+            match handler.call(call).await {
+                Answer::Reply(response) => Ok(response),
+                Answer::Close => Err(Closed),
+            }
+        }
+    });
+    // An error here is the end of a connection, which callers notice themselves.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// Ends a connection without a reply.
+#[derive(Debug)]
+struct Closed;
+
+impl fmt::Display for Closed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("connection closed")
+    }
+}
+
+impl std::error::Error for Closed {}
+
+/// A reply with a status and a body.
+pub(crate) fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// The value of a query parameter.
+pub(crate) fn parameter(call: &Call, name: &str) -> Option<u64> {
+    let query = call.request.uri().query()?;
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,21 @@
-//! Small stand-ins for the platform and the searchers, for tests, demo and bench.
+//! Small stand-ins for the outside systems that the tier talks to, for tests, the demo and
+//! the bench: the platform (key-value store and VM list) and searchers.
+//!
+//! Each stand-in serves real sockets on loopback, is controlled through its handle, and
+//! counts what the tier does to it: [`Platform::counts`] counts every call to the store,
+//! [`Searcher::counts`] counts connections and requests above the limits, executions and
+//! refusals.
+
+mod http;
+mod platform;
+mod searcher;
+
+pub use platform::Fault;
+pub use platform::Platform;
+pub use platform::PlatformCounts;
+pub use searcher::Profile;
+pub use searcher::Searcher;
+pub use searcher::SearcherCounts;
+pub use searcher::SearcherSettings;
+pub use searcher::State;
+pub use searcher::StatusMode;
