feat: add admission, slot queues and connection decisions

Entries need per-service limits and owners need a queue for each searcher before the daemon can route sub-queries.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,1 +1,50 @@
-//! Contracts, admission, slot queues, connection counts and searcher health.
+//! All limit decisions of the tier, without I/O: events and the current time go in,
+//! actions come out.
+//!
+//! * [`Admission`] runs at the entry. It enforces each service's contract with a token
+//!   bucket and a concurrency limit, and sizes this entry's part of them by the usage
+//!   that the other entries report.
+//! * [`SlotQueue`] runs at the owner of a searcher. It orders sub-queries by weighted
+//!   fair queueing and starts no more than the ownership right allows.
+//! * [`Connections`] runs beside it and decides when to open, reuse and close.
+//!
+//! Data flow at the owner: [`SlotQueue::push`], then [`SlotQueue::next_action`] until it
+//! returns `None`, again after every event and at [`SlotQueue::wake_at`]. Each started
+//! sub-query takes a connection by [`Connections::acquire`] and ends with
+//! [`SlotQueue::finish`] and [`Connections::release`].
+
+mod admission;
+mod connections;
+mod halves;
+mod slots;
+mod slowstart;
+
+pub use admission::Admission;
+pub use admission::AdmissionSettings;
+pub use admission::Arrival;
+pub use admission::MemberView;
+pub use admission::Permit;
+pub use admission::ServiceUsage;
+pub use admission::UsageReport;
+pub use connections::Acquired;
+pub use connections::ConnectionAction;
+pub use connections::ConnectionId;
+pub use connections::ConnectionSettings;
+pub use connections::Connections;
+pub use halves::Half;
+pub use slots::CancelOutcome;
+pub use slots::Pressure;
+pub use slots::QueuePolicy;
+pub use slots::QueueSettings;
+pub use slots::RejectReason;
+pub use slots::Rejected;
+pub use slots::RunOutcome;
+pub use slots::SlotAction;
+pub use slots::SlotKind;
+pub use slots::SlotPolicy;
+pub use slots::SlotQueue;
+pub use slots::SlotRight;
+pub use slots::SubQuery;
+pub use slots::Ticket;
+pub use slowstart::SlowStart;
+pub use slowstart::SlowStartSettings;
--- /dev/null
+++ b/crates/limits/src/slots.rs
@@ -0,0 +1,529 @@
+//! The queue in front of one searcher's slots.
+
+mod entries;
+mod estimate;
+mod order;
+mod right;
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use tt_model::ResultCode;
+use tt_model::ServiceId;
+
+use crate::slots::entries::Entries;
+use crate::slots::entries::Entry;
+use crate::slots::entries::Queued;
+use crate::slots::entries::Running;
+use crate::slots::estimate::Estimate;
+use crate::slots::order::FairOrder;
+use crate::slots::order::Position;
+use crate::slots::order::Rank;
+use crate::slots::order::Usage;
+use crate::slowstart::SlowStart;
+use crate::slowstart::SlowStartSettings;
+
+pub use entries::SlotKind;
+pub use entries::Ticket;
+pub use right::SlotPolicy;
+pub use right::SlotRight;
+
+/// The order of a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueuePolicy {
+    /// Weighted fair queueing over services and early rejection.
+    Fair,
+    /// First in, first out, without early rejection: the baseline for measurements.
+    Fifo,
+}
+
+/// Settings of a [`SlotQueue`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueSettings {
+    /// The order of the queue.
+    pub policy: QueuePolicy,
+    /// The most sub-queries that wait.
+    pub capacity: usize,
+    /// Expected slot time before the first observation.
+    pub service_time: Duration,
+    /// Time before the end of a promise at which sub-queries above the half end. Covers
+    /// the difference between this VM's clock and the searcher's.
+    pub clock_margin: Duration,
+    /// Steps after a cold start.
+    pub slow_start: SlowStartSettings,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        QueueSettings {
+            policy: QueuePolicy::Fair,
+            capacity: 256,
+            service_time: Duration::from_millis(10),
+            clock_margin: Duration::from_millis(50),
+            slow_start: SlowStartSettings::default(),
+        }
+    }
+}
+
+/// What the queue needs to know of a sub-query.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SubQuery {
+    /// The service that asks.
+    pub service: ServiceId,
+    /// The service's share from its contract.
+    pub share: f64,
+    /// The urgency of its class.
+    pub urgency: u8,
+    /// When the answer must be there.
+    pub deadline: Instant,
+}
+
+/// Why a sub-query was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RejectReason {
+    /// Its deadline passed before a slot was free.
+    DeadlinePassed,
+    /// It cannot finish before its deadline, by the expected wait and slot time.
+    WaitTooLong,
+    /// The queue is full and its service has the most queued work for its share.
+    QueueFull,
+    /// The searcher is leaving.
+    SearcherLeaving,
+    /// This daemon may not use the searcher.
+    NoRight,
+}
+
+impl RejectReason {
+    /// The result code for a caller if no replica is left.
+    pub fn code(self) -> ResultCode {
+        match self {
+            RejectReason::DeadlinePassed => ResultCode::DeadlinePassed,
+            RejectReason::WaitTooLong | RejectReason::QueueFull => ResultCode::Overloaded,
+            RejectReason::SearcherLeaving | RejectReason::NoRight => ResultCode::NoReplica,
+        }
+    }
+}
+
+/// A sub-query that was refused by [`SlotQueue::push`].
+#[derive(Debug, PartialEq, Eq)]
+pub struct Rejected<T> {
+    /// The caller's item.
+    pub item: T,
+    /// Why it was refused.
+    pub reason: RejectReason,
+}
+
+/// A step to take for the caller of [`SlotQueue::next_action`].
+#[derive(Debug, PartialEq, Eq)]
+pub enum SlotAction<T> {
+    /// Send the sub-query; report its end by [`SlotQueue::finish`].
+    Start {
+        /// The sub-query.
+        ticket: Ticket,
+        /// The caller's item.
+        item: T,
+        /// The absolute deadline to send to the searcher.
+        deadline: Instant,
+        /// The part of the allowance that it uses.
+        slot: SlotKind,
+    },
+    /// Report to the entry that the queued sub-query was not run and will not be.
+    Reject {
+        /// The sub-query; its ticket is stale now.
+        ticket: Ticket,
+        /// The caller's item.
+        item: T,
+        /// Why it was not run.
+        reason: RejectReason,
+    },
+    /// Cancel the running sub-query, whose deadline has passed, by closing its connection,
+    /// and report its end. It holds its slot until then.
+    Cancel {
+        /// The sub-query.
+        ticket: Ticket,
+    },
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// The searcher replied.
+    Answered,
+    /// The searcher stated that it did not run the sub-query, or it was never sent.
+    NotRun,
+    /// It failed, was cancelled or timed out.
+    Failed,
+}
+
+/// The effect of [`SlotQueue::cancel`].
+#[derive(Debug, PartialEq, Eq)]
+pub enum CancelOutcome<T> {
+    /// It was queued and has been removed; it was not run.
+    Dequeued(T),
+    /// It is running. Close its connection and report its end, which frees the slot.
+    Running,
+    /// It ended before.
+    Unknown,
+}
+
+/// How busy a searcher is, for routing and for overload detection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pressure {
+    /// Sub-queries that wait.
+    pub queued: u32,
+    /// Sub-queries that hold a slot.
+    pub running: u32,
+    /// Slots that may be used now.
+    pub allowed: u32,
+    /// Expected slot time of a sub-query.
+    pub service_time: Duration,
+    /// Expected wait of a sub-query behind everything queued.
+    pub expected_wait: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Serving,
+    Leaving,
+}
+
+/// A slot that may be taken now.
+#[derive(Debug, Clone, Copy)]
+struct FreeSlot {
+    kind: SlotKind,
+    /// The latest deadline of a sub-query in this slot.
+    until: Option<Instant>,
+}
+
+/// Orders the sub-queries for one searcher and starts them as slots become free.
+///
+/// `T` is the caller's item for a sub-query. The queue gives it back exactly once: with
+/// the start, the rejection or the cancellation.
+#[derive(Debug)]
+pub struct SlotQueue<T> {
+    settings: QueueSettings,
+    origin: Instant,
+    state: State,
+    right: SlotRight,
+    slow_start: Option<SlowStart>,
+    entries: Entries<T>,
+    order: FairOrder,
+    /// Deadlines of queued and of running sub-queries whose end was not yet asked for.
+    deadlines: BTreeSet<(Instant, Ticket)>,
+    rejected: VecDeque<(Ticket, RejectReason)>,
+    half_running: u32,
+    promised_running: u32,
+    service_time: Estimate,
+    sequence: u64,
+}
+
+impl<T> SlotQueue<T> {
+    /// An empty queue without a right to use slots.
+    pub fn new(now: Instant, settings: QueueSettings) -> SlotQueue<T> {
+        SlotQueue {
+            settings,
+            origin: now,
+            state: State::Serving,
+            right: SlotRight::None,
+            slow_start: None,
+            entries: Entries::new(),
+            order: FairOrder::new(),
+            deadlines: BTreeSet::new(),
+            rejected: VecDeque::new(),
+            half_running: 0,
+            promised_running: 0,
+            service_time: Estimate::new(settings.service_time),
+            sequence: 0,
+        }
+    }
+
+    /// Queues a sub-query, or refuses it at once if it cannot be run in time.
+    pub fn push(&mut self, now: Instant, sub: SubQuery, item: T) -> Result<Ticket, Rejected<T>> {
+        if let Some(reason) = self.refusal(now, &sub) {
+            return Err(Rejected { item, reason });
+        }
+        let position = self.position(&sub);
+        let ticket = self.entries.reserve();
+        self.sequence += 1;
+        self.entries.set(ticket, Entry::Queued(Queued { item, position, deadline: sub.deadline }));
+        self.order.push(position, ticket, sub.share, self.service_time);
+        self.deadlines.insert((sub.deadline, ticket));
+        Ok(ticket)
+    }
+
+    /// The next step at `now`, or `None` if there is nothing to do before the next event
+    /// or [`SlotQueue::wake_at`].
+    pub fn next_action(&mut self, now: Instant) -> Option<SlotAction<T>> {
+        while let Some((ticket, reason)) = self.rejected.pop_front() {
+            if let Some(action) = self.reject(ticket, reason) {
+                return Some(action);
+            }
+        }
+        while let Some(&(deadline, ticket)) = self.deadlines.first() {
+            if deadline > now {
+                break;
+            }
+            self.deadlines.pop_first();
+            match self.entries.get(ticket) {
+                Some(Entry::Queued(_)) => return self.reject(ticket, RejectReason::DeadlinePassed),
+                Some(Entry::Running(_)) => return Some(SlotAction::Cancel { ticket }),
+                None => {}
+            }
+        }
+        self.start(now)
+    }
+
+    /// Frees the slot of a started sub-query.
+    pub fn finish(&mut self, now: Instant, ticket: Ticket, outcome: RunOutcome) {
+        let Some(&Entry::Running(run)) = self.entries.get(ticket) else { return };
+        self.entries.remove(ticket);
+        self.deadlines.remove(&(run.deadline, ticket));
+        match run.slot {
+            SlotKind::Half => self.half_running -= 1,
+            SlotKind::Promised => self.promised_running -= 1,
+        }
+        let held = now.saturating_duration_since(run.started);
+        let usage = match outcome {
+            RunOutcome::NotRun => Usage::NotRun,
+            RunOutcome::Answered | RunOutcome::Failed => Usage::Held(held),
+        };
+        self.order.finish(run.service, run.charged, usage);
+        match outcome {
+            RunOutcome::Answered => {
+                self.service_time.observe(held);
+                if let Some(slow_start) = &mut self.slow_start {
+                    slow_start.succeeded(now);
+                }
+                if self.slow_start.as_ref().is_some_and(SlowStart::finished) {
+                    self.slow_start = None;
+                }
+            }
+            // A run that was cut short says only that the slot time is at least this.
+            RunOutcome::Failed if held > self.service_time.mean() => {
+                self.service_time.observe(held);
+            }
+            RunOutcome::Failed | RunOutcome::NotRun => {}
+        }
+    }
+
+    /// Cancels a sub-query for the entry.
+    pub fn cancel(&mut self, ticket: Ticket) -> CancelOutcome<T> {
+        match self.entries.get(ticket) {
+            None => CancelOutcome::Unknown,
+            Some(Entry::Running(_)) => CancelOutcome::Running,
+            Some(Entry::Queued(_)) => match self.dequeue(ticket) {
+                Some(item) => CancelOutcome::Dequeued(item),
+                None => CancelOutcome::Unknown,
+            },
+        }
+    }
+
+    /// Changes the right to use slots. Running sub-queries are not affected. Without a
+    /// right, queued ones are returned as not run, so that their entries can ask a replica
+    /// with another owner.
+    pub fn set_right(&mut self, right: SlotRight) {
+        self.right = right;
+        if right == SlotRight::None {
+            self.reject_queued(RejectReason::NoRight);
+        }
+    }
+
+    /// Starts nothing more and returns queued sub-queries as not run; running ones finish.
+    pub fn drain(&mut self) {
+        self.state = State::Leaving;
+        self.reject_queued(RejectReason::SearcherLeaving);
+    }
+
+    /// Ends the drain of a searcher that takes work again.
+    pub fn resume(&mut self) {
+        self.state = State::Serving;
+    }
+
+    /// Limits the slots in steps after a cold start of the searcher.
+    pub fn cold_start(&mut self, now: Instant) {
+        self.slow_start = Some(SlowStart::new(now, self.settings.slow_start));
+    }
+
+    /// The next time at which [`SlotQueue::next_action`] has something to do without a
+    /// further event.
+    pub fn wake_at(&self) -> Option<Instant> {
+        self.deadlines.first().map(|&(deadline, _)| deadline)
+    }
+
+    /// Slots that may be used at `now`.
+    pub fn allowed(&self, now: Instant) -> u32 {
+        if self.state == State::Leaving {
+            return 0;
+        }
+        let allowed = self.right.allowed(now);
+        self.slow_start.as_ref().map_or(allowed, |slow_start| slow_start.limit(allowed))
+    }
+
+    /// Sub-queries that hold a slot.
+    pub fn running(&self) -> u32 {
+        self.half_running + self.promised_running
+    }
+
+    /// Sub-queries that wait.
+    pub fn queued(&self) -> usize {
+        self.order.queued()
+    }
+
+    /// How busy the searcher is.
+    pub fn pressure(&self, now: Instant) -> Pressure {
+        let allowed = self.allowed(now);
+        let slots = f64::from(allowed.max(1));
+        let work = self.order.queued() as f64 * self.service_time.seconds() / slots;
+        Pressure {
+            queued: self.order.queued() as u32,
+            running: self.running(),
+            allowed,
+            service_time: self.service_time.mean(),
+            expected_wait: Duration::from_secs_f64(work) + self.residual(allowed),
+        }
+    }
+
+    fn refusal(&mut self, now: Instant, sub: &SubQuery) -> Option<RejectReason> {
+        if self.state == State::Leaving {
+            return Some(RejectReason::SearcherLeaving);
+        }
+        if self.right == SlotRight::None {
+            return Some(RejectReason::NoRight);
+        }
+        if sub.deadline <= now {
+            return Some(RejectReason::DeadlinePassed);
+        }
+        if self.settings.policy == QueuePolicy::Fair {
+            let allowed = self.allowed(now);
+            let position = self.position(sub);
+            let wait = self.order.expected_wait(position, sub.share, allowed, self.service_time)
+                + self.residual(allowed);
+            // An idle searcher always gets one sub-query: without it a wrong estimate would
+            // reject everything and never be corrected.
+            let idle = self.running() == 0 && self.order.queued() == 0;
+            if !idle && now + wait + self.service_time.mean() > sub.deadline {
+                return Some(RejectReason::WaitTooLong);
+            }
+        }
+        if self.order.queued() < self.settings.capacity {
+            return None;
+        }
+        let victim = match self.settings.policy {
+            QueuePolicy::Fair => self.order.eviction(sub.service, sub.share),
+            QueuePolicy::Fifo => None,
+        };
+        let Some(victim) = victim else {
+            return Some(RejectReason::QueueFull);
+        };
+        self.withdraw(victim, RejectReason::QueueFull);
+        None
+    }
+
+    fn start(&mut self, now: Instant) -> Option<SlotAction<T>> {
+        if self.order.queued() == 0 {
+            return None;
+        }
+        let free = self.free_slot(now)?;
+        let ticket = self.order.first()?;
+        let Some(Entry::Queued(queued)) = self.entries.get(ticket) else {
+            unreachable!("the order holds only queued entries");
+        };
+        let (deadline, position) = (queued.deadline, queued.position);
+        if self.settings.policy == QueuePolicy::Fair
+            && self.running() > 0
+            && now + self.service_time.mean() > deadline
+        {
+            return self.reject(ticket, RejectReason::WaitTooLong);
+        }
+        let charged = self.order.start(position);
+        self.deadlines.remove(&(deadline, ticket));
+        let deadline = free.until.map_or(deadline, |until| until.min(deadline));
+        self.deadlines.insert((deadline, ticket));
+        match free.kind {
+            SlotKind::Half => self.half_running += 1,
+            SlotKind::Promised => self.promised_running += 1,
+        }
+        let run =
+            Running { service: position.service, slot: free.kind, started: now, deadline, charged };
+        let Some(Entry::Queued(queued)) = self.entries.take(ticket) else {
+            unreachable!("the entry was queued above");
+        };
+        self.entries.set(ticket, Entry::Running(run));
+        Some(SlotAction::Start { ticket, item: queued.item, deadline, slot: free.kind })
+    }
+
+    fn free_slot(&self, now: Instant) -> Option<FreeSlot> {
+        if self.running() >= self.allowed(now) {
+            return None;
+        }
+        if self.half_running < self.right.unbounded() {
+            return Some(FreeSlot { kind: SlotKind::Half, until: None });
+        }
+        // A sub-query that would be cut short by the end of the promise waits for its
+        // renewal or for a slot of the half.
+        let until = self.right.until()?.checked_sub(self.settings.clock_margin)?;
+        if now + self.service_time.mean() >= until {
+            return None;
+        }
+        Some(FreeSlot { kind: SlotKind::Promised, until: Some(until) })
+    }
+
+    /// Expected time until one of the running sub-queries frees a slot.
+    fn residual(&self, allowed: u32) -> Duration {
+        if allowed > 0 && self.running() < allowed && self.order.queued() == 0 {
+            return Duration::ZERO;
+        }
+        self.service_time.mean() / allowed.max(1)
+    }
+
+    fn position(&self, sub: &SubQuery) -> Position {
+        match self.settings.policy {
+            QueuePolicy::Fair => Position {
+                service: sub.service,
+                rank: Rank {
+                    deadline_ms: sub.deadline.saturating_duration_since(self.origin).as_millis()
+                        as u64,
+                    urgency: Reverse(sub.urgency),
+                    sequence: self.sequence,
+                },
+            },
+            // One flow in order of arrival.
+            QueuePolicy::Fifo => Position {
+                service: ServiceId(0),
+                rank: Rank { deadline_ms: 0, urgency: Reverse(0), sequence: self.sequence },
+            },
+        }
+    }
+
+    fn reject_queued(&mut self, reason: RejectReason) {
+        while let Some(ticket) = self.order.first() {
+            self.withdraw(ticket, reason);
+        }
+    }
+
+    /// Takes a queued sub-query out of the order; [`SlotQueue::next_action`] returns it.
+    fn withdraw(&mut self, ticket: Ticket, reason: RejectReason) {
+        if let Some(Entry::Queued(queued)) = self.entries.get(ticket) {
+            self.order.remove(queued.position);
+            self.rejected.push_back((ticket, reason));
+        }
+    }
+
+    fn reject(&mut self, ticket: Ticket, reason: RejectReason) -> Option<SlotAction<T>> {
+        let item = self.dequeue(ticket)?;
+        Some(SlotAction::Reject { ticket, item, reason })
+    }
+
+    fn dequeue(&mut self, ticket: Ticket) -> Option<T> {
+        let Some(Entry::Queued(queued)) = self.entries.remove(ticket) else {
+            return None;
+        };
+        self.order.remove(queued.position);
+        self.deadlines.remove(&(queued.deadline, ticket));
+        Some(queued.item)
+    }
+}
