--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,75 @@
+//! One function for each command.
+
+mod bench;
+mod check;
+mod env;
+mod query;
+mod standin;
+
+use std::future::Future;
+
+use tt_model::ResultCode;
+
+use crate::arguments::Arguments;
+use crate::demo;
+use crate::output::Failure;
+
+pub(crate) use bench::bench;
+pub(crate) use check::check;
+pub(crate) use env::env;
+pub(crate) use query::entries;
+pub(crate) use query::query;
+pub(crate) use standin::standin;
+
+const DEMO_HELP: &str = "\
+Usage: tillerctl demo [--site kingston|texas] [--daemons N] [--seconds N] [--seed N] [--json]
+
+Runs a whole tier on loopback in one process: stand-ins for the platform and the
+searchers, daemons in the failure domains of the site, a trial and a promotion of the
+site's document, queries from several services, a searcher that leaves and a daemon that
+stops gracefully during them. Prints progress and a table, and fails if an invariant did
+not hold.
+
+  --site     kingston (default) or texas
+  --daemons  number of daemons, 2 to 8 (default 5)
+  --seconds  length of the load, 2 to 40 (default 8)
+  --seed     seed of the load (default 1)
+";
+
+/// Runs the demo.
+pub(crate) fn demo(arguments: &mut Arguments) -> Result<(), Failure> {
+    if arguments.help() {
+        print!("{DEMO_HELP}");
+        return Ok(());
+    }
+    let defaults = demo::DemoSettings::default();
+    let settings = demo::DemoSettings {
+        site: arguments.option("--site")?.unwrap_or(defaults.site),
+        daemons: arguments.option("--daemons")?.unwrap_or(defaults.daemons),
+        seconds: arguments.option("--seconds")?.unwrap_or(defaults.seconds),
+        seed: arguments.option("--seed")?.unwrap_or(defaults.seed),
+        format: arguments.format(),
+    };
+    arguments.end()?;
+    settings.check()?;
+    block_on(demo::run(settings))?
+}
+
+/// Runs a future on a runtime with several threads.
+pub(crate) fn block_on<F>(future: F) -> Result<F::Output, Failure>
+where
+    F: Future,
+{
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Failure::new(ResultCode::Internal, error.to_string()))?;
+    Ok(runtime.block_on(future))
+}
+
+/// Reads a file that the user named.
+pub(crate) fn read(path: &std::path::Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|error| {
+        Failure::new(ResultCode::SettingsUnreadable, format!("{}: {error}", path.display()))
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/commands/check.rs
@@ -0,0 +1,53 @@
+//! `tillerctl check`.
+
+use serde_json::json;
+
+use tt_model::Environment;
+
+use crate::arguments::Arguments;
+use crate::commands::read;
+use crate::output::Failure;
+use crate::output::Format;
+
+const HELP: &str = "\
+Usage: tillerctl check DOCUMENT [--json]
+
+Checks a document as a whole, without changing anything, and prints every fault with its
+line and column.
+";
+
+/// Checks a document.
+pub(crate) fn check(arguments: &mut Arguments) -> Result<(), Failure> {
+    if arguments.help() {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let path = arguments.path("the path of a document")?;
+    arguments.end()?;
+    let text = read(&path)?;
+    let environment = Environment::parse(&text)
+        .map_err(|faults| Failure::new(faults.code, format!("{}: {faults}", path.display())))?;
+    match arguments.format() {
+        Format::Json => println!(
+            "{}",
+            json!({
+                "environment": environment.name,
+                "digest": environment.digest,
+                "domains": environment.domains.len(),
+                "services": environment.services.len(),
+                "searchers": environment.searchers.len(),
+                "shards": environment.shards.len(),
+            })
+        ),
+        Format::Text => println!(
+            "{}: valid, digest {}: {} domains, {} services, {} searchers, {} shards",
+            environment.name,
+            environment.digest,
+            environment.domains.len(),
+            environment.services.len(),
+            environment.searchers.len(),
+            environment.shards.len(),
+        ),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/commands/env.rs
@@ -0,0 +1,111 @@
+//! `tillerctl env`.
+
+use serde_json::Value;
+
+use crate::arguments::Arguments;
+use crate::client::Ask;
+use crate::client::Http;
+use crate::commands::block_on;
+use crate::commands::read;
+use crate::output::Failure;
+use crate::output::print_value;
+
+const HELP: &str = "\
+Usage: tillerctl env ACTION --at ADDRESS [OPTIONS]
+
+ADDRESS is the operators' address of any daemon.
+
+Actions:
+  trial DOCUMENT --operator NAME [--base REVISION]
+      put a document into the trial stage of its environment
+  promote ENVIRONMENT --digest DIGEST --operator NAME [--base REVISION]
+      bring the document that is in trial into production, unchanged
+  status ENVIRONMENT [--change ID]
+      show both stages and on which daemons they are in force, or what became of a change
+  history ENVIRONMENT
+      show the last changes
+  diff ENVIRONMENT DOCUMENT [--stage trial|production]
+      show what a document would change (default: against production)
+
+--base is the revision that the change is based on, from `status`; without it the revision
+is read first. Every answer has a result code. A change that the store did not confirm is
+reported as unknown with its change id: ask `status --change ID` later.
+";
+
+/// Tries, promotes and inspects documents.
+pub(crate) fn env(arguments: &mut Arguments) -> Result<(), Failure> {
+    let action = arguments.command()?;
+    if arguments.help() {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let ask = match action.as_deref() {
+        Some("trial") => trial(arguments)?,
+        Some("promote") => promote(arguments)?,
+        Some("status") => status(arguments)?,
+        Some("history") => {
+            let address = arguments.address()?;
+            let name = arguments.word("the name of an environment")?;
+            Ask::get(address, format!("/v1/env/{name}/history"))
+        }
+        Some("diff") => diff(arguments)?,
+        Some(other) => return Err(Failure::usage(format!("there is no action `{other}`"))),
+        None => return Err(Failure::usage("expected an action".to_owned())),
+    };
+    arguments.end()?;
+    let answer = block_on(send(ask))??;
+    print_value(arguments.format(), &answer);
+    Ok(())
+}
+
+async fn send(ask: Ask) -> Result<Value, Failure> {
+    Http::new().json(ask).await
+}
+
+fn trial(arguments: &mut Arguments) -> Result<Ask, Failure> {
+    let address = arguments.address()?;
+    let operator: String = arguments.required("--operator")?;
+    let base: Option<u64> = arguments.option("--base")?;
+    let path = arguments.path("the path of a document")?;
+    let text = read(&path)?;
+    // The daemon checks it again; the check here gives faults without a daemon.
+    let environment = tt_model::Environment::parse(&text)
+        .map_err(|faults| Failure::new(faults.code, format!("{}: {faults}", path.display())))?;
+    let path = format!("/v1/env/{}/trial?{}", environment.name, change(&operator, base));
+    Ok(Ask::post(address, path, text.into_bytes()))
+}
+
+fn promote(arguments: &mut Arguments) -> Result<Ask, Failure> {
+    let address = arguments.address()?;
+    let operator: String = arguments.required("--operator")?;
+    let base: Option<u64> = arguments.option("--base")?;
+    let digest: String = arguments.required("--digest")?;
+    let name = arguments.word("the name of an environment")?;
+    let path = format!("/v1/env/{name}/promote?digest={digest}&{}", change(&operator, base));
+    Ok(Ask::post(address, path, Vec::new()))
+}
+
+fn status(arguments: &mut Arguments) -> Result<Ask, Failure> {
+    let address = arguments.address()?;
+    let change: Option<String> = arguments.option("--change")?;
+    let name = arguments.word("the name of an environment")?;
+    let path = match change {
+        Some(id) => format!("/v1/env/{name}/changes/{id}"),
+        None => format!("/v1/env/{name}"),
+    };
+    Ok(Ask::get(address, path))
+}
+
+fn diff(arguments: &mut Arguments) -> Result<Ask, Failure> {
+    let address = arguments.address()?;
+    let stage: String = arguments.option("--stage")?.unwrap_or_else(|| "production".to_owned());
+    let name = arguments.word("the name of an environment")?;
+    let path = arguments.path("the path of a document")?;
+    let text = read(&path)?;
+    Ok(Ask::post(address, format!("/v1/env/{name}/diff?stage={stage}"), text.into_bytes()))
+}
+
+fn change(operator: &str, base: Option<u64>) -> String {
+    let base = base.map(|revision| format!("&base={revision}")).unwrap_or_default();
+    format!("operator={operator}{base}")
+}
--- /dev/null
+++ b/crates/ctl/src/commands/query.rs
@@ -0,0 +1,97 @@
+//! `tillerctl query` and `tillerctl entries`.
+
+use serde_json::Value;
+use serde_json::json;
+
+use tt_model::ResultCode;
+
+use crate::arguments::Arguments;
+use crate::client::Ask;
+use crate::client::Http;
+use crate::commands::block_on;
+use crate::output::Failure;
+use crate::output::print_value;
+
+const QUERY_HELP: &str = "\
+Usage: tillerctl query --at ADDRESS --environment NAME --service NAME [OPTIONS] QUERY
+
+Sends one query to the callers' address of a daemon. QUERY is JSON, or text.
+
+  --stage trial|production   which document to use (default production)
+  --shards A,B               shards to ask (default all)
+  --deadline-ms N            time for the answer (default: that of the service's class)
+  --at-most-once             for requests that must not run twice
+  --id ID                    request id (default: a new UUID version 7)
+";
+
+const ENTRIES_HELP: &str = "\
+Usage: tillerctl entries --at ADDRESS [--caller NAME] [--domain NAME]
+
+Asks a daemon which entry addresses this caller should use.
+";
+
+/// Sends one query.
+pub(crate) fn query(arguments: &mut Arguments) -> Result<(), Failure> {
+    if arguments.help() {
+        print!("{QUERY_HELP}");
+        return Ok(());
+    }
+    let address = arguments.address()?;
+    let environment: String = arguments.required("--environment")?;
+    let service: String = arguments.required("--service")?;
+    let stage: Option<String> = arguments.option("--stage")?;
+    let shards: Option<String> = arguments.option("--shards")?;
+    let deadline: Option<u64> = arguments.option("--deadline-ms")?;
+    let id: Option<String> = arguments.option("--id")?;
+    let mode = if arguments.flag("--at-most-once") { "at-most-once" } else { "idempotent" };
+    let text = arguments.word("a query")?;
+    arguments.end()?;
+
+    let query: Value = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    let mut body = json!({
+        "environment": environment,
+        "service": service,
+        "request_id": id.unwrap_or_else(|| uuid::Uuid::now_v7().to_string()),
+        "mode": mode,
+        "query": query,
+    });
+    if let Some(stage) = stage {
+        body["stage"] = json!(stage);
+    }
+    if let Some(shards) = shards {
+        body["shards"] = shards.split(',').collect();
+    }
+    if let Some(deadline) = deadline {
+        body["deadline_ms"] = json!(deadline);
+    }
+    let ask = Ask::post(address, "/v1/query".to_owned(), body.to_string().into_bytes());
+    let answer = block_on(async { Http::new().json(ask).await })??;
+    print_value(arguments.format(), &answer);
+    Ok(())
+}
+
+/// Asks for entry addresses.
+pub(crate) fn entries(arguments: &mut Arguments) -> Result<(), Failure> {
+    if arguments.help() {
+        print!("{ENTRIES_HELP}");
+        return Ok(());
+    }
+    let address = arguments.address()?;
+    let caller: String = arguments.option("--caller")?.unwrap_or_default();
+    let domain: String = arguments.option("--domain")?.unwrap_or_default();
+    arguments.end()?;
+    if !plain(&caller) || !plain(&domain) {
+        return Err(Failure::new(
+            ResultCode::UsageError,
+            "expected letters, digits, `-`, `.` and `_` in --caller and --domain".to_owned(),
+        ));
+    }
+    let path = format!("/v1/entries?caller={caller}&domain={domain}");
+    let answer = block_on(async { Http::new().json(Ask::get(address, path)).await })??;
+    print_value(arguments.format(), &answer);
+    Ok(())
+}
+
+fn plain(text: &str) -> bool {
+    text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-._".contains(&byte))
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,8 @@
-//! Entry point.
+//! `tillerctl`, the operators' and testers' tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<_> = std::env::args_os().skip(1).collect();
+    tt_ctl::run(arguments)
+}
--- /dev/null
+++ b/crates/ctl/src/output.rs
@@ -0,0 +1,76 @@
+//! What commands print and how they end.
+
+use std::process::ExitCode;
+
+use serde_json::Value;
+use serde_json::json;
+
+use tt_model::ResultCode;
+
+/// How a command prints its result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Format {
+    Text,
+    Json,
+}
+
+/// Why a command did not do what it was asked.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Failure {
+    code: ResultCode,
+    detail: String,
+    /// The answer of the daemon, if there was one.
+    answer: Option<Value>,
+}
+
+impl Failure {
+    pub(crate) fn new(code: ResultCode, detail: String) -> Failure {
+        Failure { code, detail, answer: None }
+    }
+
+    pub(crate) fn usage(detail: String) -> Failure {
+        Failure::new(ResultCode::UsageError, detail)
+    }
+
+    /// A refusal by a daemon.
+    pub(crate) fn refused(answer: Value) -> Failure {
+        let code = answer["code"].as_u64().and_then(|number| ResultCode::from_number(number as u16));
+        let detail = answer["detail"].as_str().unwrap_or_default().to_owned();
+        Failure { code: code.unwrap_or(ResultCode::Internal), detail, answer: Some(answer) }
+    }
+
+    /// Prints the failure and gives the exit code.
+    pub(crate) fn report(self, format: Format) -> ExitCode {
+        match format {
+            Format::Json => {
+                let body = self.answer.unwrap_or_else(|| {
+                    json!({
+                        "code": self.code,
+                        "name": self.code.name(),
+                        "text": self.code.text(),
+                        "detail": self.detail,
+                    })
+                });
+                println!("{body}");
+            }
+            Format::Text => {
+                eprintln!("tillerctl: {}: {}", self.code, self.code.text());
+                if !self.detail.is_empty() {
+                    eprintln!("{}", self.detail);
+                }
+            }
+        }
+        match self.code {
+            ResultCode::UsageError => ExitCode::from(2),
+            _ => ExitCode::FAILURE,
+        }
+    }
+}
+
+/// Prints a JSON value: as it is, or indented for people.
+pub(crate) fn print_value(format: Format, value: &Value) {
+    match format {
+        Format::Json => println!("{value}"),
+        Format::Text => println!("{value:#}"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,12 @@
+//! The HTTP interfaces for callers and for operators.
+
+mod answer;
+mod callers;
+mod operators;
+mod server;
+
+pub(crate) use answer::Answer;
+pub(crate) use answer::ErrorBody;
+pub(crate) use server::Listener;
+pub(crate) use server::Side;
+pub(crate) use server::start;
--- /dev/null
+++ b/crates/daemon/src/http/server.rs
@@ -0,0 +1,140 @@
+//! The `xitca-web` servers.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use xitca_web::App;
+use xitca_web::BodyStream;
+use xitca_web::WebContext;
+use xitca_web::body::RequestBody;
+use xitca_web::error::Error;
+use xitca_web::http::HeaderValue;
+use xitca_web::http::StatusCode;
+use xitca_web::http::WebResponse;
+use xitca_web::http::header::CONTENT_TYPE;
+use xitca_web::service::fn_service;
+
+use tt_model::ResultCode;
+
+use crate::http::answer::Answer;
+use crate::http::callers;
+use crate::http::operators;
+use crate::node::Node;
+
+/// A caller that sends its head or body more slowly than this is cut off.
+const HEAD_LIMIT: Duration = Duration::from_secs(10);
+
+/// Which interface a server offers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Side {
+    Callers,
+    Operators,
+}
+
+/// A running server.
+pub(crate) struct Listener {
+    pub(crate) address: SocketAddr,
+    stop: Box<dyn Fn() + Send + Sync>,
+    task: JoinHandle<io::Result<()>>,
+}
+
+/// A request with its body.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) query: String,
+    pub(crate) body: Vec<u8>,
+}
+
+#[derive(Debug, Clone)]
+struct State {
+    node: Arc<Node>,
+    side: Side,
+}
+
+/// Starts a server for one side of the node.
+pub(crate) fn start(node: Arc<Node>, side: Side, address: SocketAddr) -> io::Result<Listener> {
+    let listener = TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    let threads = match side {
+        Side::Callers => node.settings.threads,
+        Side::Operators => 1,
+    };
+    let mut server = App::new()
+        .with_state(State { node, side })
+        .at("/", fn_service(handle))
+        .at("/{*path}", fn_service(handle))
+        .serve()
+        .worker_threads(threads)
+        .request_head_timeout(HEAD_LIMIT)
+        .disable_signal()
+        .listen(listener)?
+        .run();
+    let handle = server.handle()?;
+    let task = tokio::spawn(async move { server.await });
+    Ok(Listener { address, stop: Box::new(move || handle.stop(true)), task })
+}
+
+impl Listener {
+    /// Stops accepting and waits until requests in flight have their answers.
+    pub(crate) async fn stop(self) {
+        (self.stop)();
+        // The task can only fail by a panic of the server, which has been logged.
+        let _ = self.task.await;
+    }
+}
+
+impl fmt::Debug for Listener {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Listener").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+async fn handle(mut context: WebContext<'_, State>) -> Result<WebResponse, Error> {
+    let State { node, side } = context.state().clone();
+    let uri = context.req().uri();
+    let path = uri.path().to_owned();
+    let query = uri.query().unwrap_or_default().to_owned();
+    let method = context.req().method().as_str().to_owned();
+    let limit = match side {
+        Side::Callers => node.settings.callers.body_bytes,
+        Side::Operators => tt_model::MAX_DOCUMENT_BYTES,
+    };
+    let body = std::mem::take(context.body_get_mut());
+    let answer = match read(body, limit).await {
+        Ok(body) => {
+            let request = Request { method, path, query, body };
+            match side {
+                Side::Callers => callers::answer(&node, request).await,
+                Side::Operators => operators::answer(&node, request).await,
+            }
+        }
+        Err(code) => Answer::error(code, format!("the limit is {limit} bytes")),
+    };
+    let mut response = context.into_response(answer.body);
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let kind = HeaderValue::from_static(answer.kind.header());
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    Ok(response)
+}
+
+async fn read(body: RequestBody, limit: usize) -> Result<Vec<u8>, ResultCode> {
+    let mut body = pin!(body);
+    let mut bytes = Vec::new();
+    while let Some(chunk) = body.as_mut().data().await {
+        let chunk = chunk.map_err(|_| ResultCode::MalformedRequest)?;
+        if bytes.len() + chunk.len() > limit {
+            return Err(ResultCode::BodyTooLarge);
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/daemon/src/owner.rs
@@ -0,0 +1,111 @@
+//! The owner side: runs sub-queries at the searchers that this daemon may use.
+//!
+//! [`Hosts`] holds one [`host::Host`] for each searcher address, each under its own lock. A
+//! host queues sub-queries, starts them when the ownership right and a connection allow it,
+//! and reports each outcome once.
+
+mod client;
+mod host;
+mod reply;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use bytes::Bytes;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+
+use tt_limits::SlotRight;
+use tt_limits::Ticket;
+use tt_model::Searcher;
+use tt_model::ServiceId;
+use tt_rpc::SubReply;
+
+pub(crate) use host::Host;
+pub(crate) use host::Status;
+
+/// A sub-query to run at a searcher.
+#[derive(Debug)]
+pub(crate) struct Work {
+    pub(crate) key: u64,
+    pub(crate) shard: String,
+    pub(crate) call: Arc<Call>,
+    pub(crate) reply: UnboundedSender<SubReply>,
+}
+
+/// What all sub-queries of one `Gather` have in common.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) service: ServiceId,
+    pub(crate) share: f64,
+    pub(crate) urgency: u8,
+    pub(crate) snapshot: u64,
+    pub(crate) deadline: Instant,
+    pub(crate) mode: tt_rpc::RunMode,
+    pub(crate) request: String,
+    pub(crate) query: Bytes,
+}
+
+/// A queued or running sub-query, for cancelling it.
+#[derive(Debug, Clone)]
+pub(crate) struct Handle {
+    pub(crate) host: Arc<Host>,
+    pub(crate) ticket: Ticket,
+    pub(crate) key: u64,
+}
+
+/// The right of this daemon to use one searcher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Right {
+    pub(crate) slots: SlotRight,
+    pub(crate) connections: u32,
+}
+
+/// All searchers that this daemon knows, by address.
+#[derive(Debug, Default)]
+pub(crate) struct Hosts {
+    by_address: Mutex<HashMap<SocketAddr, Arc<Host>>>,
+}
+
+impl Hosts {
+    /// The host of a searcher, if it is in a document that is in force.
+    pub(crate) fn get(&self, address: SocketAddr) -> Option<Arc<Host>> {
+        self.lock().get(&address).cloned()
+    }
+
+    /// All hosts.
+    pub(crate) fn all(&self) -> Vec<Arc<Host>> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Takes in the searchers of the documents in force. Hosts of searchers that are in none
+    /// of them drain.
+    pub(crate) fn update<'a, I>(&self, searchers: I)
+    where
+        I: Iterator<Item = &'a Searcher>,
+    {
+        let mut found: HashMap<SocketAddr, Arc<Host>> = HashMap::new();
+        let mut hosts = self.lock();
+        for searcher in searchers {
+            let host = hosts
+                .remove(&searcher.address)
+                .or_else(|| found.get(&searcher.address).cloned())
+                .filter(|host| host.fits(searcher))
+                .unwrap_or_else(|| Host::start(searcher));
+            host.set_state(searcher.state);
+            found.insert(searcher.address, host);
+        }
+        let gone = std::mem::replace(&mut *hosts, found);
+        drop(hosts);
+        for host in gone.into_values() {
+            host.retire();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Host>>> {
+        self.by_address.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/owner/client.rs
@@ -0,0 +1,162 @@
+//! HTTP exchanges with a searcher on one connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use serde_json::value::RawValue;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use tt_rpc::Outcome;
+use tt_rpc::RunMode;
+use tt_rpc::SubReply;
+
+use crate::owner::Work;
+use crate::owner::reply::Found;
+use crate::owner::reply::Gone;
+use crate::owner::reply::StatusBody;
+
+/// Bounds what one reply may make the daemon hold.
+const MAX_REPLY_BYTES: usize = 1024 * 1024;
+
+/// Least time for a connection attempt; the document's connect time may be lower.
+const MIN_CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
+/// The sending half of a connection.
+pub(crate) type Sender = SendRequest<Full<Bytes>>;
+
+/// The receiving half of a connection; it ends with the socket.
+pub(crate) type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
+/// An outcome, and whether the connection can be used again.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    pub(crate) reply: SubReply,
+    pub(crate) sender: Option<Sender>,
+}
+
+/// Opens a connection.
+pub(crate) async fn connect(address: SocketAddr, expected: Duration) -> Option<(Sender, Driver)> {
+    let limit = (expected * 10).max(MIN_CONNECT_LIMIT);
+    let stream = timeout(limit, TcpStream::connect(address)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    http1::handshake(TokioIo::new(stream)).await.ok()
+}
+
+/// Sends one sub-query and reads the reply.
+pub(crate) async fn search(mut sender: Sender, work: &Work, deadline: Instant) -> Exchange {
+    let Some(request) = search_request(work, deadline) else {
+        return Exchange { reply: outcome(work.key, Outcome::Expired), sender: Some(sender) };
+    };
+    // A connection that was closed while it was idle has not carried the request.
+    if sender.ready().await.is_err() {
+        return Exchange { reply: outcome(work.key, Outcome::Unreachable), sender: None };
+    }
+    let response = match sender.send_request(request).await {
+        Ok(response) => response,
+        Err(error) => {
+            let lost = if error.is_canceled() { Outcome::Unreachable } else { Outcome::Failed };
+            return Exchange { reply: outcome(work.key, lost), sender: None };
+        }
+    };
+    match read(work.key, response).await {
+        Some(reply) => Exchange { reply, sender: Some(sender) },
+        None => Exchange { reply: outcome(work.key, Outcome::Failed), sender: None },
+    }
+}
+
+/// Reads the status endpoint.
+pub(crate) async fn status(mut sender: Sender) -> (Option<StatusBody>, Option<Sender>) {
+    let request =
+        Request::builder().uri("/status").header("host", "searcher").body(Full::new(Bytes::new()));
+    let Ok(request) = request else {
+        return (None, None);
+    };
+    let Ok(response) = sender.send_request(request).await else {
+        return (None, None);
+    };
+    let Ok(body) = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await else {
+        return (None, None);
+    };
+    (serde_json::from_slice(&body.to_bytes()).ok(), Some(sender))
+}
+
+/// An outcome without hits.
+pub(crate) fn outcome(key: u64, outcome: Outcome) -> SubReply {
+    SubReply { key, outcome: outcome.into(), ..SubReply::default() }
+}
+
+fn search_request(work: &Work, deadline: Instant) -> Option<Request<Full<Bytes>>> {
+    let left = deadline.checked_duration_since(Instant::now())?;
+    let call = &work.call;
+    let query: &RawValue = serde_json::from_slice(&call.query).ok()?;
+    let body = json!({
+        "shard": work.shard,
+        "snapshot": call.snapshot,
+        "query": query,
+        "idempotent": call.mode == RunMode::Idempotent,
+    });
+    Request::builder()
+        .method(Method::POST)
+        .uri("/search")
+        .header("host", "searcher")
+        .header("content-type", "application/json")
+        .header("x-request-id", &call.request)
+        .header("x-deadline-unix-ms", unix_ms(left))
+        .body(Full::new(Bytes::from(body.to_string())))
+        .ok()
+}
+
+async fn read(key: u64, response: Response<Incoming>) -> Option<SubReply> {
+    let status = response.status();
+    let header = |name: &str| {
+        response.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    };
+    let executed = header("x-executed") != "no";
+    let draining = header("x-searcher-state") == "draining";
+    let body =
+        Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
+    let reply = match status {
+        StatusCode::OK => {
+            let found: Found<'_> = serde_json::from_slice(&body).ok()?;
+            let hits = body.slice_ref(found.hits.get().as_bytes());
+            SubReply {
+                snapshot: found.snapshot,
+                held: found.held,
+                hits: hits.to_vec(),
+                ..outcome(key, Outcome::Answered)
+            }
+        }
+        StatusCode::GONE => {
+            let held = serde_json::from_slice::<Gone>(&body).map(|gone| gone.held);
+            SubReply { held: held.unwrap_or_default(), ..outcome(key, Outcome::SnapshotGone) }
+        }
+        StatusCode::MISDIRECTED_REQUEST => outcome(key, Outcome::WrongShard),
+        _ if executed => outcome(key, Outcome::Failed),
+        StatusCode::GATEWAY_TIMEOUT => outcome(key, Outcome::Expired),
+        _ if draining => outcome(key, Outcome::Draining),
+        _ => outcome(key, Outcome::Shed),
+    };
+    Some(reply)
+}
+
+fn unix_ms(after: Duration) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (now + after).as_millis() as u64
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,12 @@
+//! Messages to and from other daemons.
+
+mod client;
+mod gather;
+mod server;
+
+pub(crate) use client::ExchangeError;
+pub(crate) use client::Peers;
+pub(crate) use gather::Origin;
+pub(crate) use gather::Running;
+pub(crate) use server::Server;
+pub(crate) use server::start;
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,171 @@
+//! The settings file of a daemon: JSON with comments.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use tt_model::ResultCode;
+
+/// Settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The failure domain that this VM is in.
+    pub domain: String,
+    /// Relative capacity of this VM.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// Addresses to listen at.
+    pub listen: Listen,
+    /// Address of the platform's store and VM list.
+    pub platform: SocketAddr,
+    /// Addresses of other daemons to try first, for a start without the platform.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// Bounds on callers.
+    #[serde(default)]
+    pub callers: Callers,
+    /// Worker threads.
+    #[serde(default = "four")]
+    pub threads: usize,
+    /// Log filter, like `info` or `info,tt_daemon::owner=debug`.
+    #[serde(default = "info")]
+    pub log: String,
+}
+
+/// Listening addresses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other daemons. Also the identity of this VM towards them.
+    pub peers: SocketAddr,
+}
+
+/// Bounds on callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Callers {
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// How long callers may keep the answer to "which address", in milliseconds.
+    pub keep_ms: u64,
+    /// How long a stop waits for requests in flight, in milliseconds.
+    pub drain_ms: u64,
+}
+
+impl Default for Callers {
+    fn default() -> Self {
+        Callers { body_bytes: 1024 * 1024, keep_ms: 5_000, drain_ms: 70_000 }
+    }
+}
+
+impl Callers {
+    /// How long callers may keep the answer to "which address".
+    pub fn keep(&self) -> Duration {
+        Duration::from_millis(self.keep_ms)
+    }
+}
+
+/// A settings file that cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The code of the error.
+    pub code: ResultCode,
+    /// The file.
+    pub path: PathBuf,
+    /// Line, from 1; 0 if the fault has no place.
+    pub line: usize,
+    /// Column, from 1; 0 if the fault has no place.
+    pub column: usize,
+    /// The faulty field and what was expected.
+    pub message: String,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.path.display())?;
+        if self.line > 0 {
+            write!(f, ":{}:{}", self.line, self.column)?;
+        }
+        write!(f, ": {} (result code {})", self.message, self.code)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsError {
+            code: ResultCode::SettingsUnreadable,
+            path: path.to_owned(),
+            line: 0,
+            column: 0,
+            message: error.to_string(),
+        })?;
+        Settings::parse(path, &text)
+    }
+
+    /// Checks the text of a settings file.
+    pub fn parse(path: &Path, text: &str) -> Result<Settings, SettingsError> {
+        let invalid = |line, column, message| SettingsError {
+            code: ResultCode::SettingsInvalid,
+            path: path.to_owned(),
+            line,
+            column,
+            message,
+        };
+        let settings: Settings = serde_jsonc::from_str(text)
+            .map_err(|error| invalid(error.line(), error.column(), error.to_string()))?;
+        settings.check().map_err(|message| invalid(0, 0, message))?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let listen = &self.listen;
+        if self.domain.is_empty() {
+            return Err("domain: expected the name of a failure domain".to_owned());
+        }
+        if self.weight == 0 {
+            return Err("weight: expected at least 1, found 0".to_owned());
+        }
+        if !(1..=256).contains(&self.threads) {
+            return Err(format!("threads: expected 1 to 256, found {}", self.threads));
+        }
+        if self.callers.body_bytes == 0 {
+            return Err("callers.body_bytes: expected at least 1, found 0".to_owned());
+        }
+        if self.callers.keep_ms == 0 {
+            return Err("callers.keep_ms: expected at least 1, found 0".to_owned());
+        }
+        if listen.peers.ip().is_unspecified() || listen.callers.ip().is_unspecified() {
+            return Err("listen: expected the address that others use, found 0.0.0.0 or ::".to_owned());
+        }
+        let ports = [listen.callers, listen.operators, listen.peers];
+        let distinct = ports[0] != ports[1] && ports[1] != ports[2] && ports[0] != ports[2];
+        if !distinct && ports.iter().all(|address| address.port() != 0) {
+            return Err("listen: expected three different addresses".to_owned());
+        }
+        Ok(())
+    }
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn four() -> usize {
+    4
+}
+
+fn info() -> String {
+    "info".to_owned()
+}
