--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,57 @@
-//! Query decisions: planning, snapshot choice, hedges, retries and coverage.
+//! All query decisions of an entry daemon, without I/O.
+//!
+//! A [`Router`] holds what an entry knows of the searchers of one environment document
+//! ([`View`]), the hedge [`Budget`], and the queries in flight. The daemon feeds it
+//! events with the current time: an admitted [`Request`], a [`Reply`] to a sub-query, a
+//! due wake-up, a caller that is gone, a [`Hint`] about a searcher. The router appends
+//! [`Action`]s: send or cancel a sub-query, wake a query later, give an [`Answer`] out.
+//!
+//! A request is first planned ([`Planner`]): the snapshot is pinned and the shard set
+//! derived from it. Then a replica is chosen for each shard, and the state machine of the
+//! query hedges, retries and restarts until every shard is covered or given up, or the
+//! deadline less a margin is reached. Each query gives exactly one answer.
+
+mod arena;
+mod budget;
+mod event;
+mod latency;
+mod plan;
+mod query;
+mod router;
+mod settings;
+mod view;
+
+pub use arena::GenArena;
+pub use arena::QueryKey;
+pub use arena::SubKey;
+pub use budget::Budget;
+pub use budget::Load;
+pub use event::Action;
+pub use event::Answer;
+pub use event::Counters;
+pub use event::Covered;
+pub use event::Effort;
+pub use event::Gap;
+pub use event::Kind;
+pub use event::Mode;
+pub use event::Outcome;
+pub use event::Reason;
+pub use event::Reply;
+pub use event::Request;
+pub use event::SubQuery;
+pub use event::Verdict;
+pub use latency::Latency;
+pub use plan::Floor;
+pub use plan::Plan;
+pub use plan::Planner;
+pub use plan::Shards;
+pub use router::Router;
+pub use settings::BudgetSettings;
+pub use settings::HealthSettings;
+pub use settings::Policy;
+pub use settings::Settings;
+pub use view::Hint;
+pub use view::Holds;
+pub use view::Pressure;
+pub use view::State;
+pub use view::View;
--- /dev/null
+++ b/crates/routing/src/query.rs
@@ -0,0 +1,563 @@
+//! The state machine of one query.
+//!
+//! A query has a *part* for each shard of its plan and a *sub-query* for each attempt.
+//! The attempts of a part form a chain, newest first. A part is covered by the first
+//! answer; its other attempts are cancelled.
+
+mod attempt;
+mod finish;
+mod restart;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+use tt_model::Preference;
+use tt_model::ResultCode;
+use tt_model::SearcherId;
+use tt_model::ServiceId;
+use tt_model::ShardId;
+use tt_model::Snapshot;
+
+use self::finish::End;
+use crate::arena::QueryKey;
+use crate::arena::SubKey;
+use crate::budget::Budget;
+use crate::budget::Load;
+use crate::event::Action;
+use crate::event::Counters;
+use crate::event::Effort;
+use crate::event::Kind;
+use crate::event::Mode;
+use crate::event::Reason;
+use crate::event::Reply;
+use crate::event::Request;
+use crate::event::SubQuery;
+use crate::event::Verdict;
+use crate::plan::Plan;
+use crate::plan::Planner;
+use crate::plan::Shards;
+use crate::settings::Policy;
+use crate::settings::Settings;
+use crate::view::Intent;
+use crate::view::Probe;
+use crate::view::Trouble;
+use crate::view::View;
+
+// End of a chain of attempts, and no time set.
+const NONE: u32 = u32::MAX;
+// A query may send one probe, and one more for each so many shards.
+const SHARDS_PER_PROBE: usize = 64;
+// Timers of a query are rounded up to this, so that one wake-up serves many shards.
+const TICK_US: u32 = 256;
+// Looks at an early answer between the earliest time for it and the deadline.
+const EARLY_LOOKS: u32 = 8;
+
+/// What a query needs from its router.
+pub(crate) struct Context<'a, T, R> {
+    pub(crate) settings: &'a Settings,
+    pub(crate) view: &'a mut View,
+    pub(crate) planner: &'a mut Planner,
+    pub(crate) budget: &'a mut Budget,
+    pub(crate) counters: &'a mut Counters,
+    pub(crate) rng: &'a mut R,
+    pub(crate) now: Instant,
+    pub(crate) out: &'a mut Vec<Action<T>>,
+}
+
+/// Whether a query goes on after an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Status {
+    Running,
+    Finished,
+}
+
+/// A query in flight. All times are microseconds since its start.
+#[derive(Debug)]
+pub(crate) struct Query<T> {
+    key: QueryKey,
+    service: ServiceId,
+    shards: Shards,
+    mode: Mode,
+    prefer: Preference,
+    quantile: f64,
+    started: Instant,
+    finish_at: u32,
+    early_at: u32,
+    armed: u32,
+    snapshot: Snapshot,
+    parts: Vec<Part<T>>,
+    absent: Vec<ShardId>,
+    open: usize,
+    covered: usize,
+    subs: Vec<Sub>,
+    timers: BinaryHeap<Reverse<Timer>>,
+    effort: Effort,
+    ran: Ran,
+    restarted: Restarted,
+}
+
+#[derive(Debug)]
+struct Part<T> {
+    shard: ShardId,
+    // The newest attempt.
+    last: u32,
+    // The only timer of the part that counts.
+    timer: u32,
+    waiting: u8,
+    attempts: u8,
+    hedges: u8,
+    progress: Progress<T>,
+}
+
+#[derive(Debug)]
+enum Progress<T> {
+    Open,
+    Covered { searcher: SearcherId, body: T },
+    Uncovered(Reason),
+}
+
+#[derive(Debug)]
+struct Sub {
+    part: u32,
+    searcher: SearcherId,
+    sent: u32,
+    // The attempt before this one at the same part.
+    previous: u32,
+    state: SubState,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SubState {
+    Waiting,
+    Answered,
+    Unexecuted(Reason),
+    Failed,
+    Mismatched,
+    Cancelled,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Timer {
+    at: u32,
+    part: u32,
+}
+
+/// Whether any sub-query may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ran {
+    No,
+    Maybe,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Restarted {
+    No,
+    Yes,
+}
+
+impl<T> Query<T> {
+    /// Plans a query and chooses its first replicas. Nothing is sent before
+    /// [`launch`](Query::launch); a refused query leaves no trace.
+    pub(crate) fn open<R>(
+        request: Request,
+        key: QueryKey,
+        plan: Plan,
+        ctx: &mut Context<'_, T, R>,
+    ) -> Result<Query<T>, ResultCode>
+    where
+        R: Rng,
+    {
+        let environment = ctx.view.environment();
+        let class = &environment.classes[environment.services[request.service].class];
+        let total = request.deadline.saturating_duration_since(ctx.now);
+        let margin = total
+            .mul_f64(ctx.settings.margin_share)
+            .clamp(ctx.settings.min_margin, ctx.settings.max_margin);
+        let usable = total.checked_sub(margin).ok_or(ResultCode::DeadlinePassed)?;
+        if usable.is_zero() {
+            return Err(ResultCode::DeadlinePassed);
+        }
+        let finish_at = micros(usable);
+        let mut query = Query {
+            key,
+            service: request.service,
+            shards: request.shards,
+            mode: request.mode,
+            prefer: class.prefer,
+            quantile: class.hedge_quantile,
+            started: ctx.now,
+            finish_at,
+            early_at: NONE,
+            armed: NONE,
+            snapshot: plan.snapshot,
+            parts: Vec::new(),
+            absent: Vec::new(),
+            open: 0,
+            covered: 0,
+            subs: Vec::new(),
+            timers: BinaryHeap::new(),
+            effort: Effort::default(),
+            ran: Ran::No,
+            restarted: Restarted::No,
+        };
+        if query.prefer == Preference::Latency
+            && query.mode == Mode::Idempotent
+            && ctx.settings.policy == Policy::Adaptive
+        {
+            query.early_at = (f64::from(finish_at) * ctx.settings.early_share) as u32;
+        }
+        query.adopt(plan, ctx);
+        // A non-idempotent request that cannot reach every shard would end half done.
+        let partial = query.open < query.parts.len() || !query.absent.is_empty();
+        if query.open == 0 || (query.mode == Mode::AtMostOnce && partial) {
+            for sub in &query.subs {
+                ctx.view.returned(sub.searcher);
+            }
+            return Err(ResultCode::NoReplica);
+        }
+        Ok(query)
+    }
+
+    /// Sends the first sub-queries, or the first ones after a restart.
+    pub(crate) fn launch<R>(&mut self, kind: Kind, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        let first = self.subs.len() - self.open;
+        ctx.out.reserve(self.open + 1);
+        for sub in first..self.subs.len() {
+            ctx.out.push(Action::Send(self.sub_query(sub as u32, kind)));
+            let part = self.subs[sub].part;
+            self.set_first_timer(part, ctx);
+        }
+        let count = self.open;
+        match kind {
+            Kind::Primary => {
+                self.effort.primaries += count as u32;
+                ctx.counters.primaries += count as u64;
+                ctx.budget.earn(count, ctx.now);
+            }
+            Kind::Hedge | Kind::Retry | Kind::Restart => {
+                self.effort.restarts += count as u32;
+                ctx.counters.restarts += count as u64;
+            }
+        }
+        self.arm(ctx);
+    }
+
+    /// Takes in a reply to one of the query's sub-queries.
+    pub(crate) fn reply<R>(
+        &mut self,
+        sub: u32,
+        reply: Reply<'_, T>,
+        ctx: &mut Context<'_, T, R>,
+    ) -> Status
+    where
+        R: Rng,
+    {
+        let Some(&Sub { part, searcher, sent, state, .. }) = self.subs.get(sub as usize) else {
+            ctx.counters.stale += 1;
+            return Status::Running;
+        };
+        self.take_evidence(searcher, &reply, ctx);
+        match state {
+            SubState::Waiting => {}
+            SubState::Cancelled => {
+                ctx.counters.late += 1;
+                return Status::Running;
+            }
+            _ => {
+                ctx.counters.duplicates += 1;
+                return Status::Running;
+            }
+        }
+        ctx.view.returned(searcher);
+        self.parts[part as usize].waiting -= 1;
+        let shard = self.parts[part as usize].shard;
+        let waited = Duration::from_micros(u64::from(self.offset(ctx.now).saturating_sub(sent)));
+        let (state, trouble) = match reply.verdict {
+            Verdict::Answered { snapshot, body } if snapshot == self.snapshot => {
+                ctx.view.answered(searcher, waited, ctx.now);
+                self.subs[sub as usize].state = SubState::Answered;
+                self.cover(part, searcher, body, ctx);
+                return self.proceed(ctx);
+            }
+            Verdict::Answered { .. } => {
+                ctx.counters.mismatched += 1;
+                (SubState::Mismatched, None)
+            }
+            Verdict::Shed => (SubState::Unexecuted(Reason::Overloaded), Some(Trouble::Shed)),
+            Verdict::Draining => (SubState::Unexecuted(Reason::NoReplica), Some(Trouble::Draining)),
+            Verdict::SnapshotGone => {
+                ctx.view.drop_held(searcher, self.snapshot);
+                (SubState::Unexecuted(Reason::SnapshotGone), None)
+            }
+            Verdict::WrongShard => {
+                (SubState::Unexecuted(Reason::NoReplica), Some(Trouble::WrongShard))
+            }
+            Verdict::Refused => (SubState::Unexecuted(Reason::NoReplica), Some(Trouble::Failed)),
+            Verdict::OwnerUnreachable => {
+                (SubState::Unexecuted(Reason::NoReplica), Some(Trouble::OwnerUnreachable))
+            }
+            Verdict::Failed => (SubState::Failed, Some(Trouble::Failed)),
+        };
+        if let Some(trouble) = trouble {
+            ctx.view.trouble(searcher, shard, trouble, ctx.now);
+        }
+        self.subs[sub as usize].state = state;
+        match state {
+            SubState::Unexecuted(_) => self.effort.unexecuted += 1,
+            _ => self.ran = Ran::Maybe,
+        }
+        if self.parts[part as usize].waiting == 0 {
+            self.retry(part, ctx);
+        }
+        self.proceed(ctx)
+    }
+
+    /// Takes in that the time of the last [`Action::WakeAt`] has come.
+    pub(crate) fn wake<R>(&mut self, ctx: &mut Context<'_, T, R>) -> Status
+    where
+        R: Rng,
+    {
+        self.armed = NONE;
+        let now = self.offset(ctx.now);
+        if now >= self.finish_at {
+            return self.finish(End::Deadline, ctx);
+        }
+        while self.timers.peek().is_some_and(|Reverse(timer)| timer.at <= now) {
+            let Some(Reverse(Timer { at, part })) = self.timers.pop() else { break };
+            let due = &mut self.parts[part as usize];
+            if due.timer != at || !matches!(due.progress, Progress::Open) {
+                continue;
+            }
+            due.timer = NONE;
+            if due.waiting == 0 {
+                self.retry(part, ctx);
+                continue;
+            }
+            match ctx.settings.policy {
+                Policy::Adaptive => self.hedge(part, ctx),
+                Policy::Baseline => self.time_out(part, ctx),
+            }
+        }
+        if now >= self.early_at {
+            if self.is_good_enough(ctx) {
+                return self.finish(End::Early, ctx);
+            }
+            let step = (self.finish_at - self.early_at).min(self.finish_at / EARLY_LOOKS);
+            self.early_at = now + (step / EARLY_LOOKS).max(TICK_US);
+        }
+        self.proceed(ctx)
+    }
+
+    /// Takes in that the caller is gone. A non-idempotent query goes on, because
+    /// cancelling what may be running would only make its outcome unknown.
+    pub(crate) fn cancel<R>(&mut self, ctx: &mut Context<'_, T, R>) -> Status
+    where
+        R: Rng,
+    {
+        match self.mode {
+            Mode::Idempotent => self.finish(End::Cancelled, ctx),
+            Mode::AtMostOnce => Status::Running,
+        }
+    }
+
+    /// Takes over a plan: builds the parts and chooses a replica for each.
+    fn adopt<R>(&mut self, plan: Plan, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        self.snapshot = plan.snapshot;
+        self.absent = plan.absent;
+        self.open = 0;
+        self.covered = 0;
+        self.parts.clear();
+        self.parts.reserve_exact(plan.shards.len());
+        self.subs.reserve(plan.shards.len());
+        self.timers.clear();
+        let mut probes = match self.mode {
+            Mode::Idempotent => 1 + plan.shards.len() / SHARDS_PER_PROBE,
+            Mode::AtMostOnce => 0,
+        };
+        for shard in plan.shards {
+            let searcher = match ctx.settings.policy {
+                Policy::Baseline => ctx.view.choose_in_turn(shard, plan.snapshot, |_| true),
+                Policy::Adaptive => {
+                    let intent = if probes > 0 { Intent::Probing } else { Intent::Primary };
+                    let choice =
+                        ctx.view.choose(shard, plan.snapshot, intent, |_| true, ctx.now, ctx.rng);
+                    choice.map(|choice| {
+                        probes -= usize::from(choice.probe == Probe::Yes);
+                        choice.searcher
+                    })
+                }
+            };
+            let part = self.parts.len() as u32;
+            let progress = match searcher {
+                Some(_) => Progress::Open,
+                None => Progress::Uncovered(ctx.view.why_unserved(shard)),
+            };
+            self.parts.push(Part {
+                shard,
+                last: NONE,
+                timer: NONE,
+                waiting: 0,
+                attempts: 0,
+                hedges: 0,
+                progress,
+            });
+            if let Some(searcher) = searcher {
+                self.open += 1;
+                self.add_sub(part, searcher, ctx);
+            }
+        }
+    }
+
+    fn add_sub<R>(&mut self, part: u32, searcher: SearcherId, ctx: &mut Context<'_, T, R>) -> u32
+    where
+        R: Rng,
+    {
+        ctx.view.sent(searcher, ctx.now);
+        let sub = self.subs.len() as u32;
+        let sent = self.offset(ctx.now);
+        let at = &mut self.parts[part as usize];
+        self.subs.push(Sub { part, searcher, sent, previous: at.last, state: SubState::Waiting });
+        at.last = sub;
+        at.waiting += 1;
+        at.attempts = at.attempts.saturating_add(1);
+        sub
+    }
+
+    fn sub_query(&self, sub: u32, kind: Kind) -> SubQuery {
+        let Sub { part, searcher, .. } = self.subs[sub as usize];
+        SubQuery {
+            key: SubKey { query: self.key, sub },
+            searcher,
+            shard: self.parts[part as usize].shard,
+            snapshot: self.snapshot,
+            deadline: self.instant(self.finish_at),
+            kind,
+        }
+    }
+
+    fn take_evidence<R>(
+        &mut self,
+        searcher: SearcherId,
+        reply: &Reply<'_, T>,
+        ctx: &mut Context<'_, T, R>,
+    ) where
+        R: Rng,
+    {
+        if !reply.held.is_empty() {
+            ctx.view.set_held(searcher, reply.held);
+        }
+        let load = match reply.pressure {
+            Some(pressure) => ctx.view.set_pressure(searcher, pressure, ctx.now),
+            None => Load::Normal,
+        };
+        match reply.verdict {
+            Verdict::Shed => ctx.budget.report(Load::Overloaded, ctx.now),
+            Verdict::Answered { .. } => ctx.budget.report(load, ctx.now),
+            _ => {}
+        }
+    }
+
+    fn cover<R>(&mut self, part: u32, searcher: SearcherId, body: T, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        self.ran = Ran::Maybe;
+        self.parts[part as usize].progress = Progress::Covered { searcher, body };
+        self.open -= 1;
+        self.covered += 1;
+        self.cancel_waiting(part, ctx);
+    }
+
+    /// Cancels what is still in flight for a part.
+    fn cancel_waiting<R>(&mut self, part: u32, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        if self.parts[part as usize].waiting == 0 {
+            return;
+        }
+        self.parts[part as usize].waiting = 0;
+        let now = self.offset(ctx.now);
+        let mut at = self.parts[part as usize].last;
+        while at != NONE {
+            let sub = &mut self.subs[at as usize];
+            if sub.state == SubState::Waiting {
+                sub.state = SubState::Cancelled;
+                let waited = Duration::from_micros(u64::from(now.saturating_sub(sub.sent)));
+                ctx.view.returned(sub.searcher);
+                ctx.view.unanswered(sub.searcher, waited, ctx.now);
+                let key = SubKey { query: self.key, sub: at };
+                ctx.out.push(Action::Cancel { key, searcher: sub.searcher });
+            }
+            at = sub.previous;
+        }
+    }
+
+    fn uncover(&mut self, part: u32, reason: Reason) {
+        self.parts[part as usize].progress = Progress::Uncovered(reason);
+        self.open -= 1;
+    }
+
+    /// Finishes when no shard is open, else asks for the next wake-up.
+    fn proceed<R>(&mut self, ctx: &mut Context<'_, T, R>) -> Status
+    where
+        R: Rng,
+    {
+        if self.open == 0 {
+            return self.finish(End::Resolved, ctx);
+        }
+        self.arm(ctx);
+        Status::Running
+    }
+
+    fn arm<R>(&mut self, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        while let Some(Reverse(timer)) = self.timers.peek() {
+            let part = &self.parts[timer.part as usize];
+            if part.timer == timer.at && matches!(part.progress, Progress::Open) {
+                break;
+            }
+            self.timers.pop();
+        }
+        let timer = self.timers.peek().map_or(NONE, |Reverse(timer)| timer.at);
+        let next = timer.min(self.early_at).min(self.finish_at);
+        // An earlier wake-up than needed does no harm; moving it would cost a timer change
+        // for each reply.
+        if next < self.armed {
+            self.armed = next;
+            ctx.out.push(Action::WakeAt { query: self.key, at: self.instant(next) });
+        }
+    }
+
+    fn set_timer(&mut self, part: u32, at: u32) {
+        let at = at.saturating_add(TICK_US - 1) / TICK_US * TICK_US;
+        if at >= self.finish_at {
+            return;
+        }
+        self.parts[part as usize].timer = at;
+        self.timers.push(Reverse(Timer { at, part }));
+    }
+
+    fn offset(&self, at: Instant) -> u32 {
+        micros(at.saturating_duration_since(self.started))
+    }
+
+    fn instant(&self, offset: u32) -> Instant {
+        self.started + Duration::from_micros(u64::from(offset))
+    }
+}
+
+fn micros(duration: Duration) -> u32 {
+    u32::try_from(duration.as_micros()).unwrap_or(NONE - 1)
+}
--- /dev/null
+++ b/crates/routing/src/query/attempt.rs
@@ -0,0 +1,275 @@
+//! Hedges, retries and timeouts of one shard of a query.
+
+use std::time::Duration;
+
+use rand::Rng;
+use tt_model::SearcherId;
+
+use super::Context;
+use super::NONE;
+use super::Query;
+use super::Ran;
+use super::Sub;
+use super::SubState;
+use super::micros;
+use crate::event::Action;
+use crate::event::Kind;
+use crate::event::Mode;
+use crate::event::Reason;
+use crate::settings::Policy;
+use crate::view::Intent;
+
+// With an empty budget only sub-queries slower than this part of all are hedged, so that
+// what is earned goes to the worst stragglers.
+const SCARCE_QUANTILE: f64 = 0.995;
+// Pause before an attempt that the budget or the load did not allow is looked at again.
+const RECHECK_US: u32 = 4_096;
+// The baseline sends one retry.
+const BASELINE_ATTEMPTS: u8 = 2;
+
+impl<T> Query<T> {
+    /// Sets the timer of a part whose first sub-query is sent now.
+    pub(super) fn set_first_timer<R>(&mut self, part: u32, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        if self.mode == Mode::AtMostOnce {
+            return;
+        }
+        let now = self.offset(ctx.now);
+        let shard = self.parts[part as usize].shard;
+        match ctx.settings.policy {
+            Policy::Baseline => {
+                self.set_timer(part, now.saturating_add(micros(ctx.settings.baseline_timeout)));
+            }
+            Policy::Adaptive if ctx.view.replicas(shard).len() > 1 => {
+                let delay = self.hedge_delay(part, self.quantile, ctx);
+                self.set_timer(part, now.saturating_add(delay));
+            }
+            Policy::Adaptive => {}
+        }
+    }
+
+    /// Sends a hedge for a part if its newest attempt is a straggler.
+    pub(super) fn hedge<R>(&mut self, part: u32, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        let at = &self.parts[part as usize];
+        if at.hedges >= ctx.settings.max_hedges || at.attempts >= ctx.settings.max_attempts {
+            return;
+        }
+        let now = self.offset(ctx.now);
+        let Some(newest) = self.chain(part).find(|sub| sub.state == SubState::Waiting) else {
+            return;
+        };
+        let (sent, slow) = (newest.sent, newest.searcher);
+        let scarce = 1.0 - ctx.budget.level();
+        let quantile = self.quantile + (SCARCE_QUANTILE - self.quantile).max(0.0) * scarce;
+        let due = sent.saturating_add(self.hedge_delay(part, quantile, ctx));
+        if now < due {
+            self.set_timer(part, due);
+            return;
+        }
+        let untried = self.choose(part, ctx, |subs| subs.clone().next().is_none());
+        // Once every replica has an attempt, a second one goes to another than the newest.
+        let choice = match untried {
+            None if self.parts[part as usize].hedges > 0 => self.choose(part, ctx, |subs| {
+                subs.clone().all(|sub| sub.state == SubState::Waiting && sub.searcher != slow)
+            }),
+            choice => choice,
+        };
+        let Some(searcher) = choice else {
+            self.set_timer(part, now + RECHECK_US);
+            return;
+        };
+        if !ctx.budget.spend(ctx.now) {
+            ctx.counters.denied += 1;
+            self.set_timer(part, now + RECHECK_US);
+            return;
+        }
+        self.parts[part as usize].hedges += 1;
+        self.effort.hedges += 1;
+        ctx.counters.hedges += 1;
+        self.send(part, searcher, Kind::Hedge, ctx);
+    }
+
+    /// Sends another sub-query for a part that has none in flight, or gives the part up.
+    pub(super) fn retry<R>(&mut self, part: u32, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        let may_have_run =
+            self.chain(part).any(|sub| !matches!(sub.state, SubState::Unexecuted(_)));
+        if may_have_run && self.mode == Mode::AtMostOnce {
+            return self.uncover(part, Reason::Failed);
+        }
+        if ctx.settings.policy == Policy::Baseline {
+            return self.retry_in_turn(part, ctx);
+        }
+        if may_have_run && self.parts[part as usize].attempts >= ctx.settings.max_attempts {
+            return self.give_up(part, ctx);
+        }
+        let untried = self.choose(part, ctx, |subs| subs.clone().next().is_none());
+        // A failed call says little about the next one, so a failed replica may be asked
+        // again; one that stated that it did not run the sub-query is not.
+        let choice = match untried {
+            None if may_have_run => {
+                self.choose(part, ctx, |subs| subs.clone().all(|s| s.state == SubState::Failed))
+            }
+            choice => choice,
+        };
+        let now = self.offset(ctx.now);
+        let Some(searcher) = choice else {
+            // A replica that is overloaded now may be asked later.
+            if self.is_overload_only(part, ctx) {
+                return self.set_timer(part, now + RECHECK_US);
+            }
+            return self.give_up(part, ctx);
+        };
+        if may_have_run && !ctx.budget.spend(ctx.now) {
+            ctx.counters.denied += 1;
+            return self.set_timer(part, now + RECHECK_US);
+        }
+        self.effort.retries += 1;
+        ctx.counters.retries += 1;
+        self.send(part, searcher, Kind::Retry, ctx);
+    }
+
+    /// Gives up the attempt of a part at the baseline's fixed timeout.
+    pub(super) fn time_out<R>(&mut self, part: u32, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        self.ran = Ran::Maybe;
+        self.cancel_waiting(part, ctx);
+        self.retry_in_turn(part, ctx);
+    }
+
+    fn retry_in_turn<R>(&mut self, part: u32, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        let at = &self.parts[part as usize];
+        let (shard, attempts) = (at.shard, at.attempts);
+        if attempts < BASELINE_ATTEMPTS {
+            let tried = self.chain(part).map(|sub| sub.searcher);
+            let choice = ctx.view.choose_in_turn(shard, self.snapshot, |searcher| {
+                !tried.clone().any(|other| other == searcher)
+            });
+            if let Some(searcher) = choice {
+                self.effort.retries += 1;
+                ctx.counters.retries += 1;
+                return self.send(part, searcher, Kind::Retry, ctx);
+            }
+        }
+        let reason = self.reason(part);
+        self.uncover(part, reason);
+    }
+
+    fn send<R>(&mut self, part: u32, searcher: SearcherId, kind: Kind, ctx: &mut Context<'_, T, R>)
+    where
+        R: Rng,
+    {
+        let sub = self.add_sub(part, searcher, ctx);
+        ctx.out.push(Action::Send(self.sub_query(sub, kind)));
+        self.set_first_timer(part, ctx);
+    }
+
+    /// Chooses a replica whose earlier attempts for the part `allow` accepts.
+    fn choose<F, R>(&self, part: u32, ctx: &mut Context<'_, T, R>, allow: F) -> Option<SearcherId>
+    where
+        F: Fn(&Attempts<'_>) -> bool,
+        R: Rng,
+    {
+        let at = &self.parts[part as usize];
+        let allow = |searcher| allow(&self.attempts(at.last, searcher));
+        ctx.view
+            .choose(at.shard, self.snapshot, Intent::Further, allow, ctx.now, ctx.rng)
+            .map(|choice| choice.searcher)
+    }
+
+    fn is_overload_only<R>(&self, part: u32, ctx: &Context<'_, T, R>) -> bool
+    where
+        R: Rng,
+    {
+        let at = &self.parts[part as usize];
+        ctx.view.is_any_overloaded(at.shard, self.snapshot, ctx.now, |searcher| {
+            self.attempts(at.last, searcher).next().is_none()
+        })
+    }
+
+    /// The attempts of a part, newest first.
+    pub(super) fn chain(&self, part: u32) -> Chain<'_> {
+        Chain { subs: &self.subs, at: self.parts[part as usize].last }
+    }
+
+    fn attempts(&self, last: u32, searcher: SearcherId) -> Attempts<'_> {
+        Attempts { chain: Chain { subs: &self.subs, at: last }, searcher }
+    }
+
+    /// Why a part is not covered, from its attempts.
+    pub(super) fn reason(&self, part: u32) -> Reason {
+        let mut reason = Reason::NoReplica;
+        for sub in self.chain(part) {
+            reason = match (sub.state, reason) {
+                (SubState::Failed, _) => return Reason::Failed,
+                (SubState::Waiting | SubState::Answered | SubState::Cancelled, _) => {
+                    return Reason::TimedOut;
+                }
+                (SubState::Mismatched, _) => Reason::SnapshotGone,
+                (SubState::Unexecuted(Reason::SnapshotGone), _) => Reason::SnapshotGone,
+                (SubState::Unexecuted(cause), Reason::NoReplica) => cause,
+                (SubState::Unexecuted(_), reason) => reason,
+            };
+        }
+        reason
+    }
+
+    fn hedge_delay<R>(&self, part: u32, quantile: f64, ctx: &Context<'_, T, R>) -> u32
+    where
+        R: Rng,
+    {
+        let shard = self.parts[part as usize].shard;
+        let delay = ctx.view.hedge_delay(shard, quantile).unwrap_or_else(|| {
+            Duration::from_micros(u64::from(self.finish_at)).mul_f64(ctx.settings.blind_share)
+        });
+        micros(delay.max(ctx.settings.min_hedge))
+    }
+}
+
+/// The attempts of one part, newest first.
+#[derive(Clone)]
+pub(super) struct Chain<'a> {
+    subs: &'a [Sub],
+    at: u32,
+}
+
+/// The attempts of one part at one searcher, newest first.
+#[derive(Clone)]
+struct Attempts<'a> {
+    chain: Chain<'a>,
+    searcher: SearcherId,
+}
+
+impl<'a> Iterator for Chain<'a> {
+    type Item = &'a Sub;
+
+    fn next(&mut self) -> Option<&'a Sub> {
+        if self.at == NONE {
+            return None;
+        }
+        let sub = &self.subs[self.at as usize];
+        self.at = sub.previous;
+        Some(sub)
+    }
+}
+
+impl<'a> Iterator for Attempts<'a> {
+    type Item = &'a Sub;
+
+    fn next(&mut self) -> Option<&'a Sub> {
+        let searcher = self.searcher;
+        self.chain.find(|sub| sub.searcher == searcher)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/query/finish.rs
@@ -0,0 +1,130 @@
+//! The end of a query and its answer.
+
+use std::time::Duration;
+
+use rand::Rng;
+use tt_model::ResultCode;
+
+use super::Context;
+use super::Progress;
+use super::Query;
+use super::Ran;
+use super::Status;
+use super::SubState;
+use crate::event::Action;
+use crate::event::Answer;
+use crate::event::Covered;
+use crate::event::Gap;
+use crate::event::Mode;
+use crate::event::Outcome;
+use crate::event::Reason;
+
+/// Why a query ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum End {
+    /// Every shard is covered or given up.
+    Resolved,
+    /// The deadline less the margin is reached.
+    Deadline,
+    /// The class prefers an answer now over the last shards.
+    Early,
+    /// The caller is gone.
+    Cancelled,
+}
+
+impl<T> Query<T> {
+    /// Ends the query: cancels what is in flight and gives the answer out.
+    pub(super) fn finish<R>(&mut self, end: End, ctx: &mut Context<'_, T, R>) -> Status
+    where
+        R: Rng,
+    {
+        let mut covered = Vec::with_capacity(self.covered);
+        let mut uncovered = Vec::new();
+        for part in 0..self.parts.len() as u32 {
+            let waiting = self.parts[part as usize].waiting > 0;
+            if waiting {
+                self.ran = Ran::Maybe;
+                self.cancel_waiting(part, ctx);
+            }
+            let given_up = Progress::Uncovered(Reason::TimedOut);
+            let at = &mut self.parts[part as usize];
+            let shard = at.shard;
+            match std::mem::replace(&mut at.progress, given_up) {
+                Progress::Covered { searcher, body } => {
+                    covered.push(Covered { shard, searcher, body });
+                }
+                Progress::Uncovered(reason) => uncovered.push(Gap { shard, reason }),
+                Progress::Open => {
+                    let reason = match end {
+                        End::Cancelled => Reason::Cancelled,
+                        _ if !waiting => self.reason(part),
+                        End::Early => Reason::LeftOut,
+                        End::Deadline | End::Resolved => Reason::TimedOut,
+                    };
+                    uncovered.push(Gap { shard, reason });
+                }
+            }
+        }
+        uncovered.extend(self.absent.iter().map(|&shard| Gap { shard, reason: Reason::Absent }));
+        let outcome = match end {
+            End::Cancelled => Outcome::Cancelled,
+            End::Resolved | End::Deadline | End::Early => self.outcome(covered.len(), &uncovered),
+        };
+        ctx.out.push(Action::Finish(Answer {
+            query: self.key,
+            outcome,
+            snapshot: self.snapshot,
+            covered,
+            uncovered,
+            effort: self.effort,
+            elapsed: ctx.now.saturating_duration_since(self.started),
+        }));
+        Status::Finished
+    }
+
+    /// Whether an early answer is due: enough shards are covered, and each missing one is
+    /// so late that a reply before the deadline is unlikely.
+    pub(super) fn is_good_enough<R>(&self, ctx: &Context<'_, T, R>) -> bool
+    where
+        R: Rng,
+    {
+        let enough = (self.parts.len() as f64 * ctx.settings.early_coverage).ceil() as usize;
+        if self.covered < enough.max(1) {
+            return false;
+        }
+        let now = self.offset(ctx.now);
+        self.parts.iter().zip(0..).all(|(part, index)| {
+            !matches!(part.progress, Progress::Open)
+                || self.chain(index).filter(|sub| sub.state == SubState::Waiting).all(|sub| {
+                    let waited = Duration::from_micros(u64::from(now.saturating_sub(sub.sent)));
+                    ctx.view.is_overdue(sub.searcher, waited)
+                })
+        })
+    }
+
+    fn outcome(&self, covered: usize, uncovered: &[Gap]) -> Outcome {
+        if uncovered.is_empty() {
+            return match self.mode {
+                Mode::Idempotent => Outcome::Complete,
+                Mode::AtMostOnce => Outcome::Done,
+            };
+        }
+        if self.ran == Ran::No {
+            let code = match () {
+                () if uncovered.iter().any(|gap| gap.reason == Reason::Overloaded) => {
+                    ResultCode::Overloaded
+                }
+                () if uncovered.iter().any(|gap| gap.reason == Reason::SnapshotGone) => {
+                    ResultCode::NoSnapshot
+                }
+                () => ResultCode::NoReplica,
+            };
+            return Outcome::NotRun(code);
+        }
+        match self.mode {
+            Mode::AtMostOnce => Outcome::Unknown,
+            Mode::Idempotent if covered > 0 => Outcome::Partial,
+            Mode::Idempotent => Outcome::NoAnswer,
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/view.rs
@@ -0,0 +1,425 @@
+//! What an entry knows of the searchers of an environment.
+//!
+//! Evidence comes from replies (in-band) and from hints such as status polls and
+//! heartbeats. In-band evidence outranks hints about health; a statement that a
+//! searcher is leaving is believed from any source at once.
+
+mod choose;
+mod searcher;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tt_model::Arena;
+use tt_model::Environment;
+use tt_model::SearcherId;
+use tt_model::SearcherState;
+use tt_model::ShardId;
+use tt_model::Snapshot;
+use tt_model::VmId;
+
+pub use self::choose::Holds;
+pub(crate) use self::choose::Intent;
+pub(crate) use self::choose::Probe;
+pub(crate) use self::choose::Served;
+use self::searcher::Ejection;
+use self::searcher::Entry;
+use self::searcher::Health;
+use crate::budget::Load;
+use crate::settings::HealthSettings;
+
+/// The state of a searcher as this entry sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// Takes its full part of the work.
+    Ready,
+    /// Started lately; takes a part that grows in steps.
+    Warming,
+    /// Gets no new work.
+    Leaving,
+    /// Failed lately; gets single probes.
+    Ejected,
+}
+
+/// A statement about a searcher that does not come from a reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hint {
+    /// A status poll says that the searcher takes work.
+    Ready,
+    /// A status poll says that the searcher has just started.
+    Cold,
+    /// A status poll, a heartbeat or the VM list says that the searcher is leaving.
+    Leaving,
+    /// A health check failed.
+    Unhealthy,
+}
+
+/// Queue pressure at a searcher as reported by its owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pressure {
+    /// Sub-queries waiting in the searcher's queue.
+    pub queued: u32,
+    /// Sub-queries running at the searcher.
+    pub busy: u32,
+}
+
+/// Why a sub-query brought no answer, as evidence about the searcher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    /// The searcher or its queue was full.
+    Shed,
+    /// The searcher is leaving.
+    Draining,
+    /// The searcher does not serve the shard.
+    WrongShard,
+    /// The searcher refused the connection, or the call broke.
+    Failed,
+    /// The owner daemon was not reached.
+    OwnerUnreachable,
+}
+
+/// What an entry knows of the searchers of an environment.
+#[derive(Debug, Clone)]
+pub struct View {
+    environment: Arc<Environment>,
+    settings: HealthSettings,
+    entries: Arena<SearcherId, Entry>,
+    // Snapshots held by any searcher with the number of holders, oldest first.
+    holders: Vec<Holders>,
+    refusals: Vec<Refusal>,
+    owners_down: Vec<OwnerDown>,
+    turns: Arena<ShardId, u32>,
+}
+
+#[derive(Debug, Clone)]
+struct Holders {
+    snapshot: Snapshot,
+    count: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Refusal {
+    searcher: SearcherId,
+    shard: ShardId,
+    until: Instant,
+}
+
+#[derive(Debug, Clone)]
+struct OwnerDown {
+    owner: VmId,
+    until: Instant,
+}
+
+impl View {
+    /// A view without evidence: every searcher that the document does not call leaving
+    /// counts as ready.
+    pub fn new(environment: Arc<Environment>, settings: HealthSettings) -> Self {
+        let mut entries: Arena<SearcherId, Entry> = environment
+            .searchers
+            .values()
+            .map(|searcher| {
+                Entry::new(
+                    searcher.slots,
+                    match searcher.state {
+                        SearcherState::Active => Health::Active,
+                        SearcherState::Leaving => Health::Retired,
+                    },
+                )
+            })
+            .collect();
+        for (id, shard) in environment.shards.iter() {
+            for &replica in &shard.replicas {
+                entries[replica].shards.push(id);
+            }
+        }
+        let turns = environment.shards.keys().map(|_| 0).collect();
+        View {
+            environment,
+            settings,
+            entries,
+            holders: Vec::new(),
+            refusals: Vec::new(),
+            owners_down: Vec::new(),
+            turns,
+        }
+    }
+
+    /// A view of a newer document that keeps the evidence about searchers with the same
+    /// name and address.
+    pub fn successor(&self, environment: Arc<Environment>) -> Self {
+        let mut view = View::new(environment, self.settings.clone());
+        let old: HashMap<&str, SearcherId> =
+            self.environment.searchers.iter().map(|(id, s)| (s.name.as_str(), id)).collect();
+        let environment = Arc::clone(&view.environment);
+        for (id, searcher) in environment.searchers.iter() {
+            let Some(&before) = old.get(searcher.name.as_str()) else { continue };
+            if self.environment.searchers[before].address == searcher.address {
+                view.entries[id].inherit(&self.entries[before]);
+                for &snapshot in self.entries[before].held.iter().flatten() {
+                    view.count_holder(snapshot);
+                }
+            }
+        }
+        view
+    }
+
+    /// The environment that the view is about.
+    pub fn environment(&self) -> &Arc<Environment> {
+        &self.environment
+    }
+
+    /// The state of a searcher.
+    pub fn state(&self, searcher: SearcherId, now: Instant) -> State {
+        let entry = &self.entries[searcher];
+        if entry.health.is_leaving() {
+            return State::Leaving;
+        }
+        if entry.ejection.is_some() {
+            return State::Ejected;
+        }
+        match entry.health.warm_share(now, self.settings.warm_step) {
+            Some(_) => State::Warming,
+            None => State::Ready,
+        }
+    }
+
+    /// The median latency of a searcher, or `None` without samples.
+    pub fn expected(&self, searcher: SearcherId) -> Option<Duration> {
+        let us = self.entries[searcher].latency.median_us()?;
+        Some(Duration::from_micros(us as u64))
+    }
+
+    /// The snapshots that a searcher holds, oldest first, or `None` while unknown.
+    pub fn held(&self, searcher: SearcherId) -> Option<&[Snapshot]> {
+        self.entries[searcher].held.as_deref()
+    }
+
+    /// Sub-queries of this entry in flight to a searcher.
+    pub fn in_flight(&self, searcher: SearcherId) -> u32 {
+        self.entries[searcher].in_flight
+    }
+
+    /// Takes in a hint.
+    pub fn hint(&mut self, searcher: SearcherId, hint: Hint, now: Instant) {
+        let settings = &self.settings;
+        let Some(entry) = self.entries.get(searcher) else { return };
+        let fresh = entry
+            .heard
+            .is_some_and(|at| now.saturating_duration_since(at) < settings.evidence_hold);
+        let leave_hold = settings.leave_hold;
+        let step = settings.warm_step;
+        let entry = &mut self.entries[searcher];
+        entry.health = entry.health.settled(now, step);
+        match (hint, entry.health) {
+            (_, Health::Retired) => {}
+            (Hint::Leaving, _) => entry.health = Health::Leaving { seen: now },
+            (Hint::Ready | Hint::Cold, Health::Leaving { seen }) => {
+                if now.saturating_duration_since(seen) >= leave_hold {
+                    entry.health = Health::Warming { since: now };
+                }
+            }
+            (Hint::Ready, _) => {
+                // A hint does not end an ejection; it only lets the next probe go out.
+                if let Some(ejection) = &mut entry.ejection {
+                    ejection.probe = now;
+                }
+            }
+            (Hint::Cold, Health::Active) if !fresh => {
+                entry.health = Health::Warming { since: now };
+            }
+            (Hint::Cold, _) => {}
+            (Hint::Unhealthy, _) if !fresh => self.eject(searcher, now),
+            (Hint::Unhealthy, _) => {}
+        }
+    }
+
+    /// Takes in the snapshots that a searcher holds, from a reply or a status poll.
+    pub fn set_held(&mut self, searcher: SearcherId, held: &[Snapshot]) {
+        let Some(entry) = self.entries.get(searcher) else { return };
+        if entry.held.as_deref() == Some(held) {
+            return;
+        }
+        let mut sorted = held.to_vec();
+        sorted.sort_unstable();
+        sorted.dedup();
+        if entry.held.as_deref() == Some(&sorted[..]) {
+            return;
+        }
+        for &snapshot in &sorted {
+            self.count_holder(snapshot);
+        }
+        let before = self.entries[searcher].held.replace(sorted);
+        for snapshot in before.into_iter().flatten() {
+            if let Ok(at) = self.holders.binary_search_by_key(&snapshot, |h| h.snapshot) {
+                self.holders[at].count -= 1;
+                if self.holders[at].count == 0 {
+                    self.holders.remove(at);
+                }
+            }
+        }
+    }
+
+    /// Takes in that a searcher does not hold `snapshot` any more.
+    pub(crate) fn drop_held(&mut self, searcher: SearcherId, snapshot: Snapshot) {
+        let Some(held) = &self.entries[searcher].held else { return };
+        let rest: Vec<Snapshot> = held.iter().copied().filter(|&other| other != snapshot).collect();
+        self.set_held(searcher, &rest);
+    }
+
+    /// Takes in the queue pressure at a searcher.
+    pub fn set_pressure(&mut self, searcher: SearcherId, pressure: Pressure, now: Instant) -> Load {
+        let Some(entry) = self.entries.get(searcher) else { return Load::Normal };
+        let slots = entry.slots;
+        let entry = &mut self.entries[searcher];
+        entry.queued = pressure.queued;
+        entry.queued_at = Some(now);
+        if pressure.queued > slots { Load::Overloaded } else { Load::Normal }
+    }
+
+    /// Names the daemon that owns a searcher.
+    pub fn set_owner(&mut self, searcher: SearcherId, owner: VmId) {
+        if self.entries.get(searcher).is_some() {
+            self.entries[searcher].owner = Some(owner);
+        }
+    }
+
+    /// The snapshots that any searcher is known to hold, newest first.
+    pub(crate) fn snapshots(&self) -> impl Iterator<Item = Snapshot> {
+        self.holders.iter().rev().map(|holders| holders.snapshot)
+    }
+
+    pub(crate) fn sent(&mut self, searcher: SearcherId, now: Instant) {
+        let entry = &mut self.entries[searcher];
+        entry.in_flight += 1;
+        entry.sent = Some(now);
+    }
+
+    /// Ends the count of a sub-query in flight, whatever became of it.
+    pub(crate) fn returned(&mut self, searcher: SearcherId) {
+        let entry = &mut self.entries[searcher];
+        entry.in_flight = entry.in_flight.saturating_sub(1);
+    }
+
+    pub(crate) fn answered(&mut self, searcher: SearcherId, latency: Duration, now: Instant) {
+        let entry = &mut self.entries[searcher];
+        entry.latency.record(latency);
+        entry.heard = Some(now);
+        entry.misses = 0;
+        entry.shed_until = None;
+        if entry.ejection.take().is_some() {
+            entry.health = match entry.health {
+                Health::Active | Health::Warming { .. } => Health::Warming { since: now },
+                Health::Leaving { .. } | Health::Retired => entry.health,
+            };
+        }
+        if self.owners_down.is_empty() {
+            return;
+        }
+        let owner = self.entries[searcher].owner;
+        self.owners_down.retain(|down| Some(down.owner) != owner);
+    }
+
+    /// Takes in that a sub-query got no answer within `waited`.
+    pub(crate) fn unanswered(&mut self, searcher: SearcherId, waited: Duration, now: Instant) {
+        let entry = &mut self.entries[searcher];
+        let slow = entry.latency.median_us().is_none_or(|us| waited.as_micros() as f32 > 2.0 * us);
+        entry.latency.record_at_least(waited);
+        if slow {
+            self.miss(searcher, now);
+        }
+    }
+
+    pub(crate) fn trouble(
+        &mut self,
+        searcher: SearcherId,
+        shard: ShardId,
+        trouble: Trouble,
+        now: Instant,
+    ) {
+        match trouble {
+            Trouble::Shed => {
+                self.entries[searcher].shed_until = Some(now + self.settings.shed_hold);
+            }
+            Trouble::Draining => self.hint(searcher, Hint::Leaving, now),
+            Trouble::WrongShard => {
+                self.refusals.retain(|refusal| refusal.until > now);
+                let until = now + self.settings.wrong_hold;
+                self.refusals.push(Refusal { searcher, shard, until });
+            }
+            Trouble::Failed => {
+                self.entries[searcher].heard = None;
+                self.miss(searcher, now);
+            }
+            Trouble::OwnerUnreachable => {
+                let Some(owner) = self.entries[searcher].owner else { return };
+                let until = now + self.settings.owner_hold;
+                self.owners_down.retain(|down| down.until > now && down.owner != owner);
+                self.owners_down.push(OwnerDown { owner, until });
+            }
+        }
+    }
+
+    fn miss(&mut self, searcher: SearcherId, now: Instant) {
+        let settings = &self.settings;
+        let entry = &mut self.entries[searcher];
+        entry.misses = entry.misses.saturating_add(1);
+        if let Some(ejection) = &mut entry.ejection {
+            ejection.pause = (ejection.pause * 2).min(settings.probe_limit);
+            ejection.probe = now + ejection.pause;
+            return;
+        }
+        if entry.misses >= settings.failures {
+            self.eject(searcher, now);
+        }
+    }
+
+    /// Ejects a searcher unless that takes more than half of the replicas, or the last
+    /// usable one, from a shard that it serves.
+    fn eject(&mut self, searcher: SearcherId, now: Instant) {
+        let entry = &self.entries[searcher];
+        if entry.ejection.is_some() || entry.health.is_leaving() {
+            return;
+        }
+        let allowed = entry.shards.iter().all(|&shard| {
+            let replicas = &self.environment.shards[shard].replicas;
+            let others = replicas.iter().filter(|&&r| r != searcher).map(|&r| &self.entries[r]);
+            let ejected = others.clone().filter(|other| other.ejection.is_some()).count();
+            let usable = others.filter(|o| o.ejection.is_none() && !o.health.is_leaving()).count();
+            ejected < replicas.len() / 2 && usable > 0
+        });
+        if allowed {
+            let pause = self.settings.probe_after;
+            self.entries[searcher].ejection = Some(Ejection { probe: now + pause, pause });
+        }
+    }
+
+    fn count_holder(&mut self, snapshot: Snapshot) {
+        match self.holders.binary_search_by_key(&snapshot, |h| h.snapshot) {
+            Ok(at) => self.holders[at].count += 1,
+            Err(at) => self.holders.insert(at, Holders { snapshot, count: 1 }),
+        }
+    }
+
+    fn turn(&mut self, shard: ShardId) -> usize {
+        let turn = &mut self.turns[shard];
+        *turn = turn.wrapping_add(1);
+        *turn as usize
+    }
+
+    fn refuses(&self, searcher: SearcherId, shard: ShardId, now: Instant) -> bool {
+        // Empty but for a document that disagrees with the searchers.
+        self.refusals.iter().any(|r| r.searcher == searcher && r.shard == shard && now < r.until)
+    }
+
+    fn owner_down(&self, entry: &Entry, now: Instant) -> bool {
+        // Empty but for a lost or partitioned owner.
+        self.owners_down.iter().any(|down| entry.owner == Some(down.owner) && now < down.until)
+    }
+
+    /// All replicas of a shard.
+    pub(crate) fn replicas(&self, shard: ShardId) -> &[SearcherId] {
+        &self.environment.shards[shard].replicas
+    }
+}
--- /dev/null
+++ b/crates/routing/src/view/choose.rs
@@ -0,0 +1,297 @@
+//! Choice of a replica and the facts that the choice of a snapshot needs.
+
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+use tt_model::SearcherId;
+use tt_model::ShardId;
+use tt_model::Snapshot;
+
+use super::View;
+use super::searcher::Entry;
+use crate::event::Reason;
+
+/// Whether a searcher holds a snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Holds {
+    /// It said so last.
+    Yes,
+    /// It said last that it holds others.
+    No,
+    /// It has not been heard.
+    Unknown,
+}
+
+/// What a replica is chosen for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Intent {
+    /// The first sub-query to a shard.
+    Primary,
+    /// The first sub-query to a shard; may be sent to a replica that is due for a probe.
+    Probing,
+    /// A sub-query beside or after an earlier one; not sent to an overloaded replica.
+    Further,
+}
+
+/// How well a shard can be served at a snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Served {
+    /// No replica that may get work holds it.
+    No,
+    /// Only ejected replicas may hold it.
+    Doubtful,
+    /// A healthy replica may hold it, but a much faster one does not.
+    Slow,
+    /// One of the fastest healthy replicas may hold it.
+    Fast,
+}
+
+/// A chosen replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Choice {
+    pub(crate) searcher: SearcherId,
+    pub(crate) probe: Probe,
+}
+
+/// Whether a choice is a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Probe {
+    Yes,
+    No,
+}
+
+// Preference among replicas; a lower one is used only if no better one is there.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    Good,
+    // Overloaded, warming, of an unreachable owner, or of unknown snapshots.
+    Second,
+    Ejected,
+}
+
+impl View {
+    /// Whether a searcher holds a snapshot.
+    pub fn holds(&self, searcher: SearcherId, snapshot: Snapshot) -> Holds {
+        match &self.entries[searcher].held {
+            None => Holds::Unknown,
+            Some(held) if held.contains(&snapshot) => Holds::Yes,
+            Some(_) => Holds::No,
+        }
+    }
+
+    /// How well `shard` can be served at `snapshot`.
+    pub(crate) fn served(&self, shard: ShardId, snapshot: Snapshot) -> Served {
+        let mut best = Served::No;
+        let mut fastest = f32::MAX;
+        let mut fastest_holder = f32::MAX;
+        for &replica in self.replicas(shard) {
+            let entry = &self.entries[replica];
+            if entry.health.is_leaving() {
+                continue;
+            }
+            let holds = self.holds(replica, snapshot) != Holds::No;
+            if entry.ejection.is_some() {
+                if holds {
+                    best = best.max(Served::Doubtful);
+                }
+                continue;
+            }
+            let median = entry.latency.median_us();
+            fastest = fastest.min(median.unwrap_or(f32::MAX));
+            if holds {
+                best = Served::Slow;
+                // Without samples a replica counts as fast.
+                fastest_holder = fastest_holder.min(median.unwrap_or(0.0));
+            }
+        }
+        // The estimates of equal replicas differ by less than a factor of two.
+        if best == Served::Slow && fastest_holder <= 2.0 * fastest {
+            return Served::Fast;
+        }
+        best
+    }
+
+    /// Chooses a replica by power of two choices over expected latency and pressure.
+    /// `allow` excludes replicas that the query has used up.
+    pub(crate) fn choose<F, R>(
+        &mut self,
+        shard: ShardId,
+        snapshot: Snapshot,
+        intent: Intent,
+        allow: F,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<Choice>
+    where
+        F: Fn(SearcherId) -> bool,
+        R: Rng,
+    {
+        let mut best = Rank::Ejected;
+        let mut count = 0;
+        let mut pair: [Option<SearcherId>; 2] = [None, None];
+        for &replica in self.replicas(shard) {
+            let entry = &self.entries[replica];
+            if entry.health.is_leaving() || !allow(replica) {
+                continue;
+            }
+            let holds = self.holds(replica, snapshot);
+            if holds == Holds::No || self.refuses(replica, shard, now) {
+                continue;
+            }
+            let overloaded = entry.is_overloaded(now, self.settings.pressure_hold);
+            if overloaded && intent == Intent::Further {
+                continue;
+            }
+            if intent == Intent::Probing && self.probe_due(entry, now) {
+                if let Some(ejection) = &mut self.entries[replica].ejection {
+                    ejection.probe = now + ejection.pause;
+                }
+                return Some(Choice { searcher: replica, probe: Probe::Yes });
+            }
+            let rank = if entry.ejection.is_some() {
+                Rank::Ejected
+            } else if overloaded
+                || holds == Holds::Unknown
+                || self.owner_down(entry, now)
+                || self.held_back(entry, now, rng)
+            {
+                Rank::Second
+            } else {
+                Rank::Good
+            };
+            if rank > best {
+                continue;
+            }
+            if rank < best {
+                best = rank;
+                count = 0;
+                pair = [None, None];
+            }
+            // Reservoir sampling: each pair of replicas of the best rank is equally likely.
+            count += 1;
+            if count <= 2 {
+                pair[count - 1] = Some(replica);
+            } else {
+                let place = below(rng, count as u32);
+                if place < 2 {
+                    pair[place as usize] = Some(replica);
+                }
+            }
+        }
+        let searcher = match pair {
+            [Some(a), Some(b)] => self.cheaper(a, b, now, rng),
+            [Some(a), None] | [None, Some(a)] => a,
+            [None, None] => return None,
+        };
+        Some(Choice { searcher, probe: Probe::No })
+    }
+
+    /// Chooses the next replica in turn, for the baseline.
+    pub(crate) fn choose_in_turn<F>(
+        &mut self,
+        shard: ShardId,
+        snapshot: Snapshot,
+        allow: F,
+    ) -> Option<SearcherId>
+    where
+        F: Fn(SearcherId) -> bool,
+    {
+        let turn = self.turn(shard);
+        let replicas = self.replicas(shard);
+        (0..replicas.len()).map(|i| replicas[(turn + i) % replicas.len()]).find(|&replica| {
+            !self.entries[replica].health.is_leaving()
+                && self.holds(replica, snapshot) != Holds::No
+                && allow(replica)
+        })
+    }
+
+    /// Why no replica of a shard can be asked.
+    pub(crate) fn why_unserved(&self, shard: ShardId) -> Reason {
+        let leaving = |&replica: &SearcherId| self.entries[replica].health.is_leaving();
+        if self.replicas(shard).iter().all(leaving) {
+            return Reason::NoReplica;
+        }
+        Reason::SnapshotGone
+    }
+
+    /// Whether a replica is passed over for a further attempt only because it is overloaded.
+    pub(crate) fn is_any_overloaded<F>(
+        &self,
+        shard: ShardId,
+        snapshot: Snapshot,
+        now: Instant,
+        allow: F,
+    ) -> bool
+    where
+        F: Fn(SearcherId) -> bool,
+    {
+        self.replicas(shard).iter().any(|&replica| {
+            let entry = &self.entries[replica];
+            entry.is_overloaded(now, self.settings.pressure_hold)
+                && !entry.health.is_leaving()
+                && self.holds(replica, snapshot) != Holds::No
+                && !self.refuses(replica, shard, now)
+                && allow(replica)
+        })
+    }
+
+    /// The delay after which a sub-query to `shard` is a straggler: the lowest of the
+    /// replicas' latency quantiles, because a hedge goes to the better replica. `None`
+    /// with too few samples.
+    pub(crate) fn hedge_delay(&self, shard: ShardId, q: f64) -> Option<Duration> {
+        self.replicas(shard)
+            .iter()
+            .map(|&replica| &self.entries[replica])
+            .filter(|entry| !entry.health.is_leaving() && entry.ejection.is_none())
+            .filter_map(|entry| entry.latency.quantile(q))
+            .min()
+    }
+
+    /// Whether `waited` is longer than nearly all answers of a searcher took.
+    pub(crate) fn is_overdue(&self, searcher: SearcherId, waited: Duration) -> bool {
+        self.entries[searcher].latency.quantile(0.99).is_some_and(|limit| waited > limit)
+    }
+
+    fn probe_due(&self, entry: &Entry, now: Instant) -> bool {
+        match &entry.ejection {
+            Some(ejection) => now >= ejection.probe,
+            None => entry.sent.is_some_and(|at| {
+                now.saturating_duration_since(at) >= self.settings.idle_probe
+                    && entry.latency.median_us().is_some()
+            }),
+        }
+    }
+
+    fn held_back<R>(&self, entry: &Entry, now: Instant, rng: &mut R) -> bool
+    where
+        R: Rng,
+    {
+        entry
+            .health
+            .warm_share(now, self.settings.warm_step)
+            .is_some_and(|share| below(rng, 256) >= share)
+    }
+
+    fn cheaper<R>(&self, a: SearcherId, b: SearcherId, now: Instant, rng: &mut R) -> SearcherId
+    where
+        R: Rng,
+    {
+        let (x, y) = (&self.entries[a], &self.entries[b]);
+        let hold = self.settings.pressure_hold;
+        // A replica without samples is assumed to be like the other one.
+        let cost_a = x.cost(y.latency.median_us().unwrap_or(1.0), now, hold);
+        let cost_b = y.cost(x.latency.median_us().unwrap_or(1.0), now, hold);
+        if cost_a < cost_b || (cost_a == cost_b && below(rng, 2) == 0) {
+            return a;
+        }
+        b
+    }
+}
+
+fn below<R>(rng: &mut R, limit: u32) -> u32
+where
+    R: Rng,
+{
+    ((u64::from(rng.next_u32()) * u64::from(limit)) >> 32) as u32
+}
