feat: keep admission state across documents and pace connection attempts

A new document numbers services anew, so accounts, permits and the reports of other entries are now carried over by service name, and a new service starts with its burst. Connections count as closed only when the socket is, back off after failed attempts and restart their ramp when the searcher closes them.

--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -63,6 +63,15 @@
     account: u32,
 }
 
+/// This entry's part of a service's contract.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EntryPart {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests in flight.
+    pub concurrency: u32,
+}
+
 /// Usage of one service at one entry.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServiceUsage {
@@ -129,9 +138,6 @@
             recomputed: now,
         };
         admission.set_environment(now, environment);
-        for account in &mut admission.accounts {
-            account.bucket.fill();
-        }
         admission
     }
 
@@ -187,12 +193,10 @@
             }
             self.recompute(now);
         }
-        let services = self.services.iter().filter_map(|(service, &index)| {
-            let usage = self.accounts[index as usize].published;
-            let used = usage.rate > 0.0 || usage.in_flight > 0;
-            used.then_some(ServiceUsage { service, ..usage })
-        });
-        UsageReport { services: services.collect() }
+        let published =
+            self.services.values().map(|&index| self.accounts[index as usize].published);
+        let used = published.filter(|usage| usage.rate > 0.0 || usage.in_flight > 0);
+        UsageReport { services: used.collect() }
     }
 
     /// Records another entry's report, which described the time until `measured`. A report
@@ -207,31 +211,71 @@
         self.recompute(now);
     }
 
-    /// Takes over the contracts of a new document. Requests in flight keep their permits;
-    /// reports that number services by the old document are dropped.
+    /// Takes over the contracts of a new document. Requests in flight keep their permits, and
+    /// services keep their state under their name. Reports received from now on must number
+    /// services by this document.
     pub fn set_environment(&mut self, now: Instant, environment: &Environment) {
-        self.others.clear_reports();
-        let mut by_name: HashMap<String, u32> = self
-            .accounts
+        let by_name: HashMap<&str, (ServiceId, u32)> = self
+            .services
             .iter()
-            .enumerate()
-            .map(|(index, account)| (account.name.clone(), index as u32))
+            .map(|(id, &index)| (self.accounts[index as usize].name.as_str(), (id, index)))
             .collect();
+        let mut kept = HashMap::new();
+        let mut indexes = Vec::with_capacity(environment.services.len());
+        for (id, service) in environment.services.iter() {
+            let found = by_name.get(service.name.as_str());
+            kept.extend(found.map(|&(old, _)| (old, id)));
+            indexes.push(found.map(|&(_, index)| index));
+        }
+        self.others.renumber(&kept);
+
         let shares: f64 = environment.services.values().map(|service| service.contract.share).sum();
+        let mut in_use = vec![false; self.accounts.len()];
+        for index in indexes.iter().flatten() {
+            in_use[*index as usize] = true;
+        }
+        // An account without a service is used again once its last permit is back.
+        let mut free: Vec<u32> = (0..self.accounts.len() as u32)
+            .filter(|&index| {
+                !in_use[index as usize] && self.accounts[index as usize].in_flight == 0
+            })
+            .collect();
         let mut services = Arena::default();
-        for (id, service) in environment.services.iter() {
-            let index = *by_name.entry(service.name.clone()).or_insert_with(|| {
-                self.accounts.push(Account::new(now, id, &service.name));
-                (self.accounts.len() - 1) as u32
+        let mut added = Vec::new();
+        for ((id, service), found) in environment.services.iter().zip(indexes) {
+            let index = found.unwrap_or_else(|| {
+                let account = Account::new(now, id, &service.name);
+                let index = match free.pop() {
+                    Some(index) => {
+                        self.accounts[index as usize] = account;
+                        index
+                    }
+                    None => {
+                        self.accounts.push(account);
+                        (self.accounts.len() - 1) as u32
+                    }
+                };
+                added.push(index);
+                index
             });
             let account = &mut self.accounts[index as usize];
             account.contract = service.contract;
+            account.published.service = id;
             let part = f64::from(self.settings.max_in_flight) * service.contract.share / shares;
             account.reserved = (part as u32).max(1);
             services.push(index);
         }
         self.services = services;
         self.recompute(now);
+        for index in added {
+            self.accounts[index as usize].bucket.fill();
+        }
+    }
+
+    /// This entry's part of a service's contract at the moment.
+    pub fn part(&self, service: ServiceId) -> Option<EntryPart> {
+        let account = &self.accounts[*self.services.get(service)? as usize];
+        Some(EntryPart { rate: account.bucket.rate(), concurrency: account.concurrency })
     }
 
     /// Requests in flight at this entry.
--- a/crates/limits/src/admission/bucket.rs
+++ b/crates/limits/src/admission/bucket.rs
@@ -20,6 +20,10 @@
         self.tokens = self.burst;
     }
 
+    pub(crate) fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// Changes rate and burst. A higher burst adds no tokens, so that a part that moves
     /// between entries cannot be used twice.
     pub(crate) fn set(&mut self, now: Instant, rate: f64, burst: f64) {
--- a/crates/limits/src/admission/part.rs
+++ b/crates/limits/src/admission/part.rs
@@ -67,8 +67,18 @@
         self.members = members;
     }
 
-    pub(crate) fn clear_reports(&mut self) {
-        self.reports.clear();
+    /// Applies the numbers of a new document; services that it does not have are dropped.
+    pub(crate) fn renumber(&mut self, kept: &HashMap<ServiceId, ServiceId>) {
+        for received in self.reports.values_mut() {
+            let services = &mut received.report.services;
+            services.retain_mut(|usage| match kept.get(&usage.service) {
+                Some(&new) => {
+                    usage.service = new;
+                    true
+                }
+                None => false,
+            });
+        }
     }
 
     pub(crate) fn parts(&self, now: Instant, fresh: Duration) -> Parts {
--- a/crates/limits/src/connections.rs
+++ b/crates/limits/src/connections.rs
@@ -74,6 +74,9 @@
 /// Shortest pause after a failed attempt.
 const MIN_BACKOFF: Duration = Duration::from_millis(10);
 
+/// Least mean time between attempts, for documents that state no connect time.
+const MIN_SPACING: Duration = Duration::from_millis(1);
+
 /// Counts the connections to one searcher and decides about each.
 ///
 /// A connection counts against the limit from the decision to open it until its socket is
@@ -115,7 +118,7 @@
     {
         if self.limit == 0 && limit > 0 {
             self.ramp = 1;
-            self.not_before = Some(now + jitter(self.settings.connect, 0.0, rng));
+            self.not_before = Some(now + jitter(self.spacing(), 0.0, rng));
         }
         self.limit = limit;
     }
@@ -162,7 +165,7 @@
         self.next_id += 1;
         self.list.push(Connection { id, state: State::Connecting });
         // Half to one and a half connect times apart.
-        self.not_before = Some(now + jitter(self.settings.connect, 0.5, rng));
+        self.not_before = Some(now + jitter(self.spacing(), 0.5, rng));
         Some(ConnectionAction::Open(id))
     }
 
@@ -200,13 +203,18 @@
             return;
         };
         let connection = self.list.swap_remove(index);
-        if connection.state == State::Connecting {
-            self.failures = self.failures.saturating_add(1);
-            self.ramp = 1;
-            let base = self.settings.connect.max(MIN_BACKOFF);
-            let pause = base * 2u32.saturating_pow(self.failures.min(16));
-            let pause = pause.min(self.settings.max_backoff);
-            self.not_before = Some(now + jitter(pause, 0.5, rng));
+        match connection.state {
+            State::Connecting => {
+                self.failures = self.failures.saturating_add(1);
+                self.ramp = 1;
+                let base = self.settings.connect.max(MIN_BACKOFF);
+                let pause = base * 2u32.saturating_pow(self.failures.min(16));
+                let pause = pause.min(self.settings.max_backoff);
+                self.not_before = Some(now + jitter(pause, 0.5, rng));
+            }
+            // The searcher closed it, perhaps all of them by a restart.
+            State::Idle { .. } | State::Busy => self.ramp = 1,
+            State::Closing => {}
         }
     }
 
@@ -226,6 +234,22 @@
         [open, idle].into_iter().flatten().min()
     }
 
+    /// Expected time until a connection can be taken. A sub-query whose deadline is earlier
+    /// is better rejected than started. `None` without a right to any connection.
+    pub fn expected_wait(&self, now: Instant) -> Option<Duration> {
+        if self.limit == 0 {
+            return None;
+        }
+        if self.idle() > 0 {
+            return Some(Duration::ZERO);
+        }
+        if self.count_in(State::Connecting) > 0 {
+            return Some(self.settings.connect);
+        }
+        let pause = self.not_before.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
+        Some(pause + self.settings.connect)
+    }
+
     /// All connections that count against the limit.
     pub fn count(&self) -> u32 {
         self.list.len() as u32
@@ -237,6 +261,10 @@
             as u32
     }
 
+    fn spacing(&self) -> Duration {
+        self.settings.connect.max(MIN_SPACING)
+    }
+
     fn wants_another(&self) -> bool {
         let connecting = self.count_in(State::Connecting);
         let usable = self.idle() + connecting + self.count_in(State::Busy);
@@ -259,7 +287,8 @@
                 State::Connecting | State::Busy | State::Closing => None,
             })
             .min()?;
-        let over = self.limit == 0 || self.count() > self.limit;
+        let closing = self.count_in(State::Closing);
+        let over = self.limit == 0 || self.count() - closing > self.limit;
         let unused = self.idle_surplus() > 0
             && now.saturating_duration_since(oldest.0) >= self.settings.idle;
         (over || unused).then_some(oldest.1)
--- a/crates/limits/tests/admission.rs
+++ b/crates/limits/tests/admission.rs
@@ -4,22 +4,45 @@
 
 use std::time::Duration;
 
+use insta::assert_debug_snapshot;
 use tokio::time::Instant;
 
 use tt_limits::Admission;
 use tt_limits::AdmissionSettings;
 use tt_limits::Arrival;
 use tt_limits::MemberView;
+use tt_limits::Permit;
+use tt_limits::ServiceUsage;
+use tt_limits::UsageReport;
 use tt_model::ResultCode;
 use tt_model::ServiceId;
+use tt_model::VmId;
 
 use common::environment;
 use common::ms;
 
+const CONTRACT: &str = r#"{"rate": 100, "burst": 100, "concurrency": 10}"#;
+
 fn arrival(now: Instant, service: u32) -> Arrival {
     Arrival { service: ServiceId(service), deadline: now + ms(400), wait: Duration::ZERO }
 }
 
+fn admitted(admission: &mut Admission, now: Instant, service: u32) -> Permit {
+    admission.admit(now, &arrival(now, service)).expect("within the contract")
+}
+
+fn others(count: u32) -> MemberView {
+    MemberView::Certain((1..=count).map(VmId).collect())
+}
+
+fn entry(now: Instant, members: MemberView) -> Admission {
+    Admission::new(now, AdmissionSettings::default(), &environment(&[CONTRACT]), members)
+}
+
+fn usage(rate: f64) -> UsageReport {
+    UsageReport { services: vec![ServiceUsage { service: ServiceId(0), rate, in_flight: 0 }] }
+}
+
 /// Guards against a service that takes more than its contract.
 #[test]
 fn rejects_requests_above_rate_and_concurrency() {
@@ -28,14 +51,13 @@
         r#"{"rate": 10, "burst": 3, "concurrency": 100}"#,
         r#"{"rate": 100, "burst": 50, "concurrency": 2}"#,
     ]);
-    let alone = MemberView::Certain(Vec::new());
-    let mut admission = Admission::new(now, AdmissionSettings::default(), &environment, alone);
+    let mut admission = Admission::new(now, AdmissionSettings::default(), &environment, others(0));
     for _ in 0..3 {
-        let permit = admission_ok(&mut admission, now, 0);
+        let permit = admitted(&mut admission, now, 0);
         admission.release(permit);
     }
     assert_eq!(admission.admit(now, &arrival(now, 0)), Err(ResultCode::RateLimited));
-    let held = [admission_ok(&mut admission, now, 1), admission_ok(&mut admission, now, 1)];
+    let held = [admitted(&mut admission, now, 1), admitted(&mut admission, now, 1)];
     assert_eq!(admission.admit(now, &arrival(now, 1)), Err(ResultCode::TooManyInFlight));
     for permit in held {
         admission.release(permit);
@@ -43,6 +65,196 @@
     assert_eq!(admission.in_flight(), 0);
 }
 
-fn admission_ok(admission: &mut Admission, now: Instant, service: u32) -> tt_limits::Permit {
-    admission.admit(now, &arrival(now, service)).expect("within the contract")
+/// Guards against work for answers that nobody waits for any more.
+#[test]
+fn rejects_requests_that_cannot_be_answered_in_time() {
+    let now = Instant::now();
+    let mut admission = entry(now, others(0));
+    let late = Arrival { deadline: now, ..arrival(now, 0) };
+    assert_eq!(admission.admit(now, &late), Err(ResultCode::DeadlinePassed));
+    let slow = Arrival { wait: ms(400), ..arrival(now, 0) };
+    assert_eq!(admission.admit(now, &slow), Err(ResultCode::Overloaded));
+    let unknown = arrival(now, 7);
+    assert_eq!(admission.admit(now, &unknown), Err(ResultCode::UnknownService));
+    assert_eq!(admission.in_flight(), 0);
+}
+
+/// Guards against a small service that is rejected because others fill the entry.
+#[test]
+fn a_full_entry_still_admits_services_below_their_part() {
+    let now = Instant::now();
+    let contract = r#"{"rate": 100, "burst": 100, "concurrency": 100}"#;
+    let settings = AdmissionSettings { max_in_flight: 10, ..AdmissionSettings::default() };
+    let environment = environment(&[contract, contract]);
+    let mut admission = Admission::new(now, settings, &environment, others(0));
+    let mut held: Vec<Permit> = (0..10).map(|_| admitted(&mut admission, now, 0)).collect();
+    assert_eq!(admission.admit(now, &arrival(now, 0)), Err(ResultCode::Overloaded));
+    held.extend((0..5).map(|_| admitted(&mut admission, now, 1)));
+    assert_eq!(admission.admit(now, &arrival(now, 1)), Err(ResultCode::Overloaded));
+}
+
+/// Guards against a service that is held to a fifth of its contract because it uses one
+/// entry, and against entries that together exceed the contract for long.
+#[test]
+fn the_part_follows_the_usage_reported_by_others() {
+    let check = |reports: &[f64], expect: f64| {
+        let now = Instant::now();
+        let mut admission = entry(now, others(4));
+        for _ in 0..50 {
+            let permit = admitted_or_none(&mut admission, now);
+            permit.into_iter().for_each(|permit| admission.release(permit));
+        }
+        let now = now + ms(1000);
+        for (index, rate) in reports.iter().enumerate() {
+            admission.report_received(VmId(index as u32 + 1), now, usage(*rate));
+        }
+        let report = admission.usage_report(now);
+        assert_eq!(report.services[0].rate, 20.0, "the equal part of the burst");
+        let part = admission.part(ServiceId(0)).unwrap();
+        assert_eq!(part.rate.round(), expect, "reports {reports:?}");
+    };
+    check(&[0.0, 0.0, 0.0, 0.0], 100.0);
+    check(&[30.0, 0.0, 0.0, 0.0], 60.0);
+    check(&[80.0, 0.0, 0.0, 0.0], 20.0);
+    check(&[100.0, 100.0, 0.0, 0.0], 20.0);
+    // Members without a report count with the equal part.
+    check(&[0.0], 40.0);
+    check(&[], 20.0);
+}
+
+fn admitted_or_none(admission: &mut Admission, now: Instant) -> Option<Permit> {
+    admission.admit(now, &arrival(now, 0)).ok()
+}
+
+/// Guards against use of a part that other entries may have taken meanwhile.
+#[test]
+fn falls_back_to_the_equal_part_without_fresh_reports_or_a_certain_count() {
+    let start = Instant::now();
+    let mut admission = entry(start, others(4));
+    for member in 1..=4 {
+        admission.report_received(VmId(member), start, UsageReport::default());
+    }
+    let mut rates = Vec::new();
+    for second in [1, 2, 3] {
+        let now = start + ms(1000 * second);
+        let permit = admitted(&mut admission, now, 0);
+        admission.release(permit);
+        admission.usage_report(now);
+        rates.push(admission.part(ServiceId(0)).unwrap().rate.round());
+    }
+    assert_eq!(rates, [100.0, 100.0, 20.0]);
+    admission.set_members(start + ms(3000), MemberView::Uncertain(10));
+    assert_eq!(admission.part(ServiceId(0)).unwrap().rate, 10.0);
+}
+
+/// Guards against a loss of most of a service's rate while one lost member is not yet gone
+/// from the member table.
+#[test]
+fn one_silent_member_takes_only_its_own_part() {
+    let start = Instant::now();
+    let mut admission = entry(start, others(4));
+    for second in 5..=8 {
+        let now = start + ms(1000 * second);
+        for member in 1..=3 {
+            admission.report_received(VmId(member), now, UsageReport::default());
+        }
+        while let Some(permit) = admitted_or_none(&mut admission, now) {
+            admission.release(permit);
+        }
+        admission.usage_report(now);
+    }
+    assert_eq!(admission.part(ServiceId(0)).unwrap().rate.round(), 80.0);
+}
+
+/// Guards against entries whose parts add up to more than the design allows: one equal part
+/// for each entry above the contract, and the contract itself once usage is steady.
+#[test]
+fn entries_together_stay_within_the_contract_once_usage_is_steady() {
+    let start = Instant::now();
+    let members = |own: u32| MemberView::Certain((0..5).filter(|i| *i != own).map(VmId).collect());
+    let mut entries: Vec<Admission> = (0..5).map(|own| entry(start, members(own))).collect();
+    let mut totals = Vec::new();
+    for second in 0..12u64 {
+        let mut total = 0;
+        for tick in 0..100 {
+            let now = start + ms(second * 1000 + tick * 10);
+            for (index, admission) in entries.iter_mut().enumerate() {
+                // Demand moves from all entries to the first one after six seconds.
+                let demand = if second < 6 || index == 0 { 2 } else { 0 };
+                for _ in 0..demand {
+                    if let Some(permit) = admitted_or_none(admission, now) {
+                        admission.release(permit);
+                        total += 1;
+                    }
+                }
+            }
+        }
+        let now = start + ms(second * 1000 + 1000);
+        let reports: Vec<UsageReport> = entries.iter_mut().map(|e| e.usage_report(now)).collect();
+        for (own, admission) in entries.iter_mut().enumerate() {
+            for (index, report) in reports.iter().enumerate().filter(|(i, _)| *i != own) {
+                admission.report_received(VmId(index as u32), now, report.clone());
+            }
+        }
+        totals.push(total);
+    }
+    // The burst of 100 adds to the first second.
+    assert!(totals.iter().skip(1).all(|total| *total <= 200), "{totals:?}");
+    assert!(totals[3..6].iter().all(|total| (95..=110).contains(total)), "{totals:?}");
+    assert!(totals[9..].iter().all(|total| (95..=105).contains(total)), "{totals:?}");
+}
+
+/// Guards against heartbeats that grow with the number of services instead of the traffic.
+#[test]
+fn the_report_names_only_services_with_traffic() {
+    let now = Instant::now();
+    let environment = environment(&[CONTRACT, CONTRACT, CONTRACT]);
+    let mut admission = Admission::new(now, AdmissionSettings::default(), &environment, others(0));
+    let permit = admitted(&mut admission, now, 1);
+    assert_debug_snapshot!(admission.usage_report(now + ms(500)).services, @"
+    [
+        ServiceUsage {
+            service: ServiceId(
+                1,
+            ),
+            rate: 2.0,
+            in_flight: 1,
+        },
+    ]
+    ");
+    admission.release(permit);
+    admission.usage_report(now + ms(1000));
+    assert_eq!(admission.usage_report(now + ms(1500)).services, []);
+}
+
+/// Guards against permits that are lost or counted for another service when a new document
+/// numbers the services anew, and against a new service that starts without its burst.
+#[test]
+fn a_new_document_keeps_requests_in_flight_and_usage() {
+    let now = Instant::now();
+    let two = r#"{"rate": 100, "burst": 100, "concurrency": 2}"#;
+    let mut admission = Admission::new(
+        now,
+        AdmissionSettings::default(),
+        &environment(&[CONTRACT, two]),
+        others(0),
+    );
+    let held = [admitted(&mut admission, now, 1), admitted(&mut admission, now, 1)];
+    let removed = admitted(&mut admission, now, 0);
+    let text = r#"{"environment": "test", "domains": ["d"],
+        "classes": [{"name": "c", "prefer": "latency", "deadline_ms": 400}],
+        "services": [
+            {"name": "s1", "class": "c", "shards": ["a"], "contract": {"rate": 100, "burst": 100, "concurrency": 2}},
+            {"name": "s2", "class": "c", "shards": ["a"], "contract": {"rate": 100, "burst": 100, "concurrency": 2}}],
+        "searchers": [{"name": "a", "address": "127.0.0.1:1", "domain": "d", "slots": 2, "connections": 25}],
+        "shards": [{"name": "a", "replicas": ["a"]}]}"#;
+    admission.set_environment(now, &tt_model::Environment::parse(text).unwrap());
+    assert_eq!(admission.admit(now, &arrival(now, 0)), Err(ResultCode::TooManyInFlight));
+    let added = admitted(&mut admission, now, 1);
+    assert_eq!(admission.in_flight(), 4);
+    for permit in held.into_iter().chain([removed, added]) {
+        admission.release(permit);
+    }
+    let _permit = admitted(&mut admission, now, 0);
+    assert_eq!(admission.in_flight(), 1);
 }
--- a/crates/limits/tests/slots.rs
+++ b/crates/limits/tests/slots.rs
@@ -2,22 +2,65 @@
 
 mod common;
 
+use insta::assert_snapshot;
 use tokio::time::Instant;
 
+use tt_limits::CancelOutcome;
+use tt_limits::Half;
+use tt_limits::QueuePolicy;
 use tt_limits::QueueSettings;
+use tt_limits::RejectReason;
+use tt_limits::RunOutcome;
+use tt_limits::SlotAction;
+use tt_limits::SlotKind;
+use tt_limits::SlotPolicy;
 use tt_limits::SlotQueue;
 use tt_limits::SlotRight;
+use tt_limits::SubQuery;
 
 use common::ms;
 use common::started;
 use common::sub;
 
 fn queue(now: Instant, right: SlotRight) -> SlotQueue<u32> {
-    let mut queue = SlotQueue::new(now, QueueSettings::default());
+    queue_with(now, right, QueueSettings::default())
+}
+
+fn queue_with(now: Instant, right: SlotRight, settings: QueueSettings) -> SlotQueue<u32> {
+    let mut queue = SlotQueue::new(now, settings);
     queue.set_right(right);
     queue
 }
 
+fn one_slot() -> SlotRight {
+    SlotRight::Half { slots: 1 }
+}
+
+/// Runs everything queued, 10 ms each, and lists the items in order of their starts.
+fn run_all(queue: &mut SlotQueue<u32>, mut now: Instant) -> String {
+    let mut order = Vec::new();
+    while let Some(action) = queue.next_action(now) {
+        match action {
+            SlotAction::Start { ticket, item, .. } => {
+                order.push(item.to_string());
+                now += ms(10);
+                queue.finish(now, ticket, RunOutcome::Answered);
+            }
+            SlotAction::Reject { item, reason, .. } => order.push(format!("{item}:{reason:?}")),
+            SlotAction::Cancel { .. } => unreachable!("every run ends at once"),
+        }
+    }
+    order.join(" ")
+}
+
+fn rejected(queue: &mut SlotQueue<u32>, now: Instant) -> Vec<RejectReason> {
+    let mut reasons = Vec::new();
+    while let Some(SlotAction::Reject { reason, .. }) = queue.next_action(now) {
+        reasons.push(reason);
+    }
+    reasons
+}
+
 /// Guards against more sub-queries at a searcher than its limit.
 #[test]
 fn starts_no_more_than_the_right_allows() {
@@ -29,3 +72,289 @@
     assert_eq!(started(&mut queue, now).len(), 2);
     assert_eq!((queue.running(), queue.queued()), (2, 3));
 }
+
+/// Guards against starts that rely on a right which ended while work was running: the
+/// successor may use the other half from then on.
+#[test]
+fn a_smaller_right_starts_nothing_until_enough_runs_ended() {
+    let now = Instant::now();
+    let mut queue = queue(now, SlotRight::promised(4, now + ms(3000)));
+    for item in 0..8 {
+        queue.push(now, sub(now, 0, ms(2000)), item).unwrap();
+    }
+    let running = started(&mut queue, now);
+    assert_eq!(running.len(), 4);
+    queue.set_right(SlotRight::half(Half::Owner, 4));
+    queue.finish(now, running[0], RunOutcome::Answered);
+    queue.finish(now, running[1], RunOutcome::Answered);
+    assert_eq!(started(&mut queue, now).len(), 0);
+    queue.finish(now, running[2], RunOutcome::Answered);
+    assert_eq!(started(&mut queue, now).len(), 1);
+}
+
+/// Guards against a sub-query above the half that a searcher would still run after the end
+/// of the promise, for example because this process was paused before the send.
+#[test]
+fn slots_above_the_half_end_before_the_promise() {
+    let now = Instant::now();
+    let mut queue = queue(now, SlotRight::promised(2, now + ms(300)));
+    for item in 0..4 {
+        queue.push(now, sub(now, 0, ms(400)), item).unwrap();
+    }
+    let mut starts = Vec::new();
+    while let Some(SlotAction::Start { deadline, slot, .. }) = queue.next_action(now) {
+        starts.push((slot, deadline - now));
+    }
+    assert_eq!(starts, [(SlotKind::Half, ms(400)), (SlotKind::Promised, ms(250))]);
+    assert_eq!(queue.allowed(now + ms(299)), 2);
+    assert_eq!(queue.allowed(now + ms(300)), 1);
+    assert_eq!(queue.wake_at(), Some(now + ms(250)));
+    let action = queue.next_action(now + ms(250));
+    assert!(matches!(action, Some(SlotAction::Cancel { .. })), "{action:?}");
+    assert_eq!(queue.next_action(now + ms(250)), None);
+}
+
+/// Guards against sub-queries that are started only to be cut short by the end of the promise.
+#[test]
+fn a_promise_shorter_than_the_slot_time_is_not_used() {
+    let now = Instant::now();
+    let mut queue = queue(now, SlotRight::promised(2, now + ms(55)));
+    for item in 0..2 {
+        queue.push(now, sub(now, 0, ms(400)), item).unwrap();
+    }
+    assert_eq!(started(&mut queue, now).len(), 1);
+    queue.set_right(SlotRight::promised(2, now + ms(3000)));
+    assert_eq!(started(&mut queue, now).len(), 1);
+}
+
+/// Guards against sub-queries that wait at a daemon which may never run them.
+#[test]
+fn without_a_right_queued_work_is_returned_as_not_run() {
+    let now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    let first = queue.push(now, sub(now, 0, ms(400)), 1).unwrap();
+    queue.push(now, sub(now, 0, ms(400)), 2).unwrap();
+    assert_eq!(started(&mut queue, now), [first]);
+    queue.set_right(SlotRight::None);
+    assert_eq!(rejected(&mut queue, now), [RejectReason::NoRight]);
+    let refused = queue.push(now, sub(now, 0, ms(400)), 3).unwrap_err();
+    assert_eq!((refused.item, refused.reason), (3, RejectReason::NoRight));
+    assert_eq!(queue.cancel(first), CancelOutcome::Running);
+    queue.finish(now, first, RunOutcome::Answered);
+    assert_eq!(queue.running(), 0);
+}
+
+/// Guards against a late answer where the order of arrival would have met every deadline
+/// only by luck, and against urgent sub-queries behind others that are due at the same time.
+#[test]
+fn within_a_service_the_earliest_deadline_goes_first_then_urgency() {
+    let now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    for (item, deadline, urgency) in [(1, 400, 0), (2, 200, 0), (3, 300, 0), (4, 300, 9)] {
+        queue.push(now, SubQuery { urgency, ..sub(now, 0, ms(deadline)) }, item).unwrap();
+    }
+    assert_snapshot!(run_all(&mut queue, now), @"2 4 3 1");
+}
+
+/// Guards against a service that gets more or less than its share of the starts.
+#[test]
+fn services_are_served_in_proportion_to_their_shares() {
+    let now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    for _ in 0..9 {
+        for (service, share) in [(1, 1.0), (4, 4.0)] {
+            let request = SubQuery { share, ..sub(now, service, ms(2000)) };
+            queue.push(now, request, service).unwrap();
+        }
+    }
+    assert_snapshot!(run_all(&mut queue, now), @"1 4 4 4 4 1 4 4 4 4 1 4 1 1 1 1 1 1");
+}
+
+/// Guards against a service that saves up credit while idle and then blocks the others.
+#[test]
+fn idle_time_earns_no_credit() {
+    let now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    for _ in 0..20 {
+        queue.push(now, sub(now, 1, ms(2000)), 1).unwrap();
+    }
+    run_all(&mut queue, now);
+    for _ in 0..4 {
+        queue.push(now, sub(now, 1, ms(2000)), 1).unwrap();
+        queue.push(now, sub(now, 2, ms(2000)), 2).unwrap();
+    }
+    assert_snapshot!(run_all(&mut queue, now), @"2 1 2 1 2 1 2 1");
+}
+
+/// Guards against a service with slow sub-queries that takes most of the slot time by
+/// getting the same number of starts.
+#[test]
+fn slot_time_is_charged_as_used() {
+    let mut now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    for _ in 0..100 {
+        queue.push(now, sub(now, 1, ms(9000)), 1).unwrap();
+        queue.push(now, sub(now, 2, ms(9000)), 2).unwrap();
+    }
+    let mut held = [0u32, 0];
+    for _ in 0..80 {
+        let Some(SlotAction::Start { ticket, item, .. }) = queue.next_action(now) else { break };
+        let time = if item == 1 { 30 } else { 10 };
+        held[item as usize - 1] += time;
+        now += ms(time.into());
+        queue.finish(now, ticket, RunOutcome::Answered);
+    }
+    let ratio = f64::from(held[0]) / f64::from(held[1]);
+    assert!((0.8..1.25).contains(&ratio), "slot time {held:?}");
+}
+
+/// Guards against work that waits in vain, and against small services that are rejected
+/// because of another one's queue.
+#[test]
+fn rejects_at_once_when_the_wait_in_the_share_exceeds_the_remaining_time() {
+    let now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    let mut accepted = 0;
+    while queue.push(now, sub(now, 1, ms(200)), 1).is_ok() {
+        accepted += 1;
+    }
+    assert!((15..=20).contains(&accepted), "accepted {accepted} of 10 ms each in 200 ms");
+    let refused = queue.push(now, sub(now, 1, ms(200)), 1).unwrap_err();
+    assert_eq!(refused.reason, RejectReason::WaitTooLong);
+    queue.push(now, sub(now, 2, ms(200)), 2).unwrap();
+}
+
+/// Guards against a lockout: an estimate above all deadlines would reject everything, so
+/// no observation could correct it.
+#[test]
+fn an_idle_searcher_always_gets_a_sub_query() {
+    let now = Instant::now();
+    let settings = QueueSettings { service_time: ms(5000), ..QueueSettings::default() };
+    let mut queue = queue_with(now, one_slot(), settings);
+    let ticket = queue.push(now, sub(now, 0, ms(100)), 0).unwrap();
+    assert_eq!(started(&mut queue, now), [ticket]);
+    assert!(queue.push(now, sub(now, 0, ms(100)), 1).is_err());
+}
+
+/// Guards against an answer "not run" for a sub-query that starts later.
+#[test]
+fn a_cancelled_sub_query_never_starts_and_a_running_one_keeps_its_slot() {
+    let now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    let first = queue.push(now, sub(now, 0, ms(400)), 1).unwrap();
+    let second = queue.push(now, sub(now, 0, ms(400)), 2).unwrap();
+    let third = queue.push(now, sub(now, 0, ms(400)), 3).unwrap();
+    assert_eq!(started(&mut queue, now), [first]);
+    assert_eq!(queue.cancel(second), CancelOutcome::Dequeued(2));
+    assert_eq!(queue.cancel(first), CancelOutcome::Running);
+    assert_eq!(started(&mut queue, now), []);
+    queue.finish(now, first, RunOutcome::Failed);
+    assert_eq!(started(&mut queue, now), [third]);
+    assert_eq!(queue.cancel(second), CancelOutcome::Unknown);
+}
+
+/// Guards against a late or doubled end that frees the slot of another sub-query.
+#[test]
+fn a_stale_ticket_has_no_effect() {
+    let now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    let first = queue.push(now, sub(now, 0, ms(400)), 1).unwrap();
+    assert_eq!(started(&mut queue, now), [first]);
+    queue.finish(now, first, RunOutcome::Answered);
+    let second = queue.push(now, sub(now, 0, ms(400)), 2).unwrap();
+    queue.push(now, sub(now, 0, ms(400)), 3).unwrap();
+    assert_eq!(started(&mut queue, now), [second]);
+    queue.finish(now, first, RunOutcome::Answered);
+    assert_eq!(started(&mut queue, now), []);
+    assert_eq!(queue.running(), 1);
+}
+
+/// Guards against one service that fills the queue and shuts the others out.
+#[test]
+fn a_full_queue_drops_from_the_service_with_the_most_for_its_share() {
+    let now = Instant::now();
+    let settings = QueueSettings { capacity: 4, ..QueueSettings::default() };
+    let mut queue = queue_with(now, one_slot(), settings);
+    for item in 1..=4 {
+        queue.push(now, sub(now, 1, ms(400 + u64::from(item))), item).unwrap();
+    }
+    let refused = queue.push(now, sub(now, 1, ms(400)), 5).unwrap_err();
+    assert_eq!(refused.reason, RejectReason::QueueFull);
+    queue.push(now, sub(now, 2, ms(400)), 6).unwrap();
+    assert_eq!(queue.queued(), 4);
+    assert_snapshot!(run_all(&mut queue, now), @"4:QueueFull 6 1 2 3");
+}
+
+/// Guards against queued work that is reported to its entry only when a slot becomes free.
+#[test]
+fn a_deadline_that_passes_in_the_queue_is_reported_on_time() {
+    let now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    queue.push(now, sub(now, 0, ms(400)), 1).unwrap();
+    assert_eq!(started(&mut queue, now).len(), 1);
+    queue.push(now, sub(now, 0, ms(100)), 2).unwrap();
+    assert_eq!(queue.wake_at(), Some(now + ms(100)));
+    assert_eq!(rejected(&mut queue, now + ms(100)), [RejectReason::DeadlinePassed]);
+    let refused = queue.push(now, sub(now, 0, ms(0)), 3).unwrap_err();
+    assert_eq!(refused.reason, RejectReason::DeadlinePassed);
+}
+
+/// Guards against new work at a searcher that is leaving, and against a graceful stop that
+/// cuts running work off.
+#[test]
+fn a_leaving_searcher_gets_no_starts_and_finishes_what_runs() {
+    let now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    let first = queue.push(now, sub(now, 0, ms(400)), 1).unwrap();
+    queue.push(now, sub(now, 0, ms(400)), 2).unwrap();
+    assert_eq!(started(&mut queue, now), [first]);
+    queue.drain();
+    assert_eq!(rejected(&mut queue, now), [RejectReason::SearcherLeaving]);
+    let refused = queue.push(now, sub(now, 0, ms(400)), 3).unwrap_err();
+    assert_eq!(refused.reason, RejectReason::SearcherLeaving);
+    assert_eq!(queue.running(), 1);
+    queue.finish(now, first, RunOutcome::Answered);
+    assert_eq!(queue.running(), 0);
+    queue.resume();
+    queue.push(now, sub(now, 0, ms(400)), 4).unwrap();
+    assert_eq!(started(&mut queue, now).len(), 1);
+}
+
+/// Guards against full load on a searcher with cold caches, and against an idle searcher
+/// that counts as warm.
+#[test]
+fn a_cold_searcher_gets_its_slots_in_steps() {
+    let now = Instant::now();
+    let mut queue = queue(now, SlotRight::Half { slots: 4 });
+    queue.cold_start(now);
+    let mut steps = Vec::new();
+    let mut time = now;
+    for _ in 0..4 {
+        steps.push(queue.allowed(time));
+        time += ms(60_000);
+        assert_eq!(queue.allowed(time), *steps.last().unwrap(), "no step without successes");
+        for item in 0..4 {
+            queue.push(time, sub(time, 0, ms(400)), item).unwrap();
+            let ticket = started(&mut queue, time)[0];
+            queue.finish(time, ticket, RunOutcome::Answered);
+        }
+    }
+    assert_eq!(steps, [1, 2, 3, 4]);
+}
+
+/// Guards against a baseline that gains from the mechanisms it is compared with.
+#[test]
+fn baselines_are_first_in_first_out_and_a_fixed_share() {
+    let now = Instant::now();
+    let settings = QueueSettings { policy: QueuePolicy::Fifo, ..QueueSettings::default() };
+    let mut queue = queue_with(now, one_slot(), settings);
+    for (item, service, deadline) in [(1, 1, 900), (2, 1, 400), (3, 2, 300)] {
+        queue.push(now, sub(now, service, ms(deadline)), item).unwrap();
+    }
+    assert_snapshot!(run_all(&mut queue, now), @"1 2 3");
+    let policy = SlotPolicy::StaticShare { daemons: 5 };
+    let owned = SlotRight::promised(11, now + ms(3000));
+    assert_eq!(policy.right(owned, 11), SlotRight::Half { slots: 2 });
+    assert_eq!(policy.right(SlotRight::None, 2), SlotRight::Half { slots: 1 });
+    assert_eq!(SlotPolicy::Owner.right(owned, 11), owned);
+}
