--- /dev/null
+++ b/crates/claims/src/partition.rs
@@ -0,0 +1,407 @@
+//! The owner of a claim partition.
+
+mod owner;
+mod queue;
+mod take_over;
+mod write;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
+
+use crate::log::Head;
+use crate::log::Seal;
+use crate::log::Token;
+use crate::message::ClaimReply;
+use crate::message::ClaimRequest;
+use crate::partition::queue::Queue;
+use crate::partition::queue::Waiting;
+use crate::partition::queue::is_outcome;
+use crate::partition::take_over::TakeOver;
+use crate::partition::write::Write;
+use crate::request_id::Now;
+use crate::request_id::PartitionId;
+use crate::table::Table;
+use crate::table::Verdict;
+use crate::table::View;
+
+/// Limits and intervals of a [`Partition`].
+#[derive(Debug, Clone)]
+pub struct PartitionSettings {
+    /// Least time between the starts of two writes.
+    pub write_gap: Duration,
+    /// Ids older than this are pruned and refused.
+    pub retention: Duration,
+    /// Time between two prunings.
+    pub prune_gap: Duration,
+    /// Pause after a store call that got no answer.
+    pub retry_pause: Duration,
+    /// Calls that may wait. Claims and starts may use three quarters, so that outcomes
+    /// of requests that already ran find room.
+    pub queue_len: usize,
+    /// Largest segment value.
+    pub segment_bytes: usize,
+    /// Segments read at the same time at take-over.
+    pub read_window: usize,
+    /// Longest wait of a call, whatever it asks for.
+    pub max_wait: Duration,
+    /// Most records in one write.
+    pub batch_len: usize,
+}
+
+impl Default for PartitionSettings {
+    fn default() -> Self {
+        PartitionSettings {
+            // Four partitions use at most 200 of the several hundred writes a second that the store takes.
+            write_gap: Duration::from_millis(20),
+            retention: Duration::from_secs(15 * 60),
+            prune_gap: Duration::from_secs(10),
+            retry_pause: Duration::from_millis(200),
+            queue_len: 4096,
+            segment_bytes: crate::log::MAX_SEGMENT_BYTES,
+            read_window: 16,
+            max_wait: Duration::from_secs(30),
+            batch_len: usize::MAX,
+        }
+    }
+}
+
+/// Input of a [`Partition`].
+#[derive(Debug, Clone)]
+pub enum PartitionEvent {
+    /// A claimant's call arrived. The answer carries the same tag.
+    Request {
+        /// Chosen by the daemon; unique among unanswered calls.
+        tag: u64,
+        /// The call.
+        request: ClaimRequest,
+    },
+    /// The outcome of a store call.
+    Store {
+        /// Number of the call.
+        call: u64,
+        /// The outcome.
+        reply: StoreReply,
+    },
+    /// The time of [`Partition::next_timer`] is reached.
+    Timer,
+    /// The assignment names another owner, or the daemon is stopping.
+    Release,
+}
+
+/// Output of a [`Partition`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PartitionAction {
+    /// Make a store call and report its outcome.
+    Store {
+        /// Number of the call.
+        call: u64,
+        /// The call.
+        request: StoreCall,
+    },
+    /// Answer a claimant's call.
+    Reply {
+        /// Tag of the call.
+        tag: u64,
+        /// The answer.
+        reply: ClaimReply,
+    },
+}
+
+/// What a [`Partition`] currently does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartitionStatus {
+    /// Reads the log; calls wait.
+    TakingOver,
+    /// Records claims.
+    Owner,
+    /// Finishes the write in flight; refuses calls.
+    Releasing,
+    /// Refuses all calls, for good.
+    Retired,
+}
+
+/// The state machine of one ownership of a partition. It takes the log over, records
+/// claims, and retires when another owner has taken the log over or on release.
+#[derive(Debug)]
+pub struct Partition {
+    id: PartitionId,
+    token: Token,
+    settings: PartitionSettings,
+    phase: Phase,
+    table: Table,
+    queue: Queue,
+    /// Calls whose records are in the write in flight.
+    batch: Queue,
+    write: Option<InFlight>,
+    next_call: u64,
+    /// The next write may start.
+    ready_at: Instant,
+    /// Until then the store is taken to be down and claims are refused at once.
+    down_until: Instant,
+    head: Head,
+    head_revision: Revision,
+    tail: Tail,
+    /// Sealed segments, oldest first.
+    kept: VecDeque<Kept>,
+    /// Segments below the head's first.
+    removals: VecDeque<Kept>,
+    prune_at: Instant,
+    turn: Turn,
+    batch_count: u64,
+    out: Vec<PartitionAction>,
+}
+
+#[derive(Debug)]
+enum Phase {
+    TakeOver(TakeOver),
+    Owner,
+    Releasing,
+    Retired,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    write: Write,
+    job: Job,
+    /// The open call, or the time of the next one.
+    state: CallState,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum CallState {
+    Open(u64),
+    Due(Instant),
+}
+
+/// What a write is for.
+#[derive(Debug)]
+enum Job {
+    /// A part of the take-over; the state is in the phase.
+    TakeOver,
+    /// A batch in the open tail.
+    Append(Tail),
+    /// A batch in a new tail, which does not count before the head names it.
+    Create(Tail),
+    /// The head names the new tail.
+    Confirm(Head, Tail),
+    /// The head drops segments.
+    Prune(Head),
+    /// A dropped segment is removed.
+    Remove,
+}
+
+/// Which kind of write goes next when both are waiting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    Batch,
+    Upkeep,
+}
+
+#[derive(Debug, Clone)]
+struct Tail {
+    sequence: u64,
+    revision: Revision,
+    seal: Seal,
+    records: Vec<u8>,
+    /// The newest time embedded in an id of the segment.
+    newest_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Kept {
+    sequence: u64,
+    revision: Revision,
+    newest_ms: u64,
+}
+
+impl Partition {
+    /// Starts to take over the partition. The actions come with the next event, so send
+    /// a [`PartitionEvent::Timer`] at once.
+    pub fn new(id: PartitionId, token: Token, settings: PartitionSettings, now: Now) -> Partition {
+        Partition {
+            id,
+            token,
+            settings,
+            phase: Phase::TakeOver(TakeOver::Paused(now.at)),
+            table: Table::default(),
+            queue: Queue::default(),
+            batch: Queue::default(),
+            write: None,
+            next_call: 0,
+            ready_at: now.at,
+            down_until: now.at,
+            head: Head::empty(token),
+            head_revision: Revision(0),
+            tail: Tail::new(0),
+            kept: VecDeque::new(),
+            removals: VecDeque::new(),
+            prune_at: now.at,
+            turn: Turn::Batch,
+            batch_count: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes one event and returns the actions that follow from it.
+    pub fn handle(&mut self, event: PartitionEvent, now: Now) -> Vec<PartitionAction> {
+        self.expire(now);
+        match event {
+            PartitionEvent::Request { tag, request } => self.on_request(tag, request, now),
+            PartitionEvent::Store { call, reply } => self.on_store(call, reply, now),
+            PartitionEvent::Timer => {}
+            PartitionEvent::Release => self.on_release(),
+        }
+        self.pump(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// When to send the next [`PartitionEvent::Timer`], if no other event comes before.
+    pub fn next_timer(&self) -> Option<Instant> {
+        let write = self.write.as_ref().and_then(|flight| match flight.state {
+            CallState::Open(_) => None,
+            CallState::Due(at) => Some(at),
+        });
+        let phase = match &self.phase {
+            Phase::TakeOver(TakeOver::Paused(at)) => Some(*at),
+            Phase::TakeOver(TakeOver::Segments(replay)) => replay.again_at(),
+            Phase::TakeOver(_) | Phase::Releasing | Phase::Retired => None,
+            Phase::Owner if self.write.is_some() => None,
+            Phase::Owner => {
+                let due = if self.queue.is_empty() && self.removals.is_empty() {
+                    self.prune_at
+                } else {
+                    self.ready_at
+                };
+                Some(due.max(self.ready_at).max(self.down_until))
+            }
+        };
+        [write, phase, self.queue.expire_at(), self.batch.expire_at()].into_iter().flatten().min()
+    }
+
+    /// What the partition currently does.
+    pub fn status(&self) -> PartitionStatus {
+        match self.phase {
+            Phase::TakeOver(_) => PartitionStatus::TakingOver,
+            Phase::Owner => PartitionStatus::Owner,
+            Phase::Releasing => PartitionStatus::Releasing,
+            Phase::Retired => PartitionStatus::Retired,
+        }
+    }
+
+    /// Number of request ids that are retained.
+    pub fn retained(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Number of calls that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len() + self.batch.len()
+    }
+
+    fn on_request(&mut self, tag: u64, request: ClaimRequest, now: Now) {
+        match self.phase {
+            Phase::Owner => {
+                // Refusals hold also if this owner has been replaced without knowing, and
+                // the other replies state records that are durable.
+                let verdict = self.table.judge(&request, now.unix_ms, View::Durable);
+                if let Verdict::Reply(reply) = verdict {
+                    return self.reply(tag, reply);
+                }
+            }
+            Phase::TakeOver(_) => {}
+            Phase::Releasing | Phase::Retired => return self.reply(tag, ClaimReply::NotOwner),
+        }
+        let outcome = is_outcome(&request.step);
+        if now.at < self.down_until && !outcome {
+            return self.reply(tag, ClaimReply::Unavailable);
+        }
+        let limit = self.settings.queue_len;
+        let limit = if outcome { limit } else { limit - limit / 4 };
+        if self.queue.len() >= limit {
+            return self.reply(tag, ClaimReply::Busy);
+        }
+        let wait = Duration::from_millis(u64::from(request.wait_ms)).min(self.settings.max_wait);
+        let reply = ClaimReply::Unavailable;
+        self.queue.push(Waiting { tag, request, expires: now.at + wait, reply });
+    }
+
+    fn on_store(&mut self, call: u64, reply: StoreReply, now: Now) {
+        match &self.write {
+            Some(flight) if matches!(flight.state, CallState::Open(open) if open == call) => {
+                self.on_write_reply(&reply, now);
+            }
+            _ => self.on_read_reply(call, reply, now),
+        }
+    }
+
+    fn on_release(&mut self) {
+        match self.phase {
+            Phase::Owner if self.write.is_some() => {
+                self.phase = Phase::Releasing;
+                for waiting in self.queue.take() {
+                    self.reply(waiting.tag, ClaimReply::NotOwner);
+                }
+            }
+            Phase::Owner | Phase::TakeOver(_) => self.retire(),
+            Phase::Releasing | Phase::Retired => {}
+        }
+    }
+
+    /// Answers all calls; nothing is written any more. Records of the batch may have become
+    /// durable, so the claimants ask the next owner with the same claim id.
+    fn retire(&mut self) {
+        self.phase = Phase::Retired;
+        self.write = None;
+        let batch = self.batch.take();
+        for waiting in batch.into_iter().chain(self.queue.take()) {
+            self.reply(waiting.tag, ClaimReply::NotOwner);
+        }
+        self.table = Table::default();
+        self.kept.clear();
+        self.removals.clear();
+    }
+
+    /// Answers the calls whose wait has ended.
+    fn expire(&mut self, now: Now) {
+        for queue in [&mut self.queue, &mut self.batch] {
+            if queue.expire_at().is_some_and(|at| at <= now.at) {
+                for waiting in queue.remove(|waiting| waiting.expires <= now.at) {
+                    let reply = ClaimReply::Expired;
+                    self.out.push(PartitionAction::Reply { tag: waiting.tag, reply });
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, tag: u64, reply: ClaimReply) {
+        self.out.push(PartitionAction::Reply { tag, reply });
+    }
+
+    fn store_call(&mut self, request: StoreCall) -> u64 {
+        let call = self.next_call;
+        self.next_call += 1;
+        self.out.push(PartitionAction::Store { call, request });
+        call
+    }
+}
+
+impl Tail {
+    fn new(sequence: u64) -> Tail {
+        Tail {
+            sequence,
+            revision: Revision(0),
+            seal: Seal::Open,
+            records: Vec::new(),
+            newest_ms: 0,
+        }
+    }
+
+    fn kept(&self) -> Kept {
+        Kept { sequence: self.sequence, revision: self.revision, newest_ms: self.newest_ms }
+    }
+}
--- /dev/null
+++ b/crates/claims/src/partition/owner.rs
@@ -0,0 +1,457 @@
+//! Writes and reads of a partition owner: batches, upkeep and the steps of take-over.
+
+use std::mem;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use tokio::time::Instant;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
+
+use super::CallState;
+use super::InFlight;
+use super::Job;
+use super::Partition;
+use super::Phase;
+use super::Tail;
+use super::Turn;
+use super::queue::Waiting;
+use super::take_over::Loaded;
+use super::take_over::Replay;
+use super::take_over::Step;
+use super::take_over::TakeOver;
+use super::write::Next;
+use super::write::Write;
+use crate::log::Head;
+use crate::log::SEGMENT_PREFIX_BYTES;
+use crate::log::Seal;
+use crate::log::Segment;
+use crate::log::encode_head;
+use crate::log::encode_record;
+use crate::log::encode_segment;
+use crate::log::head_key;
+use crate::log::segment_key;
+use crate::message::ClaimReply;
+use crate::request_id::Now;
+use crate::table::Table;
+use crate::table::Verdict;
+use crate::table::View;
+
+impl Partition {
+    /// Starts whatever is due.
+    pub(super) fn pump(&mut self, now: Now) {
+        if let Some(flight) = &self.write {
+            if matches!(flight.state, CallState::Due(at) if at <= now.at) {
+                self.call_write(now);
+            }
+            return;
+        }
+        match &mut self.phase {
+            Phase::TakeOver(TakeOver::Paused(at)) if *at <= now.at => {
+                let call = self.store_call(StoreCall::Get { key: head_key(self.id) });
+                self.phase = Phase::TakeOver(TakeOver::Head(call));
+            }
+            Phase::TakeOver(TakeOver::Segments(_)) => self.read_segments(now),
+            Phase::TakeOver(_) | Phase::Releasing | Phase::Retired => {}
+            Phase::Owner => {
+                if now.at >= self.ready_at && now.at >= self.down_until {
+                    self.start_next(now);
+                }
+            }
+        }
+    }
+
+    fn start_next(&mut self, now: Now) {
+        if self.turn == Turn::Upkeep || self.queue.is_empty() {
+            self.turn = Turn::Batch;
+            if self.start_upkeep(now) {
+                return;
+            }
+        }
+        if !self.queue.is_empty() {
+            self.turn = Turn::Upkeep;
+            self.start_batch(now);
+        }
+    }
+
+    fn start_batch(&mut self, now: Now) {
+        let fresh = self.tail.seal == Seal::Sealed;
+        let mut tail = if fresh { Tail::new(self.tail.sequence + 1) } else { self.tail.clone() };
+        let before = tail.records.len();
+        let mut count = 0;
+        while let Some(mut waiting) = self.queue.pop() {
+            let staged = self.table.is_staged(waiting.request.key);
+            match self.table.judge(&waiting.request, now.unix_ms, View::WithBatch) {
+                Verdict::Reply(reply) if staged => {
+                    waiting.reply = reply;
+                    self.batch.push(waiting);
+                }
+                Verdict::Reply(reply) => self.reply(waiting.tag, reply),
+                Verdict::Write(record, reply) => {
+                    let end = tail.records.len();
+                    encode_record(&mut tail.records, &record);
+                    let full =
+                        SEGMENT_PREFIX_BYTES + tail.records.len() > self.settings.segment_bytes;
+                    if full || count >= self.settings.batch_len {
+                        tail.records.truncate(end);
+                        if full {
+                            tail.seal = Seal::Sealed;
+                        }
+                        self.queue.push_front(waiting);
+                        break;
+                    }
+                    count += 1;
+                    tail.newest_ms = tail.newest_ms.max(record.key().time_ms());
+                    self.table.stage(record);
+                    waiting.reply = reply;
+                    self.batch.push(waiting);
+                }
+            }
+        }
+        if tail.records.len() == before && tail.seal == Seal::Open {
+            return;
+        }
+        self.batch_count += 1;
+        let value = encode_segment(self.token, self.batch_count, tail.seal, &tail.records);
+        let write = Write::put(segment_key(self.id, tail.sequence), tail.revision, value);
+        let job = if fresh { Job::Create(tail) } else { Job::Append(tail) };
+        self.start_write(write, job, now);
+    }
+
+    /// Starts a pruning or a removal. Returns whether there was one to start.
+    fn start_upkeep(&mut self, now: Now) -> bool {
+        if let Some(kept) = self.removals.pop_front() {
+            let write = Write::remove(segment_key(self.id, kept.sequence), kept.revision);
+            self.start_write(write, Job::Remove, now);
+            return true;
+        }
+        if now.at < self.prune_at {
+            return false;
+        }
+        self.prune_at = now.at + self.settings.prune_gap;
+        let watermark_ms = now.unix_ms.saturating_sub(millis(self.settings.retention));
+        self.table.raise_watermark(watermark_ms);
+        let watermark_ms = self.table.watermark_ms();
+        let old = self.kept.iter().take_while(|kept| kept.newest_ms < watermark_ms).count();
+        if old == 0 {
+            return false;
+        }
+        let first = self.head.first + old as u64;
+        let head = Head { first, watermark_ms, ..self.head };
+        self.write_head(head, Job::Prune(head), now);
+        true
+    }
+
+    fn write_head(&mut self, head: Head, job: Job, now: Now) {
+        let write = Write::put(head_key(self.id), self.head_revision, encode_head(&head));
+        self.start_write(write, job, now);
+    }
+
+    fn start_write(&mut self, write: Write, job: Job, now: Now) {
+        self.write = Some(InFlight { write, job, state: CallState::Due(self.ready_at) });
+        if self.ready_at <= now.at {
+            self.call_write(now);
+        }
+    }
+
+    fn call_write(&mut self, now: Now) {
+        let Some(mut flight) = self.write.take() else {
+            return;
+        };
+        if flight.write.is_writing() {
+            self.ready_at = now.at + self.settings.write_gap;
+        }
+        flight.state = CallState::Open(self.store_call(flight.write.call()));
+        self.write = Some(flight);
+    }
+
+    pub(super) fn on_write_reply(&mut self, reply: &StoreReply, now: Now) {
+        let Some(mut flight) = self.write.take() else {
+            return;
+        };
+        match flight.write.on_reply(reply) {
+            Next::Durable(revision) => self.on_durable(flight.job, revision, now),
+            Next::Conflict => self.on_conflict(now),
+            Next::NoEffect => self.on_no_effect(flight, now),
+            Next::Continue => {
+                let at = if flight.write.is_writing() { self.ready_at } else { now.at };
+                flight.state = CallState::Due(at);
+                self.write = Some(flight);
+            }
+            Next::Pause => {
+                flight.state = CallState::Due(self.note_outage(now));
+                self.write = Some(flight);
+            }
+        }
+    }
+
+    /// The store does not answer. Calls other than outcomes are refused rather than held
+    /// for an unknown time. Returns when to try again.
+    fn note_outage(&mut self, now: Now) -> Instant {
+        self.down_until = now.at + self.settings.retry_pause;
+        for queue in [&mut self.queue, &mut self.batch] {
+            for waiting in queue.remove(|waiting| !waiting.is_outcome()) {
+                let reply = ClaimReply::Unavailable;
+                self.out.push(super::PartitionAction::Reply { tag: waiting.tag, reply });
+            }
+        }
+        self.down_until
+    }
+
+    /// The write certainly had no effect. A batch is dissolved; its outcomes wait again.
+    fn on_no_effect(&mut self, mut flight: InFlight, now: Now) {
+        let at = self.note_outage(now);
+        match flight.job {
+            Job::Append(_) | Job::Create(_) => {
+                self.table.discard();
+                let batch: Vec<Waiting> = self.batch.take().into();
+                for waiting in batch.into_iter().rev() {
+                    self.queue.push_front(waiting);
+                }
+                self.after_write();
+            }
+            Job::Prune(_) => self.after_write(),
+            Job::TakeOver | Job::Confirm(..) | Job::Remove => {
+                flight.state = CallState::Due(at.max(self.ready_at));
+                self.write = Some(flight);
+            }
+        }
+    }
+
+    fn on_conflict(&mut self, now: Now) {
+        match self.phase {
+            Phase::TakeOver(_) => self.restart_take_over(now),
+            Phase::Owner | Phase::Releasing => {
+                info!("claims: partition {} was taken over, retiring", self.id);
+                self.retire();
+            }
+            Phase::Retired => {}
+        }
+    }
+
+    fn on_durable(&mut self, job: Job, revision: Revision, now: Now) {
+        match job {
+            Job::TakeOver => return self.on_take_over_durable(revision, now),
+            Job::Append(mut tail) => {
+                tail.revision = revision;
+                self.set_tail(tail);
+                self.commit_batch();
+            }
+            Job::Create(mut tail) => {
+                tail.revision = revision;
+                let head = Head { tail: tail.sequence, ..self.head };
+                return self.write_head(head, Job::Confirm(head, tail), now);
+            }
+            Job::Confirm(head, tail) => {
+                self.set_head(head, revision);
+                self.set_tail(tail);
+                self.commit_batch();
+            }
+            Job::Prune(head) => {
+                let old = (head.first - self.head.first) as usize;
+                self.removals.extend(self.kept.drain(..old));
+                self.set_head(head, revision);
+            }
+            Job::Remove => {}
+        }
+        self.after_write();
+    }
+
+    fn set_head(&mut self, head: Head, revision: Revision) {
+        self.head = head;
+        self.head_revision = revision;
+        self.table.raise_watermark(head.watermark_ms);
+    }
+
+    fn set_tail(&mut self, mut tail: Tail) {
+        if tail.seal == Seal::Sealed {
+            self.kept.push_back(tail.kept());
+            tail.records = Vec::new();
+        }
+        self.tail = tail;
+    }
+
+    fn commit_batch(&mut self) {
+        self.table.commit();
+        for waiting in self.batch.take() {
+            self.reply(waiting.tag, waiting.reply);
+        }
+    }
+
+    fn after_write(&mut self) {
+        if matches!(self.phase, Phase::Releasing) {
+            self.retire();
+        }
+    }
+
+    fn restart_take_over(&mut self, now: Now) {
+        self.table = Table::default();
+        self.kept.clear();
+        self.phase = Phase::TakeOver(TakeOver::Paused(now.at + self.settings.retry_pause));
+    }
+
+    /// Takes the reply to a read of the head or of a segment during take-over.
+    pub(super) fn on_read_reply(&mut self, call: u64, reply: StoreReply, now: Now) {
+        let Phase::TakeOver(step) = &mut self.phase else {
+            return;
+        };
+        match step {
+            TakeOver::Head(open) if *open == call => self.on_head(reply, now),
+            TakeOver::Segments(replay) => {
+                if let Some(sequence) = replay.answered(call) {
+                    self.on_segment(sequence, reply, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn on_head(&mut self, reply: StoreReply, now: Now) {
+        let (head, revision) = match reply {
+            StoreReply::Value { revision, value } => match Head::decode(&value) {
+                Ok(head) => (head, revision),
+                Err(error) => {
+                    warn!("claims: head of partition {}: {error}", self.id);
+                    return self.pause_take_over(now);
+                }
+            },
+            StoreReply::Missing => (Head::empty(self.token), Revision(0)),
+            _ => return self.pause_take_over(now),
+        };
+        if head.token > self.token {
+            info!("claims: partition {} has a later owner, retiring", self.id);
+            return self.retire();
+        }
+        self.head_revision = revision;
+        let head = Head { token: self.token, ..head };
+        self.phase = Phase::TakeOver(TakeOver::FenceHead(head));
+        self.write_head(head, Job::TakeOver, now);
+    }
+
+    fn pause_take_over(&mut self, now: Now) {
+        let at = self.note_outage(now);
+        self.restart_take_over(now);
+        self.phase = Phase::TakeOver(TakeOver::Paused(at));
+    }
+
+    fn read_segments(&mut self, now: Now) {
+        loop {
+            let Phase::TakeOver(TakeOver::Segments(replay)) = &mut self.phase else {
+                return;
+            };
+            let Some(sequence) = replay.next_read(self.settings.read_window, now.at) else {
+                return;
+            };
+            let call = self.store_call(StoreCall::Get { key: segment_key(self.id, sequence) });
+            if let Phase::TakeOver(TakeOver::Segments(replay)) = &mut self.phase {
+                replay.asked(call, sequence);
+            }
+        }
+    }
+
+    fn on_segment(&mut self, sequence: u64, reply: StoreReply, now: Now) {
+        let loaded = match reply {
+            StoreReply::Value { revision, value } => match Segment::decode(&value) {
+                Ok(segment) => Some(Loaded::new(revision, segment, &value)),
+                Err(error) => {
+                    warn!("claims: segment {sequence} of partition {}: {error}", self.id);
+                    return self.pause_take_over(now);
+                }
+            },
+            StoreReply::Missing => None,
+            _ => {
+                let at = self.note_outage(now);
+                if let Phase::TakeOver(TakeOver::Segments(replay)) = &mut self.phase {
+                    replay.retry(sequence, at);
+                }
+                return;
+            }
+        };
+        let Phase::TakeOver(TakeOver::Segments(replay)) = &mut self.phase else {
+            return;
+        };
+        replay.arrived(sequence, loaded);
+        self.apply_segments(now);
+    }
+
+    fn apply_segments(&mut self, now: Now) {
+        loop {
+            let Phase::TakeOver(TakeOver::Segments(replay)) = &mut self.phase else {
+                return;
+            };
+            match replay.next_step() {
+                Step::Pending => return,
+                Step::Gap(sequence) => {
+                    warn!("claims: segment {sequence} of partition {} is missing", self.id);
+                    return self.pause_take_over(now);
+                }
+                Step::End(sequence) => return self.fence_tail(Tail::new(sequence), now),
+                Step::Segment(sequence, loaded) => {
+                    let mut tail = Tail::new(sequence);
+                    tail.revision = loaded.revision;
+                    tail.seal = loaded.seal;
+                    tail.records = loaded.bytes;
+                    for record in loaded.records {
+                        tail.newest_ms = tail.newest_ms.max(record.key().time_ms());
+                        self.table.replay(record);
+                    }
+                    match tail.seal {
+                        Seal::Open => return self.fence_tail(tail, now),
+                        // Its writer had the head name it, so the head was read too early.
+                        Seal::Sealed if sequence > self.head.tail => {
+                            return self.restart_take_over(now);
+                        }
+                        Seal::Sealed => self.kept.push_back(tail.kept()),
+                    }
+                }
+            }
+        }
+    }
+
+    fn fence_tail(&mut self, tail: Tail, now: Now) {
+        self.batch_count += 1;
+        let value = encode_segment(self.token, self.batch_count, Seal::Open, &tail.records);
+        let write = Write::put(segment_key(self.id, tail.sequence), tail.revision, value);
+        self.tail = tail;
+        self.phase = Phase::TakeOver(TakeOver::FenceTail);
+        self.start_write(write, Job::TakeOver, now);
+    }
+
+    fn on_take_over_durable(&mut self, revision: Revision, now: Now) {
+        let Phase::TakeOver(step) = &mut self.phase else {
+            return;
+        };
+        match mem::replace(step, TakeOver::FenceTail) {
+            TakeOver::FenceHead(head) => {
+                self.set_head(head, revision);
+                self.phase = Phase::TakeOver(TakeOver::Segments(Replay::new(&head)));
+            }
+            TakeOver::FenceTail => {
+                self.tail.revision = revision;
+                if self.tail.sequence == self.head.tail {
+                    return self.become_owner(now);
+                }
+                let head = Head { tail: self.tail.sequence, ..self.head };
+                self.phase = Phase::TakeOver(TakeOver::Confirm(head));
+                self.write_head(head, Job::TakeOver, now);
+            }
+            TakeOver::Confirm(head) => {
+                self.set_head(head, revision);
+                self.become_owner(now);
+            }
+            TakeOver::Paused(_) | TakeOver::Head(_) | TakeOver::Segments(_) => {}
+        }
+    }
+
+    fn become_owner(&mut self, now: Now) {
+        info!("claims: partition {} taken over with {} ids", self.id, self.table.len());
+        self.phase = Phase::Owner;
+        self.prune_at = now.at;
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
