feat: add the entry side of a daemon

Runs one query: carries out the router's actions through owners, drives the claim of a non-idempotent request, and writes the answer. Not wired up yet.

--- /dev/null
+++ b/crates/daemon/src/env.rs
@@ -0,0 +1,106 @@
+//! One document in force, with the entry's decisions for it.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use tt_control::Stage;
+use tt_limits::Admission;
+use tt_limits::AdmissionSettings;
+use tt_limits::MemberView;
+use tt_model::Environment;
+use tt_model::Revision;
+use tt_model::SearcherId;
+use tt_model::Snapshot;
+use tt_routing::Hint;
+use tt_routing::Router;
+use tt_routing::Settings;
+
+/// Routers of one document. Queries spread over them, so that threads seldom wait for a lock;
+/// each router learns about searchers from its own queries.
+const ROUTERS: usize = 4;
+
+/// A router with results as the JSON text of the searcher.
+pub(crate) type EntryRouter = Router<Bytes, SmallRng>;
+
+/// One document in force.
+#[derive(Debug)]
+pub(crate) struct Env {
+    pub(crate) stage: Stage,
+    pub(crate) revision: Revision,
+    pub(crate) environment: Arc<Environment>,
+    routers: Vec<Mutex<EntryRouter>>,
+    admission: Arc<Mutex<Admission>>,
+}
+
+impl Env {
+    /// The state for a document that is new to this daemon.
+    pub(crate) fn new(stage: Stage, revision: Revision, environment: Arc<Environment>) -> Env {
+        let now = Instant::now();
+        let routers = (0..ROUTERS)
+            .map(|_| {
+                let router =
+                    Router::new(environment.clone(), Settings::default(), random(), now);
+                Mutex::new(router)
+            })
+            .collect();
+        let members = MemberView::Uncertain(1);
+        let admission =
+            Admission::new(now, AdmissionSettings::default(), &environment, members);
+        let admission = Arc::new(Mutex::new(admission));
+        Env { stage, revision, environment, routers, admission }
+    }
+
+    /// The state for a newer document of the same environment and stage. It keeps what is
+    /// known of the searchers and the usage of the contracts.
+    pub(crate) fn successor(&self, revision: Revision, environment: Arc<Environment>) -> Env {
+        let routers = self
+            .routers
+            .iter()
+            .map(|router| Mutex::new(lock(router).successor(environment.clone(), random())))
+            .collect();
+        lock(&self.admission).set_environment(Instant::now(), &environment);
+        let admission = self.admission.clone();
+        Env { stage: self.stage, revision, environment, routers, admission }
+    }
+
+    /// The router for a query.
+    pub(crate) fn router(&self, query: u64) -> MutexGuard<'_, EntryRouter> {
+        lock(&self.routers[query as usize % self.routers.len()])
+    }
+
+    /// The contracts of the services.
+    pub(crate) fn admission(&self) -> MutexGuard<'_, Admission> {
+        lock(&self.admission)
+    }
+
+    /// Takes in what a searcher's owner knows of it.
+    pub(crate) fn note(&self, searcher: SearcherId, hint: Hint, held: &[Snapshot]) {
+        let now = Instant::now();
+        for router in &self.routers {
+            let mut router = lock(router);
+            router.hint(searcher, hint, now);
+            if !held.is_empty() {
+                router.set_held(searcher, held);
+            }
+        }
+    }
+
+    /// Queries in flight.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.routers.iter().map(|router| lock(router).in_flight()).sum()
+    }
+}
+
+fn random() -> SmallRng {
+    SmallRng::from_rng(&mut rand::rng())
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- a/crates/daemon/src/http/answer.rs
+++ b/crates/daemon/src/http/answer.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// A JSON body that was made before.
+    pub(crate) fn stored(code: ResultCode, body: Vec<u8>) -> Answer {
+        Answer { status: code.http_status(), kind: ContentKind::Json, body }
+    }
+
     pub(crate) fn error(code: ResultCode, detail: String) -> Answer {
         let body = ErrorBody::new(code, detail);
         let body = serde_json::to_vec(&body).unwrap_or_default();
--- a/crates/daemon/src/query/request.rs
+++ b/crates/daemon/src/query/request.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use tt_claims::BodyDigest;
 use tt_control::Stage;
 use tt_model::Environment;
 use tt_model::ResultCode;
@@ -29,6 +30,9 @@
     pub(crate) deadline_ms: Option<u64>,
     #[serde(default)]
     pub(crate) mode: RequestMode,
+    /// How often the caller has sent this id, this time included; 0 if it does not say.
+    #[serde(default)]
+    pub(crate) attempt: u32,
     #[serde(default)]
     pub(crate) shards: ShardList,
     pub(crate) query: Box<RawValue>,
@@ -98,6 +102,20 @@
         Ok(body)
     }
 
+    /// The digest of what the request asks for. A repeat has the same, whatever its deadline
+    /// and its attempt.
+    pub(crate) fn digest(&self) -> BodyDigest {
+        let shards = match &self.shards {
+            ShardList::Missing | ShardList::Word(AllWord::All) => "all".to_owned(),
+            ShardList::Names(names) => names.join(","),
+        };
+        let text = format!(
+            "{}\n{}\n{}\n{shards}\n{}",
+            self.environment, self.stage, self.service, self.query
+        );
+        BodyDigest::of(text.as_bytes())
+    }
+
     /// Looks up what the request names.
     pub(crate) fn resolve(&self, environment: &Environment) -> Result<Resolved, Refused> {
         let Some(service) = environment.service(&self.service) else {
--- /dev/null
+++ b/crates/daemon/src/query/run.rs
@@ -0,0 +1,312 @@
+//! Runs one query: carries out what the router decides.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio_stream::StreamExt;
+
+use tt_model::ResultCode;
+use tt_model::SearcherId;
+use tt_model::ServiceId;
+use tt_model::Snapshot;
+use tt_routing::Action;
+use tt_routing::Mode;
+use tt_routing::Pressure;
+use tt_routing::QueryKey;
+use tt_routing::Reply;
+use tt_routing::Request;
+use tt_routing::Shards;
+use tt_routing::SubKey;
+use tt_routing::SubQuery;
+use tt_routing::Verdict;
+use tt_rpc::CancelRequest;
+use tt_rpc::GatherRequest;
+use tt_rpc::Outcome;
+use tt_rpc::RunMode;
+use tt_rpc::Stage;
+use tt_rpc::Sub;
+use tt_rpc::SubReply;
+
+use crate::clock;
+use crate::env::Env;
+use crate::node::Node;
+use crate::node::Route;
+use crate::peers::ExchangeError;
+use crate::query::answer::Result as QueryResult;
+
+/// A query that may run.
+#[derive(Debug)]
+pub(crate) struct Query {
+    /// Unique in this process.
+    pub(crate) number: u64,
+    pub(crate) env: Arc<Env>,
+    pub(crate) service: ServiceId,
+    pub(crate) shards: Shards,
+    pub(crate) mode: Mode,
+    pub(crate) deadline: Instant,
+    pub(crate) request: String,
+    pub(crate) text: Bytes,
+}
+
+/// The state of a running query.
+struct Run<'a> {
+    node: &'a Arc<Node>,
+    query: &'a Query,
+    key: QueryKey,
+    replies: UnboundedSender<SubReply>,
+    /// Where each sub-query in flight was sent.
+    sent: HashMap<u32, Target>,
+    wake: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Target {
+    searcher: SearcherId,
+    owner: Route,
+}
+
+impl Query {
+    /// Runs the query to its answer. An error means that nothing was sent.
+    pub(crate) async fn run(&self, node: &Arc<Node>) -> Result<QueryResult, ResultCode> {
+        let (sender, mut replies) = mpsc::unbounded_channel();
+        let mut actions = Vec::new();
+        let request = Request {
+            service: self.service,
+            shards: self.shards.clone(),
+            mode: self.mode,
+            deadline: self.deadline,
+        };
+        let key = self.env.router(self.number).start(request, Instant::now(), &mut actions)?;
+        let mut guard = CancelOnDrop { query: self, key: Some(key) };
+        let mut run =
+            Run { node, query: self, key, replies: sender, sent: HashMap::new(), wake: None };
+        loop {
+            if let Some(answer) = run.carry_out(std::mem::take(&mut actions)) {
+                guard.key = None;
+                return Ok(answer);
+            }
+            let wake = run.wake.unwrap_or(self.deadline);
+            tokio::select! {
+                reply = replies.recv() => {
+                    // The run holds a sender, so the channel is open.
+                    let Some(reply) = reply else { continue };
+                    run.take(reply, &mut actions);
+                }
+                () = sleep_until(wake) => {
+                    run.wake = None;
+                    self.env.router(self.number).wake(key, Instant::now(), &mut actions);
+                }
+            }
+        }
+    }
+}
+
+/// Ends a query whose task is dropped, so that its sub-queries are no longer counted.
+struct CancelOnDrop<'a> {
+    query: &'a Query,
+    key: Option<QueryKey>,
+}
+
+impl Drop for CancelOnDrop<'_> {
+    fn drop(&mut self) {
+        let Some(key) = self.key else { return };
+        let mut actions = Vec::new();
+        self.query.env.router(self.query.number).cancel(key, Instant::now(), &mut actions);
+    }
+}
+
+impl Run<'_> {
+    /// Carries out actions; returns the answer if it is among them.
+    fn carry_out(&mut self, actions: Vec<Action<Bytes>>) -> Option<QueryResult> {
+        let mut batches: HashMap<Route, Vec<SubQuery>> = HashMap::new();
+        let mut cancelled: HashMap<Route, Vec<u64>> = HashMap::new();
+        let mut answer = None;
+        for action in actions {
+            match action {
+                Action::Send(sub) => {
+                    let address = self.query.env.environment.searchers[sub.searcher].address;
+                    let owner = self.node.route(address);
+                    self.sent.insert(sub.key.sub, Target { searcher: sub.searcher, owner });
+                    batches.entry(owner).or_default().push(sub);
+                }
+                Action::Cancel { key, .. } => {
+                    if let Some(target) = self.sent.remove(&key.sub) {
+                        cancelled.entry(target.owner).or_default().push(u64::from(key.sub));
+                    }
+                }
+                Action::WakeAt { at, .. } => self.wake = Some(at),
+                Action::Finish(finished) => answer = Some(finished),
+            }
+        }
+        for (owner, subs) in batches {
+            self.send(owner, &subs);
+        }
+        for (owner, keys) in cancelled {
+            self.cancel(owner, keys);
+        }
+        answer
+    }
+
+    fn send(&self, owner: Route, subs: &[SubQuery]) {
+        let Some(first) = subs.first() else { return };
+        let request = self.gather(subs, first);
+        match owner {
+            Route::Local => {
+                let origin = self.node.origin(self.query.number);
+                let handles = self.node.run_subs(request, &self.replies);
+                let call = self.node.running.add(origin, handles);
+                let replies = self.replies.clone();
+                // Holds the registration until the query ends and its receiver is gone.
+                tokio::spawn(async move {
+                    replies.closed().await;
+                    drop(call);
+                });
+            }
+            Route::Peer(peer) => {
+                let node = self.node.clone();
+                let replies = self.replies.clone();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = replies.closed() => {}
+                        () = gather(&node, peer, request, &replies) => {}
+                    }
+                });
+            }
+            Route::Nobody => {
+                for sub in subs {
+                    let reply = failed(u64::from(sub.key.sub), Outcome::NotOwner);
+                    // The receiver lives as long as the query.
+                    let _ = self.replies.send(reply);
+                }
+            }
+        }
+    }
+
+    fn gather(&self, subs: &[SubQuery], first: &SubQuery) -> GatherRequest {
+        let query = self.query;
+        let environment = &query.env.environment;
+        let now = Instant::now();
+        let deadline = subs.iter().map(|sub| sub.deadline).max().unwrap_or(query.deadline);
+        GatherRequest {
+            query: query.number,
+            environment: environment.name.clone(),
+            stage: match query.env.stage {
+                tt_control::Stage::Production => Stage::Production.into(),
+                tt_control::Stage::Trial => Stage::Trial.into(),
+            },
+            service: environment.services[query.service].name.clone(),
+            snapshot: first.snapshot.0,
+            budget_us: deadline.saturating_duration_since(now).as_micros() as u64,
+            deadline_ms: clock::unix_ms_at(deadline),
+            mode: match query.mode {
+                Mode::Idempotent => RunMode::Idempotent.into(),
+                Mode::AtMostOnce => RunMode::AtMostOnce.into(),
+            },
+            request_id: query.request.clone(),
+            query_text: query.text.to_vec(),
+            subs: subs
+                .iter()
+                .map(|sub| Sub {
+                    key: u64::from(sub.key.sub),
+                    searcher: environment.searchers[sub.searcher].address.to_string(),
+                    shard: environment.shards[sub.shard].name.clone(),
+                })
+                .collect(),
+            incarnation: self.node.me.id.incarnation.0,
+        }
+    }
+
+    fn cancel(&self, owner: Route, keys: Vec<u64>) {
+        match owner {
+            Route::Local => {
+                self.node.running.cancel(self.node.origin(self.query.number), &keys);
+            }
+            Route::Peer(peer) => {
+                let node = self.node.clone();
+                let request = CancelRequest {
+                    incarnation: node.me.id.incarnation.0,
+                    query: self.query.number,
+                    keys,
+                };
+                tokio::spawn(async move { node.peers.cancel(peer, request).await });
+            }
+            Route::Nobody => {}
+        }
+    }
+
+    fn take(&mut self, reply: SubReply, actions: &mut Vec<Action<Bytes>>) {
+        let sub = reply.key as u32;
+        let Some(target) = self.sent.remove(&sub) else {
+            return;
+        };
+        let held: Vec<Snapshot> = reply.held.iter().copied().map(Snapshot).collect();
+        let slots = self.query.env.environment.searchers[target.searcher].slots;
+        let pressure = pressure(&reply, slots);
+        let reply = Reply { verdict: verdict(reply), held: &held, pressure: Some(pressure) };
+        let key = SubKey { query: self.key, sub };
+        self.query.env.router(self.query.number).reply(key, reply, Instant::now(), actions);
+    }
+}
+
+/// Runs sub-queries at another daemon and passes its replies on.
+async fn gather(
+    node: &Node,
+    peer: SocketAddr,
+    request: GatherRequest,
+    replies: &UnboundedSender<SubReply>,
+) {
+    let mut open: Vec<u64> = request.subs.iter().map(|sub| sub.key).collect();
+    let mut lost = Outcome::Failed;
+    match node.peers.gather(peer, request).await {
+        Ok(mut stream) => {
+            node.heard(peer);
+            while let Some(Ok(reply)) = stream.next().await {
+                open.retain(|key| *key != reply.key);
+                let _ = replies.send(reply);
+                if open.is_empty() {
+                    return;
+                }
+            }
+        }
+        Err(ExchangeError::NotSent) => lost = Outcome::NotOwner,
+        Err(ExchangeError::NoReply) => {}
+    }
+    node.unheard(peer);
+    for key in open {
+        let _ = replies.send(failed(key, lost));
+    }
+}
+
+fn failed(key: u64, outcome: Outcome) -> SubReply {
+    SubReply { key, outcome: outcome.into(), ..SubReply::default() }
+}
+
+fn pressure(reply: &SubReply, slots: u32) -> Pressure {
+    // The router counts sub-queries; the owner reports time. A service time turns one into
+    // the other.
+    let service = reply.service_us.max(1_000);
+    let queued = reply.pressure_us * u64::from(slots) / service;
+    Pressure { queued: queued.min(u64::from(u32::MAX)) as u32, busy: 0 }
+}
+
+fn verdict(reply: SubReply) -> Verdict<Bytes> {
+    match reply.outcome() {
+        Outcome::Answered => Verdict::Answered {
+            snapshot: Snapshot(reply.snapshot),
+            body: Bytes::from(reply.hits),
+        },
+        Outcome::Shed | Outcome::Expired | Outcome::Cancelled => Verdict::Shed,
+        Outcome::Draining => Verdict::Draining,
+        Outcome::SnapshotGone => Verdict::SnapshotGone,
+        Outcome::WrongShard => Verdict::WrongShard,
+        Outcome::Unreachable => Verdict::Refused,
+        Outcome::NotOwner => Verdict::OwnerUnreachable,
+        Outcome::Failed => Verdict::Failed,
+    }
+}
