--- /dev/null
+++ b/crates/control/src/backoff.rs
@@ -0,0 +1,43 @@
+//! Retry delays with jitter.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Delays that double up to a limit. Each is drawn from its upper half, so that daemons that
+/// failed together do not retry together.
+#[derive(Debug, Clone)]
+pub struct Backoff {
+    seed: u64,
+    first: Duration,
+    limit: Duration,
+    draws: u64,
+    failures: u32,
+}
+
+impl Backoff {
+    /// Delays from `first` to `limit`.
+    pub fn new(seed: u64, first: Duration, limit: Duration) -> Backoff {
+        Backoff { seed, first, limit, draws: 0, failures: 0 }
+    }
+
+    /// Counts a failure and returns the delay before the next attempt.
+    pub fn fail(&mut self) -> Duration {
+        let doubled = self.first.saturating_mul(1 << self.failures.min(16));
+        self.failures = self.failures.saturating_add(1);
+        self.draws += 1;
+        let draw = xxh3_64_with_seed(&self.draws.to_le_bytes(), self.seed);
+        let fraction = 0.5 + 0.5 * (draw >> 11) as f64 / (1u64 << 53) as f64;
+        doubled.min(self.limit).mul_f64(fraction)
+    }
+
+    /// Starts again with the first delay.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Failures since the last reset.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+}
--- /dev/null
+++ b/crates/control/src/change.rs
@@ -0,0 +1,705 @@
+//! The state machine of one operator's change.
+//!
+//! A change reads the catalog, records itself in the journal, writes the parts that the
+//! catalog does not reference yet, and swaps the catalog. The swap is the only step that
+//! has an effect for others. It is answered with exactly one [`Outcome`].
+
+mod outcome;
+mod status;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use tt_model::Digest;
+use tt_model::Environment;
+use tt_model::Fault;
+use tt_model::ResultCode;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
+
+use crate::backoff::Backoff;
+use crate::catalog::CATALOG_KEY;
+use crate::catalog::Catalog;
+use crate::catalog::ChangeId;
+use crate::catalog::Entry;
+use crate::catalog::EntryKey;
+use crate::catalog::MAX_OPERATOR_BYTES;
+use crate::catalog::ManifestRef;
+use crate::catalog::NewChange;
+use crate::catalog::Stage;
+use crate::journal::JOURNAL_KEY;
+use crate::journal::Journal;
+use crate::message::CallId;
+use crate::message::StoreRequest;
+use crate::parts;
+use crate::parts::Manifest;
+use crate::parts::Part;
+use crate::parts::part_key;
+
+pub use outcome::Outcome;
+pub use outcome::Winner;
+pub use status::ChangeStatus;
+pub use status::history;
+pub use status::status;
+
+/// Part writes in flight for one change. The store takes several hundred writes a second;
+/// at a few milliseconds each, this many use about its rate and no more.
+const WRITES_IN_FLIGHT: usize = 4;
+/// Reads that show a catalog older than the operator's base before the base is judged wrong.
+const READS_BEHIND: u32 = 3;
+
+/// What an operator asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ChangeKind {
+    /// Put this document into trial.
+    Trial {
+        /// The document.
+        text: String,
+    },
+    /// Put the document in trial into production.
+    Promote {
+        /// Its digest.
+        digest: Digest,
+    },
+}
+
+/// An operator's request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChangeRequest {
+    /// The id of the change, chosen by the operator's tool.
+    pub change: ChangeId,
+    /// Who asks.
+    pub operator: String,
+    /// The environment.
+    pub environment: String,
+    /// The revision of the entry that the change is based on; 0 if there was none.
+    pub base: Revision,
+    /// What to do.
+    pub kind: ChangeKind,
+}
+
+/// Settings of a change.
+#[derive(Debug, Clone)]
+pub struct ChangeSettings {
+    /// A change that is not decided by then is answered with "not changed" or "unknown".
+    pub deadline: Duration,
+    /// The first delay after a failed store call.
+    pub first_delay: Duration,
+    /// The longest delay after failed store calls.
+    pub last_delay: Duration,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+impl Default for ChangeSettings {
+    fn default() -> ChangeSettings {
+        ChangeSettings {
+            deadline: Duration::from_secs(10),
+            first_delay: Duration::from_millis(20),
+            last_delay: Duration::from_secs(1),
+            seed: 0,
+        }
+    }
+}
+
+/// A change in progress.
+#[derive(Debug)]
+pub struct Change {
+    request: ChangeRequest,
+    key: EntryKey,
+    digest: Digest,
+    /// The cut document; empty for a promotion.
+    parts: Vec<Part>,
+    /// The manifest of `parts`.
+    manifest: Part,
+    deadline: Instant,
+    backoff: Backoff,
+    retry_at: Option<Instant>,
+    next_call: u64,
+    phase: Phase,
+    /// The catalog as last read.
+    seen: Seen,
+    /// Reads of an older value than this are stale.
+    floor: Revision,
+    reads_behind: u32,
+    /// A swap whose reply was lost and that may still take effect.
+    lost: Option<LostSwap>,
+    journaled: bool,
+    /// Parts that this change has written, or rewritten so that a removal by the collector
+    /// that is based on an earlier read fails.
+    ensured: BTreeSet<Digest>,
+    /// Manifests of catalog entries that are not inline.
+    manifests: HashMap<Digest, Manifest>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    revision: Revision,
+    catalog: Catalog,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LostSwap {
+    /// The store revision that it was based on.
+    expect: Revision,
+    /// The catalog revision that it makes.
+    makes: Revision,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct PartWrite {
+    part: Part,
+    expect: Revision,
+}
+
+#[derive(Debug)]
+enum Phase {
+    ReadCatalog { call: Option<CallId> },
+    ReadManifest { call: Option<CallId>, digest: Digest },
+    ReadJournal { call: Option<CallId>, tried: Option<u64> },
+    WriteJournal { call: CallId, sequence: u64 },
+    WriteParts { queue: VecDeque<PartWrite>, in_flight: BTreeMap<CallId, PartWrite> },
+    Swap { call: CallId, makes: Revision },
+    Done(Outcome),
+}
+
+impl Change {
+    /// Checks the request and starts the change. The outcome may be known at once.
+    pub fn start(
+        request: ChangeRequest,
+        settings: &ChangeSettings,
+        now: Instant,
+    ) -> (Change, Vec<StoreRequest>) {
+        let stage = match request.kind {
+            ChangeKind::Trial { .. } => Stage::Trial,
+            ChangeKind::Promote { .. } => Stage::Production,
+        };
+        let (digest, parts, phase) = match (&request.kind, check(&request)) {
+            (_, Err(refused)) => (Digest::of(b""), Vec::new(), Phase::Done(refused)),
+            (ChangeKind::Trial { text }, Ok(())) => {
+                (Digest::of(text.as_bytes()), parts::cut(text), Phase::ReadCatalog { call: None })
+            }
+            (ChangeKind::Promote { digest }, Ok(())) => {
+                (digest.clone(), Vec::new(), Phase::ReadCatalog { call: None })
+            }
+        };
+        let mut change = Change {
+            key: EntryKey { environment: request.environment.clone(), stage },
+            digest,
+            manifest: Manifest::of(&parts).to_part(),
+            parts,
+            deadline: now + settings.deadline,
+            backoff: Backoff::new(settings.seed, settings.first_delay, settings.last_delay),
+            retry_at: None,
+            next_call: 0,
+            phase,
+            seen: Seen::default(),
+            floor: Revision(0),
+            reads_behind: 0,
+            lost: None,
+            journaled: false,
+            ensured: BTreeSet::new(),
+            manifests: HashMap::new(),
+            request,
+        };
+        let calls = change.issue();
+        (change, calls)
+    }
+
+    /// The outcome, once it is known.
+    pub fn outcome(&self) -> Option<&Outcome> {
+        match &self.phase {
+            Phase::Done(outcome) => Some(outcome),
+            _ => None,
+        }
+    }
+
+    /// The request.
+    pub fn request(&self) -> &ChangeRequest {
+        &self.request
+    }
+
+    /// When [`Change::tick`] has to be called next; `None` once the outcome is known.
+    pub fn wake_at(&self) -> Option<Instant> {
+        match self.outcome() {
+            Some(_) => None,
+            None => Some(self.retry_at.map_or(self.deadline, |at| at.min(self.deadline))),
+        }
+    }
+
+    /// Retries what is due and ends the change at its deadline.
+    pub fn tick(&mut self, now: Instant) -> Vec<StoreRequest> {
+        if self.outcome().is_some() {
+            return Vec::new();
+        }
+        if now >= self.deadline {
+            self.end_undecided("the store did not answer in time");
+            return Vec::new();
+        }
+        if self.retry_at.is_some_and(|at| now >= at) {
+            self.retry_at = None;
+            return self.issue();
+        }
+        Vec::new()
+    }
+
+    /// Takes the outcome of a store call.
+    pub fn on_reply(&mut self, id: CallId, reply: StoreReply, now: Instant) -> Vec<StoreRequest> {
+        if now >= self.deadline && !matches!(self.phase, Phase::Swap { .. }) {
+            // A process paused here must not continue with what it read before the pause.
+            return self.tick(now);
+        }
+        match &mut self.phase {
+            Phase::ReadCatalog { call } if *call == Some(id) => {
+                *call = None;
+                self.on_catalog(reply, now)
+            }
+            Phase::ReadManifest { call, digest } if *call == Some(id) => {
+                *call = None;
+                let digest = digest.clone();
+                self.on_manifest(digest, reply, now)
+            }
+            Phase::ReadJournal { call, tried } if *call == Some(id) => {
+                *call = None;
+                let tried = *tried;
+                self.on_journal(tried, &reply, now)
+            }
+            Phase::WriteJournal { call, sequence } if *call == id => {
+                let sequence = *sequence;
+                self.on_journal_written(sequence, &reply, now)
+            }
+            Phase::WriteParts { in_flight, .. } => match in_flight.remove(&id) {
+                Some(write) => self.on_part_written(write, &reply, now),
+                None => Vec::new(),
+            },
+            Phase::Swap { call, makes } if *call == id => {
+                let makes = *makes;
+                self.on_swap(makes, &reply, now)
+            }
+            Phase::ReadCatalog { .. }
+            | Phase::ReadManifest { .. }
+            | Phase::ReadJournal { .. }
+            | Phase::WriteJournal { .. }
+            | Phase::Swap { .. }
+            | Phase::Done(_) => Vec::new(),
+        }
+    }
+
+    fn on_catalog(&mut self, reply: StoreReply, now: Instant) -> Vec<StoreRequest> {
+        let seen = match reply {
+            StoreReply::Value { revision, value } => match Catalog::decode(&value) {
+                Ok(catalog) => Seen { revision, catalog },
+                Err(error) => return self.end_undecided(&error.to_string()),
+            },
+            StoreReply::Missing => Seen::default(),
+            _ => return self.retry_later(now),
+        };
+        if seen.revision < self.floor {
+            return self.retry_later(now);
+        }
+        self.floor = seen.revision;
+        self.seen = seen;
+        self.decide(now)
+    }
+
+    /// Continues with the catalog that was read last.
+    fn decide(&mut self, now: Instant) -> Vec<StoreRequest> {
+        let entry = self.seen.catalog.entries.get(&self.key);
+        if let Some(record) = entry.and_then(|entry| entry.find(&self.request.change)) {
+            if record.digest != self.digest {
+                let fault = fault("change", "the change id was used for another document");
+                return self.finish(Outcome::refused(ResultCode::RequestIdReused, fault));
+            }
+            let revision = record.revision;
+            return self.finish(Outcome::Accepted { revision });
+        }
+        if let Some(lost) = self.lost
+            && self.seen.revision > lost.expect
+        {
+            // The store is past the revision that the swap was based on, so the swap either is
+            // in the history or can no longer take effect.
+            if entry.is_some_and(|entry| !entry.covers(lost.makes)) {
+                return self.end_undecided("");
+            }
+            self.lost = None;
+        }
+        let found = entry.map_or(Revision(0), Entry::revision);
+        if found != self.request.base {
+            if self.seen.catalog.revision < self.request.base && self.reads_behind < READS_BEHIND {
+                // The operator has seen a newer catalog, so this read is stale.
+                self.reads_behind += 1;
+                return self.retry_later(now);
+            }
+            let winner = Winner::of(entry);
+            return self.finish(Outcome::Conflict { winner });
+        }
+        if let ChangeKind::Promote { digest } = &self.request.kind {
+            let trial = self.seen.catalog.entry(&self.key.environment, Stage::Trial);
+            let tried = match trial {
+                Some(trial) => trial,
+                None => {
+                    let fault = fault("environment", "the environment has no document in trial");
+                    return self.finish(Outcome::refused(ResultCode::UnknownEnvironment, fault));
+                }
+            };
+            if tried.digest() != digest {
+                let text = format!("the digest in trial is {}", tried.digest());
+                return self.finish(Outcome::refused(ResultCode::NotTried, fault("digest", &text)));
+            }
+        }
+        if let Err(error) = self.next_catalog().encode() {
+            let fault = fault("", &error.to_string());
+            return self.finish(Outcome::refused(error.code(), fault));
+        }
+        self.advance()
+    }
+
+    /// Starts the first step that is still needed before the swap, or the swap.
+    fn advance(&mut self) -> Vec<StoreRequest> {
+        if !self.parts.is_empty()
+            && let Some(digest) = self.unread_manifest()
+        {
+            self.phase = Phase::ReadManifest { call: None, digest };
+            return self.issue();
+        }
+        if !self.journaled {
+            self.phase = Phase::ReadJournal { call: None, tried: None };
+            return self.issue();
+        }
+        let queue = self.unwritten();
+        if !queue.is_empty() {
+            self.phase = Phase::WriteParts { queue, in_flight: BTreeMap::new() };
+            return self.issue();
+        }
+        let next = self.next_catalog();
+        let value = next.encode().expect("the size was checked when the catalog was read");
+        let expect = self.seen.revision;
+        let call = StoreCall::Put { key: CATALOG_KEY.to_owned(), expect, value };
+        let request = self.request_for(call);
+        self.phase = Phase::Swap { call: request.id, makes: next.revision };
+        vec![request]
+    }
+
+    fn on_manifest(
+        &mut self,
+        digest: Digest,
+        reply: StoreReply,
+        now: Instant,
+    ) -> Vec<StoreRequest> {
+        let manifest = match reply {
+            StoreReply::Value { value, .. } => Part::verified(&digest, &value)
+                .and_then(|part| Manifest::from_part(&part))
+                .unwrap_or(Manifest(Vec::new())),
+            // Without the manifest every part is written again, which is safe.
+            StoreReply::Missing => Manifest(Vec::new()),
+            _ => return self.retry_later(now),
+        };
+        self.manifests.insert(digest, manifest);
+        self.advance()
+    }
+
+    fn on_journal(
+        &mut self,
+        tried: Option<u64>,
+        reply: &StoreReply,
+        now: Instant,
+    ) -> Vec<StoreRequest> {
+        let (expect, mut journal) = match reply {
+            StoreReply::Value { revision, value } => match Journal::decode(value) {
+                Some(journal) => (*revision, journal),
+                None => return self.end_undecided("the journal of changes cannot be read"),
+            },
+            StoreReply::Missing => (Revision(0), Journal::default()),
+            _ => return self.retry_later(now),
+        };
+        if tried.is_some_and(|sequence| journal.holds(sequence, &self.request.change)) {
+            self.journaled = true;
+            return self.advance();
+        }
+        let sequence = journal.add(self.request.change.clone(), self.journal_manifests());
+        let Some(value) = journal.encode() else {
+            return self.end_undecided("the journal of changes is full; try again in an hour");
+        };
+        let call = StoreCall::Put { key: JOURNAL_KEY.to_owned(), expect, value };
+        let request = self.request_for(call);
+        self.phase = Phase::WriteJournal { call: request.id, sequence };
+        vec![request]
+    }
+
+    fn on_journal_written(
+        &mut self,
+        sequence: u64,
+        reply: &StoreReply,
+        now: Instant,
+    ) -> Vec<StoreRequest> {
+        match reply {
+            StoreReply::Written { .. } => {
+                self.journaled = true;
+                self.backoff.reset();
+                self.advance()
+            }
+            StoreReply::Conflict { .. } => {
+                self.phase = Phase::ReadJournal { call: None, tried: Some(sequence) };
+                self.retry_contended(now)
+            }
+            _ => {
+                self.phase = Phase::ReadJournal { call: None, tried: Some(sequence) };
+                self.retry_later(now)
+            }
+        }
+    }
+
+    fn on_part_written(
+        &mut self,
+        write: PartWrite,
+        reply: &StoreReply,
+        now: Instant,
+    ) -> Vec<StoreRequest> {
+        let Phase::WriteParts { queue, in_flight } = &mut self.phase else {
+            return Vec::new();
+        };
+        match reply {
+            StoreReply::Written { .. } => {
+                self.ensured.insert(write.part.digest().clone());
+            }
+            // The part was rewritten since this change first saw it, which has the same
+            // effect on the collector as rewriting it here.
+            StoreReply::Conflict { revision } if *revision > write.expect && write.expect.0 > 0 => {
+                self.ensured.insert(write.part.digest().clone());
+            }
+            StoreReply::Conflict { revision } => {
+                queue.push_front(PartWrite { expect: *revision, ..write });
+            }
+            _ => {
+                queue.push_front(write);
+                return self.retry_later(now);
+            }
+        }
+        if queue.is_empty() && in_flight.is_empty() {
+            self.backoff.reset();
+            return self.advance();
+        }
+        if self.retry_at.is_some() {
+            return Vec::new();
+        }
+        self.issue()
+    }
+
+    fn on_swap(&mut self, makes: Revision, reply: &StoreReply, now: Instant) -> Vec<StoreRequest> {
+        let expect = self.seen.revision;
+        match reply {
+            StoreReply::Written { .. } => self.finish(Outcome::Accepted { revision: makes }),
+            StoreReply::Conflict { revision } => {
+                self.floor = self.floor.max(*revision);
+                self.phase = Phase::ReadCatalog { call: None };
+                if now >= self.deadline {
+                    return self.tick(now);
+                }
+                self.retry_contended(now)
+            }
+            StoreReply::Unavailable => {
+                self.phase = Phase::ReadCatalog { call: None };
+                self.retry_later(now)
+            }
+            StoreReply::Lost | StoreReply::Value { .. } | StoreReply::Missing => {
+                self.lost = Some(LostSwap { expect, makes });
+                self.phase = Phase::ReadCatalog { call: None };
+                self.retry_later(now)
+            }
+        }
+    }
+
+    /// Issues the calls that the current phase waits for.
+    fn issue(&mut self) -> Vec<StoreRequest> {
+        let next = &mut self.next_call;
+        let mut request = |call: StoreCall| {
+            *next += 1;
+            StoreRequest { id: CallId(*next), call }
+        };
+        match &mut self.phase {
+            Phase::ReadCatalog { call } => {
+                let read = request(StoreCall::Get { key: CATALOG_KEY.to_owned() });
+                *call = Some(read.id);
+                vec![read]
+            }
+            Phase::ReadManifest { call, digest } => {
+                let read = request(StoreCall::Get { key: part_key(digest) });
+                *call = Some(read.id);
+                vec![read]
+            }
+            Phase::ReadJournal { call, .. } => {
+                let read = request(StoreCall::Get { key: JOURNAL_KEY.to_owned() });
+                *call = Some(read.id);
+                vec![read]
+            }
+            Phase::WriteParts { queue, in_flight } => {
+                // The manifest is written first and alone: a collector that finds no manifest
+                // may conclude that no part was written.
+                let manifest = self.manifest.digest();
+                let manifest_due =
+                    queue.iter().chain(in_flight.values()).any(|w| w.part.digest() == manifest);
+                let limit = if manifest_due { 1 } else { WRITES_IN_FLIGHT };
+                let mut calls = Vec::new();
+                while in_flight.len() < limit
+                    && let Some(write) = queue.pop_front()
+                {
+                    let put = request(StoreCall::Put {
+                        key: write.part.key(),
+                        expect: write.expect,
+                        value: write.part.text().as_bytes().to_vec(),
+                    });
+                    in_flight.insert(put.id, write);
+                    calls.push(put);
+                }
+                calls
+            }
+            Phase::WriteJournal { .. } | Phase::Swap { .. } | Phase::Done(_) => Vec::new(),
+        }
+    }
+
+    fn request_for(&mut self, call: StoreCall) -> StoreRequest {
+        self.next_call += 1;
+        StoreRequest { id: CallId(self.next_call), call }
+    }
+
+    fn retry_later(&mut self, now: Instant) -> Vec<StoreRequest> {
+        self.retry_at = Some(now + self.backoff.fail());
+        Vec::new()
+    }
+
+    /// Repeats at once after the first lost race and with growing delays after more, so that
+    /// racing changes do not keep each other from succeeding.
+    fn retry_contended(&mut self, now: Instant) -> Vec<StoreRequest> {
+        let delay = self.backoff.fail();
+        if self.backoff.failures() <= 1 {
+            return self.issue();
+        }
+        self.retry_at = Some(now + delay);
+        Vec::new()
+    }
+
+    fn finish(&mut self, outcome: Outcome) -> Vec<StoreRequest> {
+        self.phase = Phase::Done(outcome);
+        self.retry_at = None;
+        Vec::new()
+    }
+
+    /// Ends the change without knowing more: "unknown" if a swap may have taken or may yet
+    /// take effect, "not changed" otherwise.
+    fn end_undecided(&mut self, reason: &str) -> Vec<StoreRequest> {
+        let in_doubt = self.lost.is_some() || matches!(self.phase, Phase::Swap { .. });
+        let outcome = if in_doubt {
+            Outcome::Unknown { change: self.request.change.clone() }
+        } else {
+            Outcome::NotChanged { reason: reason.to_owned() }
+        };
+        self.finish(outcome)
+    }
+
+    fn next_catalog(&self) -> Catalog {
+        self.seen.catalog.with(NewChange {
+            key: self.key.clone(),
+            manifest: self.manifest_ref(),
+            digest: self.digest.clone(),
+            change: self.request.change.clone(),
+            operator: self.request.operator.clone(),
+        })
+    }
+
+    fn manifest_ref(&self) -> ManifestRef {
+        match &self.request.kind {
+            ChangeKind::Trial { .. } => ManifestRef::to(&Manifest::of(&self.parts)),
+            ChangeKind::Promote { .. } => {
+                let trial = self.seen.catalog.entry(&self.key.environment, Stage::Trial);
+                trial.expect("a promotion continues only with a document in trial").manifest.clone()
+            }
+        }
+    }
+
+    /// The manifest that the change replaces and the one that it puts in force.
+    fn journal_manifests(&self) -> Vec<Digest> {
+        let replaced = self.seen.catalog.entries.get(&self.key);
+        let mut manifests: Vec<Digest> =
+            replaced.map(|entry| entry.manifest.digest.clone()).into_iter().collect();
+        manifests.push(self.manifest_ref().digest);
+        manifests.dedup();
+        manifests
+    }
+
+    fn own_entries(&self) -> impl Iterator<Item = &Entry> {
+        let environment = &self.key.environment;
+        let stages = [Stage::Trial, Stage::Production];
+        stages.into_iter().filter_map(|stage| self.seen.catalog.entry(environment, stage))
+    }
+
+    /// A manifest of this environment that has to be read to know which parts are referenced.
+    fn unread_manifest(&self) -> Option<Digest> {
+        self.own_entries()
+            .filter(|entry| entry.manifest.inline.is_none())
+            .map(|entry| &entry.manifest.digest)
+            .find(|digest| !self.manifests.contains_key(digest))
+            .cloned()
+    }
+
+    /// The parts that the catalog does not reference and that this change has not written.
+    /// A part that the catalog references stays there as long as the catalog is unchanged,
+    /// and if it changes, the swap fails and this is evaluated again.
+    fn unwritten(&self) -> VecDeque<PartWrite> {
+        if self.parts.is_empty() {
+            return VecDeque::new();
+        }
+        let mut referenced: BTreeSet<&Digest> = BTreeSet::new();
+        for entry in self.own_entries() {
+            let reference = &entry.manifest;
+            referenced.insert(&reference.digest);
+            let read = self.manifests.get(&reference.digest);
+            for part in reference.inline.as_ref().or(read).into_iter().flat_map(|m| &m.0) {
+                referenced.insert(part);
+            }
+        }
+        let mut queued = BTreeSet::new();
+        std::iter::once(&self.manifest)
+            .chain(&self.parts)
+            .filter(|part| {
+                let digest = part.digest();
+                !referenced.contains(digest)
+                    && !self.ensured.contains(digest)
+                    && queued.insert(digest.clone())
+            })
+            .map(|part| PartWrite { part: part.clone(), expect: Revision(0) })
+            .collect()
+    }
+}
+
+/// Checks everything that can be checked without the store.
+fn check(request: &ChangeRequest) -> Result<(), Outcome> {
+    let operator = &request.operator;
+    if operator.is_empty() || operator.len() > MAX_OPERATOR_BYTES {
+        let text = format!("expected 1 to {MAX_OPERATOR_BYTES} bytes");
+        return Err(Outcome::refused(ResultCode::MalformedRequest, fault("operator", &text)));
+    }
+    let ChangeKind::Trial { text } = &request.kind else {
+        return Ok(());
+    };
+    match Environment::parse(text) {
+        Ok(environment) if environment.name == request.environment => Ok(()),
+        Ok(environment) => {
+            let text = format!(
+                "expected `{}`, the environment of the request, found `{}`",
+                request.environment, environment.name
+            );
+            Err(Outcome::refused(ResultCode::InvalidDocument, fault("environment", &text)))
+        }
+        Err(faults) => Err(Outcome::Refused { code: faults.code, faults: faults.list }),
+    }
+}
+
+fn fault(field: &str, message: &str) -> Fault {
+    Fault { line: 1, column: 1, field: field.to_owned(), message: message.to_owned() }
+}
--- /dev/null
+++ b/crates/control/src/plane/fetch.rs
@@ -0,0 +1,251 @@
+//! What a daemon does next: adopt, push, pull, watch and read.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use tt_model::Digest;
+use tt_model::Revision;
+use tt_model::StoreCall;
+
+use super::BackupPush;
+use super::ControlPlane;
+use super::PullInFlight;
+use super::Purpose;
+use super::Via;
+use crate::catalog::CATALOG_KEY;
+use crate::dissemination;
+use crate::message::Action;
+use crate::message::PullId;
+use crate::message::PullRequest;
+use crate::message::Update;
+use crate::parts::part_key;
+
+/// A daemon that has heard no peer since its start asks the store after this time.
+const START_WAIT: Duration = Duration::from_secs(1);
+/// Failed reads of parts after which an incomplete revision is given up in favour of an
+/// older one that a peer offers.
+const READS_BEFORE_FALLBACK: u32 = 3;
+
+impl ControlPlane {
+    /// When [`ControlPlane::tick`] has to be called next.
+    pub fn wake_at(&self) -> Instant {
+        let isolated_at = self.isolated_at().max(self.isolated_poll_at);
+        let mut at = self.slow_poll_at.min(isolated_at);
+        let watches = [self.catalog_watch.wake_at(), self.assignment_watch.wake_at()];
+        let others = [
+            self.pull.as_ref().map(|pull| pull.deadline),
+            self.pull.is_none().then_some(self.pull_at).filter(|_| self.next_source().is_some()),
+            self.backup.as_ref().map(|backup| backup.at),
+            self.store_from
+                .filter(|_| !self.parts_to_read().is_empty())
+                .map(|from| from.max(self.get_at)),
+        ];
+        for due in watches.into_iter().chain(others).flatten() {
+            at = at.min(due);
+        }
+        at
+    }
+
+    /// Does everything that is possible now and returns the actions.
+    pub(super) fn proceed(&mut self, now: Instant) -> Vec<Action> {
+        self.adopt(now);
+        self.push_as_backup(now);
+        self.call_watches(now);
+        self.poll_catalog(now);
+        self.pull(now);
+        self.read_parts(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    fn adopt(&mut self, now: Instant) {
+        let base = self.replica.adopted().revision;
+        let Some(revision) = self.replica.try_adopt() else {
+            return;
+        };
+        self.actions.push(Action::Adopted { revision });
+        self.store_from = None;
+        let own = self.versions();
+        self.ahead.retain(|_, theirs| theirs.catalog > own.catalog || theirs.epoch > own.epoch);
+        if base.0 == 0 && revision.0 > 1 {
+            // This daemon recovered what others have had for long.
+            return;
+        }
+        let limit = match self.via {
+            Via::Store | Via::Push => self.settings.push_bytes,
+            // The push was lost or failed; the members below may have got it otherwise.
+            Via::Pull => 0,
+        };
+        let update = self.own_update(base, limit);
+        self.push_to_children(self.position, &update);
+        if self.position == Some(1) && self.via == Via::Store {
+            self.backup = Some(BackupPush { at: now + self.settings.backup_delay, base });
+        }
+    }
+
+    fn push_as_backup(&mut self, now: Instant) {
+        let Some(backup) = self.backup.take_if(|backup| now >= backup.at) else {
+            return;
+        };
+        if self.primary.catalog < self.replica.adopted().revision {
+            let update = self.own_update(backup.base, self.settings.push_bytes);
+            self.push_to_children(Some(0), &update);
+        }
+    }
+
+    fn own_update(&self, base: Revision, limit: usize) -> Update {
+        let mut update = self.replica.update_since(base, &[], limit);
+        update.versions = self.versions();
+        update
+    }
+
+    pub(super) fn push_to_children(&mut self, position: Option<usize>, update: &Update) {
+        let Some(position) = position else {
+            return;
+        };
+        for child in dissemination::children(position, self.order.len()) {
+            let to = self.order[child];
+            if to != self.settings.address {
+                self.actions.push(Action::Push { to, update: update.clone() });
+            }
+        }
+    }
+
+    fn call_watches(&mut self, now: Instant) {
+        if let Some(call) = self.catalog_watch.poll(now) {
+            self.store_request(Purpose::WatchCatalog, call);
+        }
+        if let Some(call) = self.assignment_watch.poll(now) {
+            self.store_request(Purpose::WatchAssignment, call);
+        }
+    }
+
+    /// Reads the catalog although this daemon does not watch it: often when no peer is heard,
+    /// and rarely otherwise.
+    fn poll_catalog(&mut self, now: Instant) {
+        let isolated = now >= self.isolated_at() && now >= self.isolated_poll_at;
+        let slow = now >= self.slow_poll_at;
+        if isolated {
+            self.isolated_poll_at = now + self.isolated_backoff.fail();
+        }
+        if slow {
+            self.slow_polls += 1;
+            self.slow_poll_at = now + self.slow_poll_delay();
+        }
+        let read = isolated || (slow && !self.is_watcher());
+        if read && !self.outstanding(&Purpose::ReadCatalog) {
+            let call = StoreCall::Get { key: CATALOG_KEY.to_owned() };
+            self.store_request(Purpose::ReadCatalog, call);
+        }
+    }
+
+    fn isolated_at(&self) -> Instant {
+        match self.peer_contact {
+            Some(at) => at + self.settings.isolation,
+            None => self.started + START_WAIT,
+        }
+    }
+
+    /// Between half and one and a half times the mean, which grows with the domain so that
+    /// the reads of the whole domain do not.
+    pub(super) fn slow_poll_delay(&self) -> Duration {
+        let members = self.order.len().max(1) as f64;
+        let draw = xxh3_64_with_seed(&self.slow_polls.to_le_bytes(), self.settings.seed);
+        let factor = 0.5 + (draw >> 11) as f64 / (1u64 << 53) as f64;
+        self.settings.poll_interval.mul_f64(members * factor)
+    }
+
+    fn pull(&mut self, now: Instant) {
+        if let Some(pull) = self.pull.take_if(|pull| now >= pull.deadline) {
+            self.fail_pull(pull.to, now);
+        }
+        if self.pull.is_some() || now < self.pull_at {
+            return;
+        }
+        let Some(to) = self.next_source() else {
+            return;
+        };
+        self.last_pull += 1;
+        let id = PullId(self.last_pull);
+        self.pull = Some(PullInFlight { id, to, deadline: now + self.settings.pull_timeout });
+        let mut known = self.versions();
+        known.catalog = self.replica.known();
+        let parts: Vec<Digest> =
+            self.replica.missing().take(self.settings.pull_parts).cloned().collect();
+        let request = PullRequest { known, parts };
+        self.actions.push(Action::Pull { id, to, request });
+    }
+
+    pub(super) fn fail_pull(&mut self, peer: SocketAddr, now: Instant) {
+        self.ahead.remove(&peer);
+        self.pull_at = now + self.pull_backoff.fail();
+    }
+
+    /// The peer to pull from: the one that is furthest ahead or, while nothing is adopted and
+    /// nobody has announced anything, any member.
+    fn next_source(&self) -> Option<SocketAddr> {
+        let own = self.versions();
+        let known = self.replica.known();
+        let incomplete = known > own.catalog;
+        let useful = self.ahead.iter().filter(|(_, theirs)| {
+            let newer = theirs.catalog > known;
+            let completes =
+                incomplete && theirs.catalog == known && self.replica.missing().next().is_some();
+            newer || completes || theirs.epoch > own.epoch
+        });
+        let draw = |address: &SocketAddr| self.draw(address);
+        let best = useful.max_by_key(|(address, theirs)| (theirs.catalog, draw(address)));
+        if let Some((address, _)) = best {
+            return Some(*address);
+        }
+        if own.catalog.0 > 0 {
+            return None;
+        }
+        self.members
+            .iter()
+            .map(|member| member.address)
+            .filter(|address| *address != self.settings.address)
+            .max_by_key(draw)
+    }
+
+    /// A number that differs for each peer and each pull.
+    fn draw(&self, address: &SocketAddr) -> u64 {
+        xxh3_64_with_seed(address.to_string().as_bytes(), self.settings.seed ^ self.last_pull)
+    }
+
+    fn read_parts(&mut self, now: Instant) {
+        if self.store_from.is_none_or(|from| now < from) || now < self.get_at {
+            return;
+        }
+        if self.get_backoff.failures() >= READS_BEFORE_FALLBACK {
+            self.fall_back();
+        }
+        for digest in self.parts_to_read() {
+            let call = StoreCall::Get { key: part_key(&digest) };
+            self.store_request(Purpose::ReadPart(digest), call);
+        }
+    }
+
+    /// Missing parts that are not being read yet, as many as may be.
+    fn parts_to_read(&self) -> Vec<Digest> {
+        let in_flight = self.parts_in_flight();
+        let room = self.settings.store_gets.saturating_sub(in_flight.len());
+        let missing = self.replica.missing().filter(|digest| !in_flight.contains(digest));
+        missing.take(room).cloned().collect()
+    }
+
+    /// Gives up a revision whose parts the store does not return if a peer has adopted an
+    /// older one that is still newer than the own.
+    fn fall_back(&mut self) {
+        let adopted = self.replica.adopted().revision;
+        let known = self.replica.known();
+        let offered = self.ahead.values().map(|theirs| theirs.catalog);
+        if offered.max().is_some_and(|best| best > adopted && best < known) {
+            self.replica.give_up_pending();
+            self.store_from = None;
+            self.catalog_watch.forget();
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,314 @@
+//! A daemon's adopted catalog and documents.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tt_model::Digest;
+use tt_model::Environment;
+use tt_model::Epoch;
+use tt_model::Revision;
+
+use crate::catalog::Catalog;
+use crate::catalog::Entry;
+use crate::catalog::EntryKey;
+use crate::catalog::Stage;
+use crate::message::Update;
+use crate::message::Versions;
+use crate::parts;
+use crate::parts::Manifest;
+use crate::parts::Part;
+
+/// Marks a part of a catalog that is not adopted yet.
+const STAGED: Revision = Revision(u64::MAX);
+
+/// The adopted catalog revision with its documents, and the newer one that is being completed.
+#[derive(Debug, Default)]
+pub struct Replica {
+    adopted: Catalog,
+    documents: BTreeMap<EntryKey, Arc<Environment>>,
+    parts: HashMap<Digest, Held>,
+    pending: Option<Pending>,
+}
+
+#[derive(Debug)]
+struct Held {
+    part: Part,
+    /// The catalog revision with which this daemon adopted the part; 0 if it was recovered.
+    since: Revision,
+}
+
+#[derive(Debug)]
+struct Pending {
+    catalog: Catalog,
+    missing: BTreeSet<Digest>,
+    /// Why the catalog cannot be adopted although every part is there.
+    rejected: Option<String>,
+}
+
+/// What became of an offered catalog.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Offer {
+    /// It is not newer than what is known.
+    NotNewer,
+    /// It does not connect to what is known; a pull is needed.
+    Disconnected,
+    /// It is the newest known now.
+    Taken,
+}
+
+impl Replica {
+    /// The adopted catalog; revision 0 if none.
+    pub fn adopted(&self) -> &Catalog {
+        &self.adopted
+    }
+
+    /// The document in force for an environment and a stage.
+    pub fn document(&self, environment: &str, stage: Stage) -> Option<&Arc<Environment>> {
+        self.documents.get(&EntryKey { environment: environment.to_owned(), stage })
+    }
+
+    /// All documents in force.
+    pub fn documents(&self) -> &BTreeMap<EntryKey, Arc<Environment>> {
+        &self.documents
+    }
+
+    /// The text of a document in force.
+    pub fn text(&self, environment: &str, stage: Stage) -> Option<String> {
+        let entry = self.adopted.entry(environment, stage)?;
+        let manifest = self.manifest(entry)?;
+        parts::assemble(&manifest, entry.digest(), |digest| self.part(digest)).ok()
+    }
+
+    /// The newest revision known, adopted or not.
+    pub fn known(&self) -> Revision {
+        self.pending.as_ref().map_or(self.adopted.revision, |pending| pending.catalog.revision)
+    }
+
+    /// Parts that are still needed for the newest revision known.
+    pub fn missing(&self) -> impl Iterator<Item = &Digest> {
+        self.pending.iter().flat_map(|pending| &pending.missing)
+    }
+
+    /// Why the newest revision known cannot be adopted although every part is there.
+    pub fn rejected(&self) -> Option<&str> {
+        self.pending.as_ref()?.rejected.as_deref()
+    }
+
+    /// Takes a whole catalog, as read from the store.
+    pub fn offer_catalog(&mut self, catalog: Catalog) -> Offer {
+        if catalog.revision <= self.known() {
+            return Offer::NotNewer;
+        }
+        self.pending = Some(Pending { catalog, missing: BTreeSet::new(), rejected: None });
+        self.find_missing();
+        Offer::Taken
+    }
+
+    /// Takes what a peer sent.
+    pub fn offer_update(&mut self, update: &Update) -> Offer {
+        let revision = update.versions.catalog;
+        if revision <= self.known() {
+            self.add_parts(&update.parts);
+            return Offer::NotNewer;
+        }
+        let newest = self.pending.as_ref().map_or(&self.adopted, |pending| &pending.catalog);
+        let Some(catalog) = newest.advanced(update.base, revision, &update.entries) else {
+            return Offer::Disconnected;
+        };
+        let offer = self.offer_catalog(catalog);
+        self.add_parts(&update.parts);
+        offer
+    }
+
+    /// Takes the parts that are needed and ignores others.
+    pub fn add_parts(&mut self, parts: &[Part]) {
+        // A manifest names further parts, so the ones after it may be needed only then.
+        let mut rest: Vec<&Part> = parts.iter().collect();
+        loop {
+            let Some(pending) = &mut self.pending else {
+                return;
+            };
+            let before = rest.len();
+            let mut later = Vec::new();
+            for part in rest {
+                if pending.missing.remove(part.digest()) {
+                    let held = Held { part: part.clone(), since: STAGED };
+                    self.parts.insert(part.digest().clone(), held);
+                } else {
+                    later.push(part);
+                }
+            }
+            if later.len() == before {
+                return;
+            }
+            rest = later;
+            self.find_missing();
+        }
+    }
+
+    /// Adopts the newest revision known if all its parts are there and its documents are valid.
+    pub fn try_adopt(&mut self) -> Option<Revision> {
+        let pending = self.pending.as_ref()?;
+        if !pending.missing.is_empty() || pending.rejected.is_some() {
+            return None;
+        }
+        match self.build(&pending.catalog) {
+            Ok(documents) => {
+                let pending = self.pending.take()?;
+                Some(self.adopt(pending.catalog, documents))
+            }
+            Err(message) => {
+                log::error!("config: revision {} is not adopted: {message}", self.known());
+                if let Some(pending) = &mut self.pending {
+                    pending.rejected = Some(message);
+                }
+                None
+            }
+        }
+    }
+
+    /// Forgets the newest revision known if it is not adopted.
+    pub fn give_up_pending(&mut self) {
+        self.pending = None;
+    }
+
+    /// The part with this digest, if it is held.
+    pub fn part(&self, digest: &Digest) -> Option<&Part> {
+        self.parts.get(digest).map(|held| &held.part)
+    }
+
+    /// The bytes of all held parts.
+    pub fn held_bytes(&self) -> usize {
+        self.parts.values().map(|held| held.part.text().len()).sum()
+    }
+
+    /// The entries that changed after `base`, the parts in `wanted`, and as many of the
+    /// parts that became known after `base` as fit in `limit` bytes.
+    pub fn update_since(&self, base: Revision, wanted: &[Digest], limit: usize) -> Update {
+        let entries: Vec<Entry> = self.adopted.entries_since(base).cloned().collect();
+        let mut chosen = BTreeSet::new();
+        let mut parts = Vec::new();
+        let mut bytes = 0;
+        let mut add = |held: &Held| {
+            let size = held.part.text().len();
+            if (bytes + size <= limit || (bytes == 0 && limit > 0))
+                && chosen.insert(held.part.digest().clone())
+            {
+                bytes += size;
+                parts.push(held.part.clone());
+            }
+        };
+        for held in wanted.iter().filter_map(|digest| self.parts.get(digest)) {
+            add(held);
+        }
+        for entry in &entries {
+            let of_entry = self.manifest(entry).unwrap_or(Manifest(Vec::new())).0;
+            for digest in std::iter::once(&entry.manifest.digest).chain(&of_entry) {
+                match self.parts.get(digest) {
+                    Some(held) if held.since > base || base.0 == 0 => add(held),
+                    _ => {}
+                }
+            }
+        }
+        let versions = Versions { catalog: self.adopted.revision, epoch: Epoch(0) };
+        Update { versions, base, entries, parts, assignment: None }
+    }
+
+    /// Reads the documents of a complete catalog. Unchanged ones are shared.
+    fn build(&self, catalog: &Catalog) -> Result<BTreeMap<EntryKey, Arc<Environment>>, String> {
+        let mut documents: BTreeMap<EntryKey, Arc<Environment>> = BTreeMap::new();
+        for (key, entry) in &catalog.entries {
+            let same = self
+                .documents
+                .iter()
+                .chain(&documents)
+                .find(|(held, document)| {
+                    held.environment == key.environment && document.digest == *entry.digest()
+                })
+                .map(|(_, document)| Arc::clone(document));
+            let document = match same {
+                Some(document) => document,
+                None => Arc::new(self.read(entry)?),
+            };
+            documents.insert(key.clone(), document);
+        }
+        Ok(documents)
+    }
+
+    fn read(&self, entry: &Entry) -> Result<Environment, String> {
+        let name = &entry.key.environment;
+        let stage = entry.key.stage;
+        let manifest =
+            self.manifest(entry).ok_or_else(|| format!("{name} {stage}: no manifest"))?;
+        let text = parts::assemble(&manifest, entry.digest(), |digest| self.part(digest))
+            .map_err(|error| format!("{name} {stage}: {error}"))?;
+        let environment =
+            Environment::parse(&text).map_err(|faults| format!("{name} {stage}: {faults}"))?;
+        if environment.name != *name {
+            return Err(format!("{name} {stage}: the document is for `{}`", environment.name));
+        }
+        Ok(environment)
+    }
+
+    fn adopt(
+        &mut self,
+        catalog: Catalog,
+        documents: BTreeMap<EntryKey, Arc<Environment>>,
+    ) -> Revision {
+        let recovered = self.adopted.revision.0 == 0;
+        let revision = catalog.revision;
+        self.adopted = catalog;
+        self.documents = documents;
+        let referenced = self.referenced();
+        self.parts.retain(|digest, _| referenced.contains(digest));
+        for held in self.parts.values_mut().filter(|held| held.since == STAGED) {
+            // After a recovery it is not known which parts are new, and sending all of them
+            // to peers that are behind would cost more than their asking for what they lack.
+            held.since = if recovered { Revision(0) } else { revision };
+        }
+        log::info!("config: adopted revision {revision}");
+        revision
+    }
+
+    fn referenced(&self) -> BTreeSet<Digest> {
+        let mut referenced = BTreeSet::new();
+        for entry in self.adopted.entries.values() {
+            referenced.insert(entry.manifest.digest.clone());
+            referenced.extend(self.manifest(entry).into_iter().flat_map(|manifest| manifest.0));
+        }
+        referenced
+    }
+
+    fn manifest(&self, entry: &Entry) -> Option<Manifest> {
+        if let Some(inline) = &entry.manifest.inline {
+            return Some(inline.clone());
+        }
+        Manifest::from_part(self.part(&entry.manifest.digest)?)
+    }
+
+    fn find_missing(&mut self) {
+        let Some(pending) = &self.pending else {
+            return;
+        };
+        let mut missing = BTreeSet::new();
+        for (key, entry) in &pending.catalog.entries {
+            let adopted = self.adopted.entries.get(key);
+            if adopted.is_some_and(|adopted| adopted.revision() == entry.revision()) {
+                continue;
+            }
+            match self.manifest(entry) {
+                Some(manifest) => missing.extend(
+                    manifest.0.into_iter().filter(|digest| !self.parts.contains_key(digest)),
+                ),
+                None => {
+                    missing.insert(entry.manifest.digest.clone());
+                }
+            }
+        }
+        if let Some(pending) = &mut self.pending {
+            pending.missing = missing;
+        }
+    }
+}
