--- /dev/null
+++ b/crates/membership/src/assignment.rs
@@ -0,0 +1,283 @@
+//! The assignment in the store: which members may own searchers, by epoch.
+//!
+//! The value keeps members that have left for as long as they may still hold slots of a
+//! searcher, with the epochs of joining and leaving. A new owner therefore knows every
+//! process that must release a searcher before it may use it, however many epochs ago
+//! that process was its owner.
+
+mod proposer;
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tt_model::Epoch;
+
+use crate::ids::DomainKey;
+use crate::ids::Member;
+use crate::ids::MemberId;
+use crate::ownership::Candidate;
+
+pub use proposer::Assignments;
+pub use proposer::CallId;
+pub use proposer::LONGEST_WAIT;
+pub use proposer::STABLE;
+pub use proposer::Step;
+pub use proposer::Target;
+
+/// The key of the assignment in the store.
+pub const ASSIGNMENT_KEY: &str = "assignment";
+
+/// One membership of a process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The process.
+    #[serde(flatten)]
+    pub id: MemberId,
+    /// Index into [`Assignment::domains`].
+    pub domain: u16,
+    /// Its share of searchers relative to other members.
+    pub weight: u32,
+    /// The first epoch of the membership.
+    pub joined: Epoch,
+    /// The first epoch after the membership, if it has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub left: Option<Epoch>,
+}
+
+impl Record {
+    fn covers(&self, epoch: Epoch) -> bool {
+        self.joined <= epoch && self.left.is_none_or(|left| epoch < left)
+    }
+}
+
+/// The value in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Assignment {
+    /// The number of this value; each written value has the number after the one before.
+    pub epoch: Epoch,
+    /// No process holds slots that were assigned to it only before this epoch.
+    pub base: Epoch,
+    /// The last epoch of leaving of all records that were removed from the list.
+    pub pruned: Epoch,
+    /// The process that wrote the value.
+    pub proposer: MemberId,
+    /// Drawn anew for each proposal, so that a proposer recognises its own write after a
+    /// lost reply.
+    pub nonce: u64,
+    /// Names of failure domains.
+    pub domains: Vec<String>,
+    /// Current members and those that may still hold slots, ordered by id and joining.
+    pub members: Vec<Record>,
+}
+
+/// What changed between two epochs. The full value is too large to send to 2,700 daemons
+/// every few seconds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AssignmentDelta {
+    /// The epoch that the change applies to.
+    pub from: Epoch,
+    /// The new epoch.
+    pub epoch: Epoch,
+    /// See [`Assignment::base`].
+    pub base: Epoch,
+    /// See [`Assignment::pruned`].
+    pub pruned: Epoch,
+    /// See [`Assignment::proposer`].
+    pub proposer: MemberId,
+    /// See [`Assignment::nonce`].
+    pub nonce: u64,
+    /// See [`Assignment::domains`].
+    pub domains: Vec<String>,
+    /// Memberships that began after `from`.
+    pub joined: Vec<Record>,
+    /// All ended memberships that are kept.
+    pub ended: Vec<Record>,
+}
+
+impl Assignment {
+    /// The first epoch.
+    pub fn first(members: &[Member], proposer: MemberId, nonce: u64) -> Assignment {
+        let empty = Assignment {
+            epoch: Epoch(0),
+            base: Epoch(1),
+            pruned: Epoch(0),
+            proposer,
+            nonce,
+            domains: Vec::new(),
+            members: Vec::new(),
+        };
+        empty.next(members, &HashMap::new(), proposer, nonce)
+    }
+
+    /// The epoch after this one with the given members. `settled` states for processes the
+    /// epoch since which they hold only what was assigned to them (see
+    /// [`crate::Rights::settled`]); ended memberships that are settled are removed.
+    pub fn next(
+        &self,
+        members: &[Member],
+        settled: &HashMap<MemberId, Epoch>,
+        proposer: MemberId,
+        nonce: u64,
+    ) -> Assignment {
+        let epoch = self.epoch.next();
+        let settled_at = |r: &Record| settled.get(&r.id).copied().unwrap_or_default();
+        let mut domains = self.domains.clone();
+        let mut records = self.members.clone();
+        let mut pruned = self.pruned;
+        records.retain(|r| {
+            let Some(left) = r.left.filter(|&left| settled_at(r) >= left) else { return true };
+            pruned = pruned.max(left);
+            false
+        });
+        let oldest = records.iter().map(settled_at).min().unwrap_or_default();
+        let base = self.base.max(oldest.min(self.epoch));
+        let wanted: HashMap<MemberId, &Member> = members.iter().map(|m| (m.id, m)).collect();
+        let mut present = HashSet::new();
+        for record in records.iter_mut().filter(|r| r.left.is_none()) {
+            let stays = wanted.get(&record.id).is_some_and(|m| {
+                m.weight == record.weight
+                    && Some(&m.domain) == self.domains.get(usize::from(record.domain))
+            });
+            if stays {
+                present.insert(record.id);
+            } else {
+                record.left = Some(epoch);
+            }
+        }
+        for member in members {
+            if !present.insert(member.id) {
+                continue;
+            }
+            let domain = match domains.iter().position(|name| *name == member.domain) {
+                Some(index) => index,
+                None => {
+                    domains.push(member.domain.clone());
+                    domains.len() - 1
+                }
+            };
+            records.push(Record {
+                id: member.id,
+                domain: domain as u16,
+                weight: member.weight,
+                joined: epoch,
+                left: None,
+            });
+        }
+        records.sort_by_key(|r| (r.id, r.joined));
+        Assignment { epoch, base, pruned, proposer, nonce, domains, members: records }
+    }
+
+    /// The members of this epoch.
+    pub fn current(&self) -> impl Iterator<Item = &Record> {
+        self.members.iter().filter(|r| r.left.is_none())
+    }
+
+    /// Whether a process is a member of this epoch.
+    pub fn contains(&self, id: MemberId) -> bool {
+        self.current().any(|r| r.id == id)
+    }
+
+    /// The name of a member's domain.
+    pub fn domain(&self, record: &Record) -> &str {
+        self.domains.get(usize::from(record.domain)).map_or("", String::as_str)
+    }
+
+    /// A member's own description.
+    pub fn member(&self, record: &Record) -> Member {
+        Member { id: record.id, domain: self.domain(record).to_owned(), weight: record.weight }
+    }
+
+    /// The members of this epoch for ranking.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        self.candidates_at(self.epoch)
+    }
+
+    /// The member lists of earlier epochs from which slots may still be held, newest
+    /// first, each list once.
+    pub fn history(&self) -> Vec<Vec<Candidate>> {
+        let changes: BTreeSet<Epoch> = self
+            .members
+            .iter()
+            .flat_map(|r| [Some(r.joined), r.left])
+            .flatten()
+            .chain([self.base])
+            .filter(|&epoch| self.base <= epoch && epoch < self.epoch)
+            .collect();
+        changes.into_iter().rev().map(|epoch| self.candidates_at(epoch)).collect()
+    }
+
+    /// Whether an ended membership could be removed from the list now.
+    pub fn removable(&self, settled: &HashMap<MemberId, Epoch>) -> bool {
+        self.members
+            .iter()
+            .any(|r| r.left.is_some_and(|l| settled.get(&r.id).is_some_and(|&at| at >= l)))
+    }
+
+    /// The change from an older epoch; `None` if `from` is not older, or so old that a
+    /// member of it has been removed from the list since.
+    pub fn delta(&self, from: Epoch) -> Option<AssignmentDelta> {
+        if from >= self.epoch || from < self.pruned {
+            return None;
+        }
+        Some(AssignmentDelta {
+            from,
+            epoch: self.epoch,
+            base: self.base,
+            pruned: self.pruned,
+            proposer: self.proposer,
+            nonce: self.nonce,
+            domains: self.domains.clone(),
+            joined: self.current().filter(|r| r.joined > from).cloned().collect(),
+            ended: self.members.iter().filter(|r| r.left.is_some()).cloned().collect(),
+        })
+    }
+
+    /// The value after a change; `None` if the change starts at another epoch.
+    pub fn apply(&self, delta: AssignmentDelta) -> Option<Assignment> {
+        if delta.from != self.epoch {
+            return None;
+        }
+        let ended: HashSet<(MemberId, Epoch)> =
+            delta.ended.iter().map(|r| (r.id, r.joined)).collect();
+        let mut members: Vec<Record> = self
+            .current()
+            .filter(|r| !ended.contains(&(r.id, r.joined)))
+            .chain(&delta.joined)
+            .cloned()
+            .collect();
+        members.extend(delta.ended.iter().cloned());
+        members.sort_by_key(|r| (r.id, r.joined));
+        Some(Assignment {
+            epoch: delta.epoch,
+            base: delta.base,
+            pruned: delta.pruned,
+            proposer: delta.proposer,
+            nonce: delta.nonce,
+            domains: delta.domains,
+            members,
+        })
+    }
+
+    /// The bytes for the store.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("an assignment is always valid JSON")
+    }
+
+    /// Reads a value of the store.
+    pub fn decode(bytes: &[u8]) -> Option<Assignment> {
+        serde_json::from_slice(bytes).ok()
+    }
+
+    fn candidates_at(&self, epoch: Epoch) -> Vec<Candidate> {
+        let keys: Vec<DomainKey> = self.domains.iter().map(|name| DomainKey::of(name)).collect();
+        let domain = |r: &Record| keys.get(usize::from(r.domain)).copied().unwrap_or(DomainKey(0));
+        self.members
+            .iter()
+            .filter(|r| r.covers(epoch))
+            .map(|r| Candidate::new(r.id, domain(r), r.weight))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/membership/src/members.rs
@@ -0,0 +1,488 @@
+//! The member table of one daemon.
+//!
+//! With few members everyone hears everyone each second. With many, each daemon hears a
+//! few, and news (a member is new, suspect, gone, leaving or stopped) travels in the
+//! digests of heartbeats and their answers. News about a member is ordered by incarnation,
+//! then by a counter that only the member itself raises, to refute a suspicion; at the
+//! same counter the worse news wins.
+
+mod digest;
+mod heartbeat;
+mod platform;
+mod target;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+use tt_model::Epoch;
+use tt_model::Revision;
+
+use crate::ids::Member;
+use crate::ids::MemberId;
+
+pub use heartbeat::Action;
+pub use heartbeat::Heartbeat;
+pub use platform::ListedState;
+pub use platform::ListedVm;
+
+/// Time between heartbeats.
+pub const HEARTBEAT: Duration = Duration::from_secs(1);
+/// A member is suspect when there has been no evidence of it for this long.
+pub const SUSPECT_AFTER: Duration = Duration::from_secs(3);
+/// A member is gone when it has been suspect for this long.
+pub const GONE_AFTER: Duration = Duration::from_secs(10);
+/// Losses within this time count as one event for the partition guard.
+const LOSS_WINDOW: Duration = Duration::from_secs(10);
+/// A single lost message must not make a member suspect.
+const SUSPECT_FAILURES: u32 = 3;
+/// Time between the first and the last of these failures, so that a burst of failed calls
+/// within one short pause of the member does not make it suspect.
+const FAILURE_SPAN: Duration = Duration::from_secs(2);
+/// A member that was gone and came back joins the assignment again after this long, so
+/// that a link that fails now and then does not cause an epoch each time.
+const REJOIN_AFTER: Duration = Duration::from_secs(10);
+/// Gone members are remembered for this long, so that late news does not revive them.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// A member's state in the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// There is evidence of it, or nothing speaks against it.
+    Live,
+    /// No evidence of it for [`SUSPECT_AFTER`].
+    Suspect,
+    /// It is stopping, or the platform lists its VM as leaving.
+    Leaving,
+    /// Suspect for [`GONE_AFTER`], stopped, or its VM is gone.
+    Gone,
+}
+
+/// What others say about a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Health {
+    /// Nothing speaks against it.
+    Alive,
+    /// Someone has no evidence of it.
+    Suspect,
+    /// Someone has had no evidence of it for long.
+    Gone,
+}
+
+/// What a member says about itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Intent {
+    /// It serves.
+    Running,
+    /// It is stopping.
+    Leaving,
+    /// It has stopped.
+    Stopped,
+}
+
+/// News about a member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// The member.
+    pub member: Member,
+    /// Raised only by the member itself.
+    pub beat: u64,
+    /// What others say.
+    pub health: Health,
+    /// What the member says.
+    pub intent: Intent,
+    /// See [`crate::Rights::settled`].
+    pub settled: Epoch,
+}
+
+/// A change of the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// A process is new in the table.
+    Joined(MemberId),
+    /// The state of a member has changed.
+    Changed(MemberId, State),
+    /// A process has certainly ended; see [`crate::Rights::member_ended`].
+    Ended(MemberId),
+    /// A process has stated that it stops and holds nothing; see
+    /// [`crate::Rights::member_stopped`].
+    Stopped(MemberId),
+    /// A later process has announced itself at this daemon's address.
+    Superseded,
+}
+
+/// One row of the table.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The member.
+    pub member: &'a Member,
+    /// Its state.
+    pub state: State,
+    /// The last time that it was heard directly.
+    pub heard: Option<Instant>,
+    /// The epoch that it last reported directly.
+    pub epoch: Epoch,
+    /// The catalog revision that it last reported directly.
+    pub catalog: Revision,
+}
+
+#[derive(Debug)]
+struct Peer {
+    note: Note,
+    epoch: Epoch,
+    catalog: Revision,
+    /// The last time that it was heard directly.
+    heard: Option<Instant>,
+    /// When it was first known or last came back.
+    since: Instant,
+    came_back: Option<Instant>,
+    failures: u32,
+    first_failure: Option<Instant>,
+    suspect_since: Option<Instant>,
+    gone_since: Option<Instant>,
+    listing: platform::Listing,
+}
+
+/// The member table.
+#[derive(Debug)]
+pub struct Members {
+    me: Note,
+    epoch: Epoch,
+    catalog: Revision,
+    peers: HashMap<SocketAddr, Peer>,
+    /// Addresses of peers that are not gone, for random choice.
+    near: Vec<SocketAddr>,
+    far: Vec<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    rumors: BTreeMap<SocketAddr, u32>,
+    /// Processes that have certainly ended.
+    ended: HashMap<MemberId, Instant>,
+    assigned: HashSet<MemberId>,
+    events: Vec<Event>,
+    partitioned_since: Option<Instant>,
+    beat_at: Option<Instant>,
+    pulled_at: Option<Instant>,
+}
+
+impl Members {
+    /// Knows only itself and addresses to try first.
+    pub fn new(me: Member, seeds: Vec<SocketAddr>) -> Members {
+        let own = me.id.address;
+        let me = Note {
+            member: me,
+            beat: 0,
+            health: Health::Alive,
+            intent: Intent::Running,
+            settled: Epoch(0),
+        };
+        Members {
+            me,
+            epoch: Epoch(0),
+            catalog: Revision(0),
+            peers: HashMap::new(),
+            near: Vec::new(),
+            far: Vec::new(),
+            seeds: seeds.into_iter().filter(|seed| *seed != own).collect(),
+            rumors: BTreeMap::new(),
+            ended: HashMap::new(),
+            assigned: HashSet::new(),
+            events: Vec::new(),
+            partitioned_since: None,
+            beat_at: None,
+            pulled_at: None,
+        }
+    }
+
+    /// This daemon.
+    pub fn me(&self) -> &Member {
+        &self.me.member
+    }
+
+    /// All members with this daemon first.
+    pub fn iter(&self) -> impl Iterator<Item = View<'_>> {
+        let me = View {
+            member: &self.me.member,
+            state: state_of(&self.me, platform::Listing::default()),
+            heard: None,
+            epoch: self.epoch,
+            catalog: self.catalog,
+        };
+        std::iter::once(me).chain(self.peers.values().map(Peer::view))
+    }
+
+    /// The row of the member at `address`.
+    pub fn get(&self, address: SocketAddr) -> Option<View<'_>> {
+        if address == self.me.member.id.address {
+            return self.iter().next();
+        }
+        self.peers.get(&address).map(Peer::view)
+    }
+
+    /// The number of members that are not gone, with this daemon.
+    pub fn len(&self) -> usize {
+        1 + self.near.len() + self.far.len()
+    }
+
+    /// Whether there is no member; never, because this daemon is one.
+    pub fn is_empty(&self) -> bool {
+        false
+    }
+
+    /// Whether this daemon assumes that it is cut off and therefore changes nothing.
+    pub fn is_partitioned(&self) -> bool {
+        self.partitioned_since.is_some()
+    }
+
+    /// The events since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Sets what this daemon reports about itself in heartbeats.
+    pub fn set_report(&mut self, epoch: Epoch, catalog: Revision, settled: Epoch) {
+        self.epoch = epoch;
+        self.catalog = catalog;
+        self.me.settled = self.me.settled.max(settled);
+    }
+
+    /// Announces that this daemon is stopping or has stopped. With [`Intent::Stopped`],
+    /// first report a settled epoch of `Epoch(u64::MAX)` if everything is released.
+    pub fn set_intent(&mut self, intent: Intent) {
+        if intent > self.me.intent {
+            self.me.intent = intent;
+            self.spread(self.me.member.id.address);
+        }
+    }
+
+    /// The whole table for a daemon that has just started.
+    pub fn snapshot(&self) -> Vec<Note> {
+        let peers = self.peers.values().map(|peer| &peer.note);
+        peers.filter(|note| note.health != Health::Gone).chain([&self.me]).cloned().collect()
+    }
+
+    /// Takes the table of another daemon.
+    pub fn on_snapshot(&mut self, notes: Vec<Note>, now: Instant) {
+        for note in notes {
+            self.merge(note, now);
+        }
+    }
+
+    /// Takes the members of an epoch, so that a daemon that has just started knows them
+    /// and does not propose an assignment without them.
+    pub fn on_assignment(&mut self, assignment: &crate::Assignment, now: Instant) {
+        self.assigned = assignment.current().map(|record| record.id).collect();
+        for record in assignment.current() {
+            let note = Note {
+                member: assignment.member(record),
+                beat: 0,
+                health: Health::Alive,
+                intent: Intent::Running,
+                settled: Epoch(0),
+            };
+            self.merge(note, now);
+        }
+        let listed: HashSet<MemberId> = assignment.members.iter().map(|r| r.id).collect();
+        self.ended.retain(|id, at| listed.contains(id) || now < *at + FORGET_AFTER);
+    }
+
+    /// Takes news from another member.
+    fn merge(&mut self, note: Note, now: Instant) {
+        let id = note.member.id;
+        if id.address == self.me.member.id.address {
+            self.merge_own(&note);
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&id.address) else {
+            if note.health != Health::Gone && !self.ended.contains_key(&id) {
+                self.insert(note, now);
+            }
+            return;
+        };
+        let known = peer.note.member.id;
+        if known.supersedes(&id) {
+            self.end(id, now);
+            return;
+        }
+        if id.supersedes(&known) {
+            self.remove_from_lists(id.address);
+            self.peers.remove(&id.address);
+            self.end(known, now);
+            self.insert(note, now);
+            return;
+        }
+        let before = peer.state();
+        peer.note.settled = peer.note.settled.max(note.settled);
+        let stopped = note.intent == Intent::Stopped && peer.note.intent != Intent::Stopped;
+        let intends = note.intent > peer.note.intent;
+        peer.note.intent = peer.note.intent.max(note.intent);
+        let news = (note.beat, note.health) > (peer.note.beat, peer.note.health);
+        if news {
+            peer.note.beat = note.beat;
+            self.set_health(id.address, note.health, now);
+        }
+        if stopped {
+            self.stop(id, now);
+        }
+        if news || intends {
+            self.spread(id.address);
+        }
+        self.note_change(id.address, before);
+    }
+
+    fn merge_own(&mut self, note: &Note) {
+        let own = self.me.member.id;
+        if note.member.id.supersedes(&own) {
+            warn!("member: {} has taken over this address", note.member.id);
+            self.events.push(Event::Superseded);
+        }
+        if note.member.id == own && note.health != Health::Alive && note.beat >= self.me.beat {
+            self.me.beat = note.beat + 1;
+            self.spread(own.address);
+        }
+    }
+
+    fn insert(&mut self, note: Note, now: Instant) {
+        let id = note.member.id;
+        if note.member.domain == self.me.member.domain {
+            self.near.push(id.address);
+        } else {
+            self.far.push(id.address);
+        }
+        let health = note.health;
+        let stopped = note.intent == Intent::Stopped;
+        let mut peer = Peer {
+            note,
+            epoch: Epoch(0),
+            catalog: Revision(0),
+            heard: None,
+            since: now,
+            came_back: None,
+            failures: 0,
+            first_failure: None,
+            suspect_since: None,
+            gone_since: None,
+            listing: platform::Listing::default(),
+        };
+        peer.note.health = Health::Alive;
+        self.peers.insert(id.address, peer);
+        self.events.push(Event::Joined(id));
+        if health == Health::Suspect {
+            self.set_health(id.address, health, now);
+        }
+        if stopped {
+            self.stop(id, now);
+        }
+        self.spread(id.address);
+    }
+
+    /// Records that a process has certainly ended.
+    fn end(&mut self, id: MemberId, now: Instant) {
+        if self.ended.insert(id, now).is_some() {
+            self.ended.entry(id).and_modify(|at| *at = (*at).min(now));
+            return;
+        }
+        info!("member: {id} has ended");
+        self.events.push(Event::Ended(id));
+    }
+
+    fn stop(&mut self, id: MemberId, now: Instant) {
+        let Some(peer) = self.peers.get(&id.address) else { return };
+        if peer.note.settled == Epoch(u64::MAX) {
+            self.events.push(Event::Stopped(id));
+        }
+        self.set_health(id.address, Health::Gone, now);
+        self.end(id, now);
+    }
+
+    /// Changes a peer's health with the bookkeeping that goes with it.
+    fn set_health(&mut self, address: SocketAddr, health: Health, now: Instant) {
+        let guarded = self.is_partitioned();
+        let Some(peer) = self.peers.get_mut(&address) else { return };
+        let ended = peer.note.intent == Intent::Stopped || peer.listing.is_gone();
+        let health = match health {
+            _ if ended => Health::Gone,
+            // While this daemon seems to be cut off, suspicion by others is no ground to
+            // evict.
+            Health::Gone if guarded => Health::Suspect,
+            _ => health,
+        };
+        let old = peer.note.health;
+        peer.note.health = health;
+        match health {
+            Health::Alive => {
+                peer.failures = 0;
+                peer.first_failure = None;
+                peer.suspect_since = None;
+                peer.gone_since = None;
+            }
+            Health::Suspect => {
+                peer.suspect_since.get_or_insert(now);
+                peer.gone_since = None;
+            }
+            Health::Gone => {
+                peer.suspect_since.get_or_insert(now);
+                peer.gone_since.get_or_insert(now);
+            }
+        }
+        if old == Health::Gone && health != Health::Gone {
+            peer.came_back = Some(now);
+            let near = peer.note.member.domain == self.me.member.domain;
+            if near { &mut self.near } else { &mut self.far }.push(address);
+        }
+        if old != Health::Gone && health == Health::Gone {
+            self.remove_from_lists(address);
+        }
+    }
+
+    fn note_change(&mut self, address: SocketAddr, before: State) {
+        let Some(peer) = self.peers.get(&address) else { return };
+        let after = peer.state();
+        if before != after {
+            info!("member: {} is {after:?}", peer.note.member.id);
+            self.events.push(Event::Changed(peer.note.member.id, after));
+        }
+    }
+
+    fn remove_from_lists(&mut self, address: SocketAddr) {
+        for list in [&mut self.near, &mut self.far] {
+            if let Some(index) = list.iter().position(|a| *a == address) {
+                list.swap_remove(index);
+            }
+        }
+    }
+}
+
+impl Peer {
+    fn state(&self) -> State {
+        state_of(&self.note, self.listing)
+    }
+
+    fn view(&self) -> View<'_> {
+        View {
+            member: &self.note.member,
+            state: self.state(),
+            heard: self.heard,
+            epoch: self.epoch,
+            catalog: self.catalog,
+        }
+    }
+}
+
+fn state_of(note: &Note, listing: platform::Listing) -> State {
+    if note.health == Health::Gone || note.intent == Intent::Stopped || listing.is_gone() {
+        State::Gone
+    } else if note.intent == Intent::Leaving || listing.is_leaving() {
+        State::Leaving
+    } else if note.health == Health::Suspect {
+        State::Suspect
+    } else {
+        State::Live
+    }
+}
--- /dev/null
+++ b/crates/membership/src/members/heartbeat.rs
@@ -0,0 +1,289 @@
+//! Heartbeats and suspicion.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::warn;
+use rand::Rng;
+use rand::RngExt;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+use tt_model::Epoch;
+use tt_model::Revision;
+
+use super::FAILURE_SPAN;
+use super::FORGET_AFTER;
+use super::GONE_AFTER;
+use super::HEARTBEAT;
+use super::Health;
+use super::Intent;
+use super::LOSS_WINDOW;
+use super::Members;
+use super::Note;
+use super::SUSPECT_AFTER;
+use super::SUSPECT_FAILURES;
+
+/// Up to this many members, everyone sends to everyone.
+pub const ALL_TO_ALL: usize = 8;
+/// Heartbeats a second to members of the own domain, and to others.
+const NEAR: usize = 3;
+const FAR: usize = 1;
+/// Further heartbeats a second to members that did not answer, and to addresses that have
+/// not been heard.
+const PROBES: usize = 3;
+/// Time between requests for a whole table.
+const PULL_PERIOD: Duration = Duration::from_secs(5);
+
+/// A heartbeat or its answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: Note,
+    /// The sender's epoch.
+    pub epoch: Epoch,
+    /// The sender's catalog revision.
+    pub catalog: Revision,
+    /// The number of members that the sender knows.
+    pub known: u32,
+    /// News and random members.
+    pub digest: Vec<Note>,
+}
+
+/// What the daemon has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a heartbeat. Its outcome goes to [`Members::on_answer`] or
+    /// [`Members::on_failed`]; use a time limit of at most [`HEARTBEAT`].
+    Send(SocketAddr, Heartbeat),
+    /// Ask this member for its whole table and pass it to [`Members::on_snapshot`].
+    Pull(SocketAddr),
+}
+
+impl Members {
+    /// Heartbeats that are due. Call it a few times a second.
+    pub fn tick<R>(&mut self, rng: &mut R, now: Instant) -> Vec<Action>
+    where
+        R: Rng,
+    {
+        if self.beat_at.is_some_and(|at| now < at) {
+            return Vec::new();
+        }
+        // A daemon that was paused does not send the heartbeats that it missed.
+        self.beat_at = Some(self.beat_at.map_or(now, |at| at.max(now - HEARTBEAT)) + HEARTBEAT);
+        self.review(now);
+        let targets = self.targets(rng);
+        let mut actions = Vec::with_capacity(targets.len());
+        for to in targets {
+            let message = self.message(to, rng);
+            actions.push(Action::Send(to, message));
+        }
+        actions
+    }
+
+    /// Answers a heartbeat.
+    pub fn on_heartbeat<R>(&mut self, message: Heartbeat, rng: &mut R, now: Instant) -> Heartbeat
+    where
+        R: Rng,
+    {
+        let from = message.from.member.id.address;
+        self.take(message, now);
+        self.message(from, rng)
+    }
+
+    /// Takes the answer to a heartbeat. May ask for the whole table of a member that knows
+    /// many more.
+    pub fn on_answer(&mut self, message: Heartbeat, now: Instant) -> Option<Action> {
+        let from = message.from.member.id.address;
+        let more = message.known as usize;
+        self.take(message, now);
+        let behind = more > self.len() + self.len() / 8 + ALL_TO_ALL;
+        if !behind || self.pulled_at.is_some_and(|at| now < at + PULL_PERIOD) {
+            return None;
+        }
+        self.pulled_at = Some(now);
+        Some(Action::Pull(from))
+    }
+
+    /// A call of any kind to a member failed or timed out.
+    pub fn on_failed(&mut self, address: SocketAddr, now: Instant) {
+        let Some(peer) = self.peers.get_mut(&address) else { return };
+        peer.failures = peer.failures.saturating_add(1);
+        peer.first_failure.get_or_insert(now);
+        self.suspect_if_silent(address, now);
+    }
+
+    /// A call of any kind to a member succeeded.
+    pub fn on_heard(&mut self, address: SocketAddr, now: Instant) {
+        let Some(peer) = self.peers.get_mut(&address) else { return };
+        let before = peer.state();
+        peer.heard = Some(now);
+        peer.failures = 0;
+        peer.first_failure = None;
+        peer.listing.heard();
+        if peer.note.health != Health::Alive && peer.note.intent != Intent::Stopped {
+            self.set_health(address, Health::Alive, now);
+        }
+        self.note_change(address, before);
+    }
+
+    fn take(&mut self, message: Heartbeat, now: Instant) {
+        let id = message.from.member.id;
+        self.merge(message.from, now);
+        if let Some(peer) = self.peers.get_mut(&id.address)
+            && peer.note.member.id == id
+        {
+            peer.epoch = peer.epoch.max(message.epoch);
+            peer.catalog = peer.catalog.max(message.catalog);
+            self.on_heard(id.address, now);
+        }
+        for note in message.digest {
+            self.merge(note, now);
+        }
+    }
+
+    fn message<R>(&mut self, to: SocketAddr, rng: &mut R) -> Heartbeat
+    where
+        R: Rng,
+    {
+        Heartbeat {
+            from: self.me.clone(),
+            epoch: self.epoch,
+            catalog: self.catalog,
+            known: self.len() as u32,
+            digest: self.digest(to, rng),
+        }
+    }
+
+    fn targets<R>(&mut self, rng: &mut R) -> Vec<SocketAddr>
+    where
+        R: Rng,
+    {
+        let mut targets = Vec::new();
+        if self.len() <= ALL_TO_ALL {
+            targets.extend(self.near.iter().chain(&self.far));
+        } else {
+            sample(&self.near, NEAR, rng, &mut targets);
+            let rest = NEAR + FAR - targets.len();
+            sample(&self.far, rest, rng, &mut targets);
+            let silent: Vec<SocketAddr> = self
+                .near
+                .iter()
+                .chain(&self.far)
+                .filter(|a| self.peers.get(a).is_some_and(|p| p.failures > 0))
+                .copied()
+                .collect();
+            sample(&silent, PROBES, rng, &mut targets);
+        }
+        let peers = &self.peers;
+        let unheard: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .filter(|a| peers.get(a).is_none_or(|p| p.note.health == Health::Gone))
+            .copied()
+            .collect();
+        sample(&unheard, PROBES, rng, &mut targets);
+        targets
+    }
+
+    /// Moves members on by time.
+    fn review(&mut self, now: Instant) {
+        let silent: Vec<SocketAddr> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| p.failures > 0 && p.note.health == Health::Alive)
+            .map(|(address, _)| *address)
+            .collect();
+        for address in silent {
+            self.suspect_if_silent(address, now);
+        }
+        self.guard(now);
+        if !self.is_partitioned() {
+            let late = |since: Option<Instant>| since.is_some_and(|at| now >= at + GONE_AFTER);
+            let lost: Vec<SocketAddr> = self
+                .peers
+                .iter()
+                .filter(|(_, p)| p.note.health == Health::Suspect && late(p.suspect_since))
+                .map(|(address, _)| *address)
+                .collect();
+            for address in lost {
+                self.change_health(address, Health::Gone, now);
+            }
+        }
+        let assigned = &self.assigned;
+        self.peers.retain(|_, p| {
+            p.gone_since.is_none_or(|at| now < at + FORGET_AFTER)
+                || assigned.contains(&p.note.member.id)
+        });
+    }
+
+    fn suspect_if_silent(&mut self, address: SocketAddr, now: Instant) {
+        let Some(peer) = self.peers.get(&address) else { return };
+        let heard = peer.heard.unwrap_or(peer.since);
+        let silent = peer.failures >= SUSPECT_FAILURES
+            && now >= heard + SUSPECT_AFTER
+            && peer.first_failure.is_some_and(|at| now >= at + FAILURE_SPAN);
+        if silent && peer.note.health == Health::Alive {
+            self.change_health(address, Health::Suspect, now);
+            self.guard(now);
+        }
+    }
+
+    fn change_health(&mut self, address: SocketAddr, health: Health, now: Instant) {
+        let Some(before) = self.peers.get(&address).map(super::Peer::state) else { return };
+        self.set_health(address, health, now);
+        self.spread(address);
+        self.note_change(address, before);
+    }
+
+    /// Assumes a partition when more than a third of the members were lost within the
+    /// window, until fewer are suspect.
+    pub(super) fn guard(&mut self, now: Instant) {
+        let recent = |p: &super::Peer| {
+            p.gone_since.is_some_and(|at| now < at + LOSS_WINDOW)
+                && p.note.intent == Intent::Running
+                && !p.listing.is_gone()
+        };
+        let suspects = self
+            .peers
+            .values()
+            .filter(|p| p.note.health == Health::Suspect && !p.listing.is_gone())
+            .count();
+        let gone = self.peers.values().filter(|p| recent(p)).count();
+        let all = self.len() + gone;
+        let lost = (suspects + gone) * 3 > all;
+        match self.partitioned_since {
+            None if lost => {
+                warn!("member: {suspects} of {all} are suspect, assuming a partition");
+                self.partitioned_since = Some(now);
+            }
+            Some(_) if !lost => {
+                warn!("member: no longer assuming a partition");
+                self.partitioned_since = None;
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Adds up to `count` random elements that are not in `out` yet.
+fn sample<R>(from: &[SocketAddr], count: usize, rng: &mut R, out: &mut Vec<SocketAddr>)
+where
+    R: Rng,
+{
+    if from.len() <= count {
+        out.extend(from.iter().filter(|a| !out.contains(a)).copied().collect::<Vec<_>>());
+        return;
+    }
+    let wanted = out.len() + count;
+    // With few elements the same ones are drawn again; a bounded number of draws is enough.
+    for _ in 0..count * 8 {
+        let address = from[rng.random_range(0..from.len())];
+        if !out.contains(&address) {
+            out.push(address);
+        }
+        if out.len() == wanted {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/members/target.rs
@@ -0,0 +1,86 @@
+//! What the assignment should be, as far as this daemon knows.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tt_model::Epoch;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Members;
+use super::REJOIN_AFTER;
+use super::State;
+use crate::assignment::Assignment;
+use crate::assignment::STABLE;
+use crate::assignment::Target;
+use crate::ids::DomainKey;
+use crate::ids::Member;
+use crate::ids::MemberId;
+use crate::ownership::Candidate;
+
+impl Members {
+    /// The members that the next epoch should have, and who proposes it. A member of the
+    /// current epoch stays unless there is evidence against it, so a daemon that knows
+    /// little proposes little. `hold_off` is [`crate::rights::RightsSettings::hold_off`].
+    pub fn target(&self, current: Option<&Assignment>, hold_off: Duration, now: Instant) -> Target {
+        if self.is_partitioned() {
+            return Target::default();
+        }
+        let mut members: Vec<Member> = Vec::new();
+        let mut assigned: HashSet<MemberId> = HashSet::new();
+        for record in current.into_iter().flat_map(Assignment::current) {
+            assigned.insert(record.id);
+            let stays = match self.get(record.id.address) {
+                Some(view) if view.member.id == record.id => {
+                    matches!(view.state, State::Live | State::Suspect)
+                }
+                Some(view) => !view.member.id.supersedes(&record.id),
+                None => !self.ended.contains_key(&record.id),
+            };
+            if stays {
+                members.extend(current.map(|a| a.member(record)));
+            }
+        }
+        for view in self.iter() {
+            let id = view.member.id;
+            if view.state == State::Live && !assigned.contains(&id) && self.is_steady(id, now) {
+                members.push(view.member.clone());
+            }
+        }
+        members.sort_by_key(|m| m.id);
+        Target { members, proposer: self.proposer(), settled: self.settled(hold_off, now) }
+    }
+
+    /// The first live member in rendezvous order.
+    fn proposer(&self) -> Option<MemberId> {
+        let key = xxh3_64(b"assignment");
+        self.iter()
+            .filter(|view| view.state == State::Live)
+            .map(|view| Candidate::new(view.member.id, DomainKey(0), view.member.weight))
+            .min_by_key(|candidate| candidate.score(key))
+            .map(|candidate| candidate.id)
+    }
+
+    fn is_steady(&self, id: MemberId, now: Instant) -> bool {
+        let Some(peer) = self.peer(id.address) else { return true };
+        now >= peer.since + STABLE && peer.came_back.is_none_or(|at| now >= at + REJOIN_AFTER)
+    }
+
+    fn settled(&self, hold_off: Duration, now: Instant) -> HashMap<MemberId, Epoch> {
+        let mut settled: HashMap<MemberId, Epoch> =
+            self.peers.values().map(|p| (p.note.member.id, p.note.settled)).collect();
+        settled.insert(self.me.member.id, self.me.settled);
+        for (&id, &at) in &self.ended {
+            if now >= at + hold_off {
+                settled.insert(id, Epoch(u64::MAX));
+            }
+        }
+        settled
+    }
+
+    fn peer(&self, address: SocketAddr) -> Option<&super::Peer> {
+        self.peers.get(&address)
+    }
+}
