--- a/crates/limits/tests/common/mod.rs
+++ b/crates/limits/tests/common/mod.rs
@@ -60,3 +60,13 @@
     ))
     .unwrap()
 }
+
+/// A fuzz configuration with a fixed seed. `PROPTEST_CASES` sets the number of histories.
+#[allow(dead_code)]
+pub fn fuzz_config() -> proptest::test_runner::Config {
+    proptest::test_runner::Config {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..proptest::test_runner::Config::default()
+    }
+}
--- /dev/null
+++ b/crates/limits/tests/fuzz_connections.rs
@@ -0,0 +1,202 @@
+//! Stateful fuzz of connection counting against a plain list of sockets.
+
+mod common;
+
+use proptest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use tt_limits::Acquired;
+use tt_limits::ConnectionAction;
+use tt_limits::ConnectionId;
+use tt_limits::ConnectionSettings;
+use tt_limits::Connections;
+
+use common::fuzz_config;
+use common::ms;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Limit { sockets: u32 },
+    Need { slots: u32 },
+    Pump,
+    Acquire,
+    Opened { nth: usize },
+    Release { nth: usize },
+    Abort { nth: usize },
+    Closed { nth: usize },
+    Advance { millis: u64 },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Socket {
+    Opening,
+    Idle,
+    Busy,
+    Closing,
+}
+
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = u64;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<u64> {
+        any::<u64>().boxed()
+    }
+
+    fn transitions(_: &u64) -> BoxedStrategy<Step> {
+        let nth = any::<usize>;
+        prop_oneof![
+            2 => prop_oneof![1 => Just(0), 4 => 1..14u32].prop_map(|sockets| Step::Limit { sockets }),
+            1 => (0..6u32).prop_map(|slots| Step::Need { slots }),
+            8 => Just(Step::Pump),
+            4 => Just(Step::Acquire),
+            8 => nth().prop_map(|nth| Step::Opened { nth }),
+            3 => nth().prop_map(|nth| Step::Release { nth }),
+            2 => nth().prop_map(|nth| Step::Abort { nth }),
+            4 => nth().prop_map(|nth| Step::Closed { nth }),
+            8 => (0..40u64).prop_map(|millis| Step::Advance { millis }),
+            1 => Just(Step::Advance { millis: 20_000 }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: u64, _: &Step) -> u64 {
+        state
+    }
+}
+
+struct Oracle {
+    connections: Connections,
+    rng: SmallRng,
+    now: Instant,
+    limit: u32,
+    need: u32,
+    sockets: Vec<(ConnectionId, Socket)>,
+    ids: u64,
+}
+
+impl Oracle {
+    /// The `nth` socket, if it is in one of these states.
+    fn pick(&mut self, nth: usize, states: &[Socket]) -> Option<usize> {
+        let index = nth.checked_rem(self.sockets.len())?;
+        states.contains(&self.sockets[index].1).then_some(index)
+    }
+
+    fn count(&self, state: Socket) -> usize {
+        self.sockets.iter().filter(|(_, socket)| *socket == state).count()
+    }
+
+    fn pump(&mut self) {
+        while let Some(action) = self.connections.next_action(self.now, &mut self.rng) {
+            match action {
+                ConnectionAction::Open(id) => {
+                    assert!((self.sockets.len() as u32) < self.limit, "over the limit");
+                    assert!(id.0 >= self.ids, "an identity was used twice");
+                    self.ids = id.0 + 1;
+                    self.sockets.push((id, Socket::Opening));
+                }
+                ConnectionAction::Close(id) => {
+                    let found = self.sockets.iter_mut().find(|(other, _)| *other == id);
+                    let (_, socket) = found.expect("closes only its own sockets");
+                    assert_eq!(*socket, Socket::Idle, "no request in flight is cut off");
+                    *socket = Socket::Closing;
+                }
+            }
+        }
+        let idle = self.count(Socket::Idle);
+        assert!(self.limit > 0 || idle == 0, "idle sockets after the end of the right");
+        let none = self.sockets.is_empty() && self.limit > 0 && self.need > 0;
+        assert!(!none || self.connections.wake_at().is_some(), "never connects");
+    }
+}
+
+impl StateMachineTest for Oracle {
+    type SystemUnderTest = Oracle;
+    type Reference = Steps;
+
+    fn init_test(seed: &u64) -> Oracle {
+        let settings = ConnectionSettings { connect: ms(6), ..ConnectionSettings::default() };
+        Oracle {
+            connections: Connections::new(settings),
+            rng: SmallRng::seed_from_u64(*seed),
+            now: Instant::now(),
+            limit: 0,
+            need: 0,
+            sockets: Vec::new(),
+            ids: 0,
+        }
+    }
+
+    fn apply(mut test: Oracle, _: &u64, step: Step) -> Oracle {
+        let now = test.now;
+        match step {
+            Step::Limit { sockets } => {
+                test.limit = sockets;
+                test.connections.set_limit(now, sockets, &mut test.rng);
+            }
+            Step::Need { slots } => {
+                test.need = slots;
+                test.connections.set_need(slots);
+            }
+            Step::Pump => test.pump(),
+            Step::Acquire => match test.connections.acquire() {
+                Acquired::Reuse(id) => {
+                    assert!(test.limit > 0);
+                    let found = test.sockets.iter_mut().find(|(other, _)| *other == id);
+                    let (_, socket) = found.expect("hands out only its own sockets");
+                    assert_eq!(*socket, Socket::Idle);
+                    *socket = Socket::Busy;
+                }
+                Acquired::Wait => assert!(test.limit == 0 || test.count(Socket::Idle) == 0),
+            },
+            Step::Opened { nth } => {
+                if let Some(index) = test.pick(nth, &[Socket::Opening]) {
+                    test.sockets[index].1 = Socket::Idle;
+                    test.connections.opened(now, test.sockets[index].0);
+                }
+            }
+            Step::Release { nth } => {
+                if let Some(index) = test.pick(nth, &[Socket::Busy]) {
+                    test.sockets[index].1 = Socket::Idle;
+                    test.connections.released(now, test.sockets[index].0);
+                }
+            }
+            Step::Abort { nth } => {
+                if let Some(index) = test.pick(nth, &[Socket::Busy]) {
+                    let id = test.sockets[index].0;
+                    test.sockets[index].1 = Socket::Closing;
+                    assert_eq!(test.connections.abort(id), ConnectionAction::Close(id));
+                }
+            }
+            Step::Closed { nth } => {
+                if !test.sockets.is_empty() {
+                    let (id, _) = test.sockets.swap_remove(nth % test.sockets.len());
+                    test.connections.closed(now, id, &mut test.rng);
+                }
+            }
+            Step::Advance { millis } => test.now += ms(millis),
+        }
+        test
+    }
+
+    fn check_invariants(test: &Oracle, _: &u64) {
+        assert_eq!(test.connections.count() as usize, test.sockets.len());
+        assert_eq!(test.connections.idle() as usize, test.count(Socket::Idle));
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(fuzz_config())]
+
+    /// Guards against any order of events that opens a socket above the limit, hands one
+    /// out twice or closes one in use.
+    #[test]
+    fn sockets_stay_within_the_limit(sequential 1..200 => Oracle);
+}
--- /dev/null
+++ b/crates/limits/tests/fuzz_slots.rs
@@ -0,0 +1,372 @@
+//! Stateful fuzz of the slot queue against a plain record of every sub-query.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+use tokio::time::Instant;
+
+use tt_limits::CancelOutcome;
+use tt_limits::QueuePolicy;
+use tt_limits::QueueSettings;
+use tt_limits::RunOutcome;
+use tt_limits::SlotAction;
+use tt_limits::SlotKind;
+use tt_limits::SlotQueue;
+use tt_limits::SlotRight;
+use tt_limits::SubQuery;
+use tt_limits::Ticket;
+
+use common::fuzz_config;
+use common::ms;
+use common::sub;
+
+const MARGIN_MS: u64 = 5;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Push { service: u32, share: f64, urgency: u8, deadline_ms: u64 },
+    Pump { at_most: usize },
+    Finish { nth: usize, outcome: RunOutcome },
+    Cancel { nth: usize },
+    Advance { millis: u64 },
+    NoRight,
+    Half { slots: u32 },
+    Full { slots: u32, millis: u64 },
+    Drain,
+    Resume,
+    ColdStart,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fate {
+    Queued,
+    Running { slot: SlotKind },
+    Rejected,
+    Cancelled,
+    Ended,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    service: u32,
+    deadline: Instant,
+    ticket: Ticket,
+    fate: Fate,
+}
+
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = QueuePolicy;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<QueuePolicy> {
+        prop_oneof![3 => Just(QueuePolicy::Fair), 1 => Just(QueuePolicy::Fifo)].boxed()
+    }
+
+    fn transitions(_: &QueuePolicy) -> BoxedStrategy<Step> {
+        let outcome = prop_oneof![
+            4 => Just(RunOutcome::Answered),
+            1 => Just(RunOutcome::NotRun),
+            1 => Just(RunOutcome::Failed),
+        ];
+        prop_oneof![
+            12 => (0..6u32, 0.1..8.0f64, 0..3u8, 0..400u64).prop_map(
+                |(service, share, urgency, deadline_ms)| Step::Push { service, share, urgency, deadline_ms }
+            ),
+            6 => Just(Step::Pump { at_most: usize::MAX }),
+            2 => (1..3usize).prop_map(|at_most| Step::Pump { at_most }),
+            6 => (any::<usize>(), outcome).prop_map(|(nth, outcome)| Step::Finish { nth, outcome }),
+            2 => any::<usize>().prop_map(|nth| Step::Cancel { nth }),
+            5 => (0..60u64).prop_map(|millis| Step::Advance { millis }),
+            1 => Just(Step::NoRight),
+            2 => (0..4u32).prop_map(|slots| Step::Half { slots }),
+            4 => (1..6u32, 0..300u64).prop_map(|(slots, millis)| Step::Full { slots, millis }),
+            1 => Just(Step::Drain),
+            2 => Just(Step::Resume),
+            1 => Just(Step::ColdStart),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: QueuePolicy, _: &Step) -> QueuePolicy {
+        state
+    }
+}
+
+struct Oracle {
+    policy: QueuePolicy,
+    queue: SlotQueue<usize>,
+    now: Instant,
+    records: Vec<Record>,
+    right: SlotRight,
+    leaving: bool,
+    cold: bool,
+}
+
+impl Oracle {
+    fn running(&self) -> Vec<usize> {
+        self.having(|fate| matches!(fate, Fate::Running { .. }))
+    }
+
+    fn having(&self, wanted: impl Fn(Fate) -> bool) -> Vec<usize> {
+        (0..self.records.len()).filter(|&item| wanted(self.records[item].fate)).collect()
+    }
+
+    /// Slots with and without a promise at `now`.
+    fn slots(&self) -> (u32, u32) {
+        match self.right {
+            _ if self.leaving => (0, 0),
+            SlotRight::None => (0, 0),
+            SlotRight::Half { slots } => (slots, slots),
+            SlotRight::Full { slots, half, until } if self.now < until => (slots, half),
+            SlotRight::Full { half, .. } => (half, half),
+        }
+    }
+
+    fn push(&mut self, sub: SubQuery) {
+        let item = self.records.len();
+        let (service, deadline) = (sub.service.0, sub.deadline);
+        match self.queue.push(self.now, sub, item) {
+            Ok(ticket) => {
+                assert!(deadline > self.now && !self.leaving && self.right != SlotRight::None);
+                self.records.push(Record { service, deadline, ticket, fate: Fate::Queued });
+            }
+            Err(rejected) => assert_eq!(rejected.item, item),
+        }
+    }
+
+    fn started(&mut self, item: usize, ticket: Ticket, deadline: Instant, slot: SlotKind) {
+        let record = self.records[item];
+        assert_eq!((record.fate, record.ticket), (Fate::Queued, ticket));
+        assert!(self.now < deadline && deadline <= record.deadline);
+        let (all, half) = self.slots();
+        let running = self.running();
+        assert!((running.len() as u32) < all, "{} run, {all} allowed", running.len());
+        let in_half = running
+            .iter()
+            .filter(|&&item| self.records[item].fate == Fate::Running { slot: SlotKind::Half })
+            .count() as u32;
+        match (slot, self.right) {
+            (SlotKind::Half, _) => assert!(in_half < half),
+            (SlotKind::Promised, SlotRight::Full { until, .. }) => {
+                assert!(deadline + ms(MARGIN_MS) <= until);
+            }
+            (SlotKind::Promised, right) => panic!("no promise in {right:?}"),
+        }
+        for &other in &self.having(|fate| fate == Fate::Queued) {
+            let other_record = self.records[other];
+            match self.policy {
+                QueuePolicy::Fair if other_record.service == record.service => {
+                    assert!(record.deadline < other_record.deadline + ms(1), "deadline order");
+                }
+                QueuePolicy::Fair => {}
+                QueuePolicy::Fifo => assert!(item <= other, "arrival order"),
+            }
+        }
+        self.records[item].fate = Fate::Running { slot };
+    }
+
+    fn pump(&mut self, at_most: usize) {
+        for _ in 0..at_most {
+            match self.queue.next_action(self.now) {
+                Some(SlotAction::Start { ticket, item, deadline, slot }) => {
+                    self.started(item, ticket, deadline, slot);
+                }
+                Some(SlotAction::Reject { ticket, item, .. }) => {
+                    let record = &mut self.records[item];
+                    assert_eq!((record.fate, record.ticket), (Fate::Queued, ticket));
+                    record.fate = Fate::Rejected;
+                }
+                Some(SlotAction::Cancel { ticket }) => {
+                    let running = self.running();
+                    assert!(running.iter().any(|&item| self.records[item].ticket == ticket));
+                }
+                None => {
+                    self.check_idle();
+                    return;
+                }
+            }
+        }
+    }
+
+    /// What holds when nothing is left to do at this time.
+    fn check_idle(&self) {
+        let queued = self.having(|fate| fate == Fate::Queued);
+        assert_eq!(queued.len(), self.queue.queued());
+        let (_, half) = self.slots();
+        if !queued.is_empty() && !self.cold {
+            assert!(self.running().len() as u32 >= half, "a free slot while {queued:?} wait");
+        }
+        for item in queued {
+            let deadline = self.records[item].deadline;
+            assert!(deadline > self.now, "an expired sub-query was not reported");
+            assert!(self.queue.wake_at().is_some_and(|wake| wake <= deadline));
+        }
+        assert!(self.queue.wake_at().is_none_or(|wake| wake > self.now));
+    }
+}
+
+impl StateMachineTest for Oracle {
+    type SystemUnderTest = Oracle;
+    type Reference = Steps;
+
+    fn init_test(policy: &QueuePolicy) -> Oracle {
+        let now = Instant::now();
+        let settings = QueueSettings {
+            policy: *policy,
+            capacity: 8,
+            clock_margin: ms(MARGIN_MS),
+            ..QueueSettings::default()
+        };
+        Oracle {
+            policy: *policy,
+            queue: SlotQueue::new(now, settings),
+            now,
+            records: Vec::new(),
+            right: SlotRight::None,
+            leaving: false,
+            cold: false,
+        }
+    }
+
+    fn apply(mut test: Oracle, _: &QueuePolicy, step: Step) -> Oracle {
+        match step {
+            Step::Push { service, share, urgency, deadline_ms } => {
+                let sub = sub(test.now, service, ms(deadline_ms));
+                test.push(SubQuery { share, urgency, ..sub });
+            }
+            Step::Pump { at_most } => test.pump(at_most),
+            Step::Finish { nth, outcome } => {
+                // Also ends of sub-queries that are queued or gone, as a late reply would be.
+                let Some(record) =
+                    nth.checked_rem(test.records.len()).map(|i| &mut test.records[i])
+                else {
+                    return test;
+                };
+                test.queue.finish(test.now, record.ticket, outcome);
+                if matches!(record.fate, Fate::Running { .. }) {
+                    record.fate = Fate::Ended;
+                }
+            }
+            Step::Cancel { nth } => {
+                let Some(item) = nth.checked_rem(test.records.len()) else { return test };
+                let fate = test.records[item].fate;
+                match test.queue.cancel(test.records[item].ticket) {
+                    CancelOutcome::Dequeued(returned) => {
+                        assert_eq!((returned, fate), (item, Fate::Queued));
+                        test.records[item].fate = Fate::Cancelled;
+                    }
+                    CancelOutcome::Running => assert!(matches!(fate, Fate::Running { .. })),
+                    CancelOutcome::Unknown => {
+                        assert!(!matches!(fate, Fate::Queued | Fate::Running { .. }));
+                    }
+                }
+            }
+            Step::Advance { millis } => test.now += ms(millis),
+            Step::NoRight => test.right = SlotRight::None,
+            Step::Half { slots } => test.right = SlotRight::Half { slots },
+            Step::Full { slots, millis } => {
+                test.right = SlotRight::promised(slots, test.now + ms(millis));
+            }
+            Step::Drain => {
+                test.leaving = true;
+                test.queue.drain();
+            }
+            Step::Resume => {
+                test.leaving = false;
+                test.queue.resume();
+            }
+            Step::ColdStart => {
+                test.cold = true;
+                test.queue.cold_start(test.now);
+            }
+        }
+        if matches!(step, Step::NoRight | Step::Half { .. } | Step::Full { .. }) {
+            test.queue.set_right(test.right);
+        }
+        test
+    }
+
+    fn check_invariants(test: &Oracle, _: &QueuePolicy) {
+        assert_eq!(test.running().len() as u32, test.queue.running());
+        assert!(test.queue.queued() <= 8, "the queue is bounded");
+    }
+
+    fn teardown(mut test: Oracle, _: QueuePolicy) {
+        test.queue.set_right(SlotRight::None);
+        test.right = SlotRight::None;
+        test.pump(usize::MAX);
+        assert!(test.having(|fate| fate == Fate::Queued).is_empty(), "nothing is lost");
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(fuzz_config())]
+
+    /// Guards against any order of events that loses or doubles a sub-query, starts it
+    /// after a rejection or a cancellation, or exceeds the allowance.
+    #[test]
+    fn every_sub_query_has_one_fate_and_the_allowance_holds(sequential 1..200 => Oracle);
+}
+
+proptest! {
+    #![proptest_config(fuzz_config())]
+
+    /// Guards against starvation: while two services both wait, neither gets more starts for
+    /// its share than the other, but for one start of each and the free slots.
+    #[test]
+    fn waiting_services_are_served_by_their_shares(
+        shares in prop::collection::vec(1..8u32, 2..6),
+        arrivals in prop::collection::vec((0..6usize, 0..30u64), 50..300),
+        slots in 1..4u32,
+    ) {
+        let mut now = Instant::now();
+        let settings = QueueSettings { capacity: 1000, ..QueueSettings::default() };
+        let mut queue = SlotQueue::new(now, settings);
+        queue.set_right(SlotRight::Half { slots });
+        let mut waiting = vec![0u32; shares.len()];
+        // Starts of each service while both of a pair waited.
+        let mut served: BTreeMap<(usize, usize), [f64; 2]> = BTreeMap::new();
+        let mut running = Vec::new();
+        for (pick, gap) in arrivals {
+            let service = pick % shares.len();
+            let share = f64::from(shares[service]);
+            let request = SubQuery { share, ..sub(now, service as u32, ms(3_600_000)) };
+            if queue.push(now, request, service).is_ok() {
+                waiting[service] += 1;
+            }
+            while let Some(action) = queue.next_action(now) {
+                let SlotAction::Start { ticket, item, .. } = action else {
+                    panic!("no deadline passes in this test, got {action:?}");
+                };
+                running.push((now + ms(10), ticket));
+                for first in 0..shares.len() {
+                    for second in first + 1..shares.len() {
+                        let pair = served.entry((first, second)).or_default();
+                        if waiting[first] == 0 || waiting[second] == 0 {
+                            *pair = [0.0; 2];
+                        } else if item == first {
+                            pair[0] += 1.0 / f64::from(shares[first]);
+                        } else if item == second {
+                            pair[1] += 1.0 / f64::from(shares[second]);
+                        }
+                        let bound = 2.0 / f64::from(shares[first]) + 2.0 / f64::from(shares[second]);
+                        prop_assert!((pair[0] - pair[1]).abs() <= bound + 1e-6,
+                            "services {first} and {second}: {pair:?}, bound {bound}");
+                    }
+                }
+                waiting[item] -= 1;
+            }
+            now += ms(gap);
+            for (end, ticket) in running.extract_if(.., |(end, _)| *end <= now) {
+                queue.finish(end, ticket, RunOutcome::Answered);
+            }
+        }
+    }
+}
