--- /dev/null
+++ b/crates/bench/src/check.rs
@@ -0,0 +1,176 @@
+//! Checks of the invariants over the records of a load and the counts of the stand-ins.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use tt_model::Environment;
+use tt_standin::Searcher;
+
+use crate::load::Record;
+
+/// Faults kept for each invariant; more would not help to find the cause.
+const MAX_FAULTS: usize = 5;
+
+/// One invariant and whether it held.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Invariant {
+    /// What must hold.
+    pub name: &'static str,
+    /// Cases looked at.
+    pub cases: u64,
+    /// Cases in which it did not hold.
+    pub broken: u64,
+    /// The first of these.
+    pub faults: Vec<String>,
+}
+
+/// The invariants of a run.
+#[derive(Debug, Clone, Default)]
+pub struct Checks {
+    invariants: Vec<Invariant>,
+}
+
+impl Checks {
+    /// Checks every answer and the limits and executions at the searchers.
+    pub fn of(
+        environment: &Environment,
+        records: &[Record],
+        searchers: &BTreeMap<String, Searcher>,
+    ) -> Checks {
+        let mut checks = Checks::default();
+        let shards: BTreeSet<&str> =
+            environment.shards.values().map(|shard| shard.name.as_str()).collect();
+        let answers: Vec<(&Record, &Value)> = records
+            .iter()
+            .filter_map(|record| record.answer.as_ref().ok().map(|answer| (record, answer)))
+            .collect();
+        let results = || answers.iter().filter(|(_, answer)| answer["results"].is_array());
+        checks.check("one snapshot", results(), |(_, answer)| one_snapshot(answer));
+        checks.check("true coverage", results(), |(record, answer)| {
+            true_coverage(record, answer, &shards)
+        });
+        checks.check("own answer", results(), |(record, answer)| own_answer(record, answer));
+        let executions = executions(searchers);
+        let refused = answers.iter().filter(|(_, answer)| answer["ran"] == "no");
+        checks.check("not run is true", refused, |(record, answer)| {
+            let ran = executions.get(record.id.as_str()).copied().unwrap_or(0);
+            let later = answers.iter().any(|(other, answer)| {
+                other.id == record.id && other.once && answer["ran"] != "no"
+            });
+            (ran > 0 && !later).then(|| format!("{}: ran {ran} times, {answer}", record.id))
+        });
+        let once = records.iter().filter(|record| record.once);
+        checks.check("at most once", once, |record| {
+            let ran = executions.get(record.id.as_str()).copied().unwrap_or(0);
+            (ran > 1).then(|| format!("{} ran {ran} times", record.id))
+        });
+        checks.check("every request is answered", records.iter(), |record| {
+            record.answer.as_ref().err().map(|error| format!("{}: {error}", record.id))
+        });
+        checks.check("slot and connection limits", searchers.iter(), |(name, searcher)| {
+            let counts = searcher.counts();
+            (counts.over_slots + counts.over_connections > 0).then(|| {
+                format!(
+                    "{name}: {} over its slots, {} over its connections",
+                    counts.over_slots, counts.over_connections
+                )
+            })
+        });
+        checks
+    }
+
+    /// Adds an invariant that was checked elsewhere.
+    pub fn add(&mut self, name: &'static str, cases: u64, faults: Vec<String>) {
+        let broken = faults.len() as u64;
+        let faults = faults.into_iter().take(MAX_FAULTS).collect();
+        self.invariants.push(Invariant { name, cases, broken, faults });
+    }
+
+    /// All invariants.
+    pub fn invariants(&self) -> &[Invariant] {
+        &self.invariants
+    }
+
+    /// Whether all held, each in at least one case.
+    pub fn hold(&self) -> bool {
+        self.invariants.iter().all(|invariant| invariant.broken == 0)
+    }
+
+    fn check<T, I, F>(&mut self, name: &'static str, cases: I, fault: F)
+    where
+        I: Iterator<Item = T>,
+        F: Fn(T) -> Option<String>,
+    {
+        let mut count = 0;
+        let mut faults = Vec::new();
+        for case in cases {
+            count += 1;
+            faults.extend(fault(case));
+        }
+        self.add(name, count, faults);
+    }
+}
+
+fn hits(answer: &Value) -> impl Iterator<Item = (&str, &Value)> {
+    answer["results"].as_array().into_iter().flatten().flat_map(|result| {
+        let shard = result["shard"].as_str().unwrap_or_default();
+        result["hits"].as_array().into_iter().flatten().map(move |hit| (shard, hit))
+    })
+}
+
+fn one_snapshot(answer: &Value) -> Option<String> {
+    let snapshot = &answer["snapshot"];
+    hits(answer)
+        .find(|(_, hit)| hit["snapshot"] != *snapshot)
+        .map(|(shard, hit)| format!("pinned {snapshot}, {shard} has {hit}"))
+}
+
+fn true_coverage(record: &Record, answer: &Value, shards: &BTreeSet<&str>) -> Option<String> {
+    let names = |list: &Value| -> Vec<String> {
+        list.as_array().into_iter().flatten().filter_map(|v| Some(v.as_str()?.to_owned())).collect()
+    };
+    let covered = names(&answer["covered"]);
+    let uncovered: Vec<String> = answer["uncovered"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(|gap| Some(gap["shard"].as_str()?.to_owned()))
+        .collect();
+    let found: Vec<String> = hits(answer)
+        .filter(|(shard, hit)| hit["shard"] == *shard)
+        .map(|(shard, _)| shard.to_owned())
+        .collect();
+    if found != covered {
+        return Some(format!("{}: covered {covered:?} but results of {found:?}", record.id));
+    }
+    let all: BTreeSet<&str> = covered.iter().chain(&uncovered).map(String::as_str).collect();
+    if all.len() != covered.len() + uncovered.len() {
+        return Some(format!("{}: a shard is named twice", record.id));
+    }
+    if !record.once && all != *shards {
+        return Some(format!("{}: names {} of {} shards", record.id, all.len(), shards.len()));
+    }
+    None
+}
+
+fn own_answer(record: &Record, answer: &Value) -> Option<String> {
+    if answer["request_id"] != record.id.as_str() {
+        return Some(format!("{}: answer of {}", record.id, answer["request_id"]));
+    }
+    hits(answer)
+        .find(|(_, hit)| hit["query"] != record.id.as_str())
+        .map(|(shard, hit)| format!("{}: {shard} has {hit}", record.id))
+}
+
+fn executions(searchers: &BTreeMap<String, Searcher>) -> BTreeMap<String, u32> {
+    let mut total: BTreeMap<String, u32> = BTreeMap::new();
+    for searcher in searchers.values() {
+        for (id, count) in searcher.all_executions() {
+            *total.entry(id).or_default() += count;
+        }
+    }
+    total
+}
--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,255 @@
+//! A platform, searchers and daemons on loopback, in one process.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use tt_daemon::Callers;
+use tt_daemon::Daemon;
+use tt_daemon::Listen;
+use tt_daemon::Settings;
+use tt_model::Environment;
+use tt_standin::Platform;
+use tt_standin::Profile;
+use tt_standin::Searcher;
+use tt_standin::SearcherSettings;
+
+/// Any free port on loopback.
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// How a fleet is set up.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// The environment document. Its searcher addresses are replaced by those of the stand-ins.
+    pub document: String,
+    /// Number of daemons, spread over the failure domains of the document.
+    pub daemons: usize,
+    /// How long sub-queries take at the searchers.
+    pub profile: Profile,
+    /// Seed of the searchers.
+    pub seed: u64,
+    /// Threads of each daemon.
+    pub threads: usize,
+    /// Bounds on callers.
+    pub callers: Callers,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        FleetSettings {
+            document: String::new(),
+            daemons: 5,
+            profile: Profile::default(),
+            seed: 1,
+            threads: 2,
+            callers: Callers { keep_ms: 1_000, ..Callers::default() },
+        }
+    }
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: Platform,
+    /// The searchers by name.
+    pub searchers: BTreeMap<String, Searcher>,
+    /// The document with the addresses of the stand-ins.
+    pub document: String,
+    /// The checked document.
+    pub environment: Environment,
+    daemons: Vec<Option<Running>>,
+    settings: FleetSettings,
+}
+
+#[derive(Debug)]
+struct Running {
+    runtime: Runtime,
+    daemon: Daemon,
+    domain: String,
+    listen: Listen,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and the daemons.
+    pub async fn start(settings: FleetSettings) -> io::Result<Fleet> {
+        let platform = Platform::start(LOOPBACK).await?;
+        let sample = Environment::parse(&settings.document).map_err(io::Error::other)?;
+        let mut searchers = BTreeMap::new();
+        let mut document = settings.document.clone();
+        for (id, searcher) in sample.searchers.iter() {
+            let shards = sample
+                .shards
+                .values()
+                .filter(|shard| shard.replicas.contains(&id))
+                .map(|shard| shard.name.clone())
+                .collect();
+            let standin = Searcher::start(SearcherSettings {
+                address: LOOPBACK,
+                shards,
+                slots: searcher.slots,
+                connections: searcher.connections,
+                connect: searcher.connect,
+                profile: settings.profile.clone(),
+                seed: settings.seed.wrapping_add(u64::from(id.0) << 32),
+                ..SearcherSettings::default()
+            })
+            .await?;
+            let from = format!("\"{}\"", searcher.address);
+            document = document.replace(&from, &format!("\"{}\"", standin.address()));
+            searchers.insert(searcher.name.clone(), standin);
+        }
+        let environment = Environment::parse(&document).map_err(io::Error::other)?;
+        let mut fleet =
+            Fleet { platform, searchers, document, environment, daemons: Vec::new(), settings };
+        for index in 0..fleet.settings.daemons {
+            let domains = fleet.environment.domains.len();
+            let domain = fleet.environment.domains.values().nth(index % domains);
+            let domain = domain.map(|domain| domain.name.clone()).unwrap_or_default();
+            let listen = Listen { callers: LOOPBACK, operators: LOOPBACK, peers: LOOPBACK };
+            let running = fleet.launch(domain, listen).await?;
+            fleet.daemons.push(Some(running));
+            fleet.publish_vms();
+        }
+        Ok(fleet)
+    }
+
+    /// The operators' address of a daemon that runs.
+    pub fn operators(&self, index: usize) -> Option<SocketAddr> {
+        self.running(index).map(|running| running.daemon.operators())
+    }
+
+    /// The callers' address of a daemon that runs.
+    pub fn callers(&self, index: usize) -> Option<SocketAddr> {
+        self.running(index).map(|running| running.daemon.callers())
+    }
+
+    /// The callers' addresses of all daemons that run.
+    pub fn all_callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().flatten().map(|running| running.daemon.callers()).collect()
+    }
+
+    /// The failure domain of a daemon that runs.
+    pub fn domain(&self, index: usize) -> Option<&str> {
+        self.running(index).map(|running| running.domain.as_str())
+    }
+
+    /// The number of daemons that run.
+    pub fn len(&self) -> usize {
+        self.daemons.iter().flatten().count()
+    }
+
+    /// Whether no daemon runs.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Stops a daemon gracefully.
+    pub async fn stop(&mut self, index: usize) {
+        let Some(running) = self.daemons.get_mut(index).and_then(Option::take) else {
+            return;
+        };
+        let Running { runtime, daemon, .. } = running;
+        // A panic in the stop shows as a daemon that does not answer.
+        let _ = runtime.spawn(daemon.stop()).await;
+        runtime.shutdown_background();
+        self.publish_vms();
+    }
+
+    /// Ends a daemon at once, like a crash. The platform's list still shows it.
+    pub fn kill(&mut self, index: usize) -> Option<Killed> {
+        let running = self.daemons.get_mut(index).and_then(Option::take)?;
+        let Running { runtime, daemon, domain, listen } = running;
+        let peers = daemon.peers();
+        runtime.shutdown_background();
+        drop(daemon);
+        let listen = Listen { peers, ..listen };
+        Some(Killed { index, domain, listen })
+    }
+
+    /// Starts a killed daemon again, with an empty memory, at the same address.
+    pub async fn restart(&mut self, killed: Killed) -> io::Result<()> {
+        let Killed { index, domain, listen } = killed;
+        let running = self.launch(domain, listen).await?;
+        self.daemons[index] = Some(running);
+        self.publish_vms();
+        Ok(())
+    }
+
+    /// Removes daemons that do not run from the platform's list.
+    pub fn publish_vms(&self) {
+        let list: Vec<_> = self
+            .daemons
+            .iter()
+            .flatten()
+            .map(|running| {
+                let address = running.daemon.peers();
+                json!({ "address": address, "domain": running.domain, "state": "live" })
+            })
+            .collect();
+        self.platform.set_vms(&json!(list).to_string());
+    }
+
+    /// Waits until `ready` holds, for at most `limit`.
+    pub async fn wait_for<F>(limit: Duration, mut ready: F) -> bool
+    where
+        F: AsyncFnMut() -> bool,
+    {
+        let end = Instant::now() + limit;
+        while !ready().await {
+            if Instant::now() >= end {
+                return false;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        true
+    }
+
+    fn running(&self, index: usize) -> Option<&Running> {
+        self.daemons.get(index).and_then(Option::as_ref)
+    }
+
+    async fn launch(&self, domain: String, listen: Listen) -> io::Result<Running> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(self.settings.threads)
+            .enable_all()
+            .build()?;
+        let settings = Settings {
+            domain: domain.clone(),
+            weight: 1,
+            listen,
+            platform: self.platform.address(),
+            peers: self.daemons.iter().flatten().map(|other| other.daemon.peers()).collect(),
+            callers: self.settings.callers,
+            threads: self.settings.threads,
+            log: String::new(),
+        };
+        let started = runtime.spawn(Daemon::start(settings)).await.map_err(io::Error::other)?;
+        let daemon = started.map_err(io::Error::other)?;
+        Ok(Running { runtime, daemon, domain, listen })
+    }
+}
+
+/// A daemon that was killed.
+#[derive(Debug)]
+pub struct Killed {
+    index: usize,
+    domain: String,
+    listen: Listen,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for running in self.daemons.drain(..).flatten() {
+            running.runtime.shutdown_background();
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,29 @@
-//! Scenarios, load generation and reports.
+//! Load and measurement: a fleet of daemons with stand-ins on loopback, an HTTP client, an
+//! open-loop load generator and the checks of its answers.
+//!
+//! [`Fleet`] starts everything in one process, each daemon on a runtime of its own so that it
+//! can be killed as a whole. [`Load`] sends queries at fixed times, whatever the answers take,
+//! and [`Record`]s each of them; [`Checks`] tells whether the invariants held.
+
+mod check;
+mod client;
+mod fleet;
+mod load;
+mod stats;
+
+pub use check::Checks;
+pub use check::Invariant;
+pub use client::Ask;
+pub use client::ClientError;
+pub use client::Http;
+pub use client::HttpAnswer;
+pub use fleet::Fleet;
+pub use fleet::FleetSettings;
+pub use fleet::Killed;
+pub use load::Load;
+pub use load::LoadKind;
+pub use load::LoadSettings;
+pub use load::Record;
+pub use load::ServiceLoad;
+pub use stats::ClassStats;
+pub use stats::class_stats;
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -85,7 +85,9 @@
         let inner = std::mem::replace(&mut self.inner, pico_args::Arguments::from_vec(Vec::new()));
         match inner.finish().first() {
             None => Ok(()),
-            Some(word) => Err(Failure::usage(format!("did not expect `{}`", word.to_string_lossy()))),
+            Some(word) => {
+                Err(Failure::usage(format!("did not expect `{}`", word.to_string_lossy())))
+            }
         }
     }
 }
--- a/crates/ctl/src/commands/env.rs
+++ b/crates/ctl/src/commands/env.rs
@@ -2,9 +2,11 @@
 
 use serde_json::Value;
 
+use tt_bench::Ask;
+use tt_bench::Http;
+
 use crate::arguments::Arguments;
-use crate::client::Ask;
-use crate::client::Http;
+use crate::client;
 use crate::commands::block_on;
 use crate::commands::read;
 use crate::output::Failure;
@@ -59,7 +61,7 @@
 }
 
 async fn send(ask: Ask) -> Result<Value, Failure> {
-    Http::new().json(ask).await
+    client::json(&Http::new(), ask).await
 }
 
 fn trial(arguments: &mut Arguments) -> Result<Ask, Failure> {
--- a/crates/ctl/src/commands/query.rs
+++ b/crates/ctl/src/commands/query.rs
@@ -3,11 +3,12 @@
 use serde_json::Value;
 use serde_json::json;
 
+use tt_bench::Ask;
+use tt_bench::Http;
 use tt_model::ResultCode;
 
 use crate::arguments::Arguments;
-use crate::client::Ask;
-use crate::client::Http;
+use crate::client;
 use crate::commands::block_on;
 use crate::output::Failure;
 use crate::output::print_value;
@@ -65,7 +66,7 @@
         body["deadline_ms"] = json!(deadline);
     }
     let ask = Ask::post(address, "/v1/query".to_owned(), body.to_string().into_bytes());
-    let answer = block_on(async { Http::new().json(ask).await })??;
+    let answer = block_on(async { client::json(&Http::new(), ask).await })??;
     print_value(arguments.format(), &answer);
     Ok(())
 }
@@ -87,7 +88,7 @@
         ));
     }
     let path = format!("/v1/entries?caller={caller}&domain={domain}");
-    let answer = block_on(async { Http::new().json(Ask::get(address, path)).await })??;
+    let answer = block_on(async { client::json(&Http::new(), Ask::get(address, path)).await })??;
     print_value(arguments.format(), &answer);
     Ok(())
 }
--- /dev/null
+++ b/crates/ctl/src/commands/standin.rs
@@ -0,0 +1,10 @@
+//! `tillerctl standin`.
+
+use crate::arguments::Arguments;
+use crate::output::Failure;
+
+/// Runs measurement scenarios.
+pub(crate) fn standin(arguments: &mut Arguments) -> Result<(), Failure> {
+    let _ = arguments;
+    Err(Failure::usage("there is no scenario yet".to_owned()))
+}
--- /dev/null
+++ b/crates/ctl/src/demo/report.rs
@@ -0,0 +1,83 @@
+//! The result of the demo.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use tt_bench::Checks;
+use tt_bench::Record;
+use tt_bench::class_stats;
+
+use crate::demo::DemoSettings;
+use crate::demo::Site;
+use crate::output::Failure;
+use crate::output::Format;
+
+/// Prints the result.
+pub(crate) fn print(
+    settings: DemoSettings,
+    records: &[Record],
+    checks: &Checks,
+    tried: &Value,
+    promoted: &Value,
+) -> Result<(), Failure> {
+    let classes = class_stats(records);
+    if settings.format == Format::Json {
+        let site = match settings.site {
+            Site::Kingston => "kingston",
+            Site::Texas => "texas",
+        };
+        let body = json!({
+            "site": site,
+            "daemons": settings.daemons,
+            "seconds": settings.seconds,
+            "seed": settings.seed,
+            "trial": tried,
+            "production": promoted,
+            "classes": classes,
+            "invariants": checks.invariants(),
+            "held": checks.hold(),
+        });
+        println!("{body}");
+        return Ok(());
+    }
+    println!();
+    println!(
+        "{:<14} {:>7} {:>8} {:>8} {:>8} {:>9} {:>7}  codes",
+        "class", "queries", "p50 ms", "p99 ms", "p999 ms", "coverage", "extra"
+    );
+    for (class, stats) in &classes {
+        let codes: Vec<String> =
+            stats.codes.iter().map(|(name, count)| format!("{name} {count}")).collect();
+        println!(
+            "{:<14} {:>7} {:>8.1} {:>8.1} {:>8.1} {:>8.2}% {:>6.2}%  {}",
+            class,
+            stats.queries,
+            stats.p50_ms,
+            stats.p99_ms,
+            stats.p999_ms,
+            stats.coverage * 100.0,
+            stats.extra_load * 100.0,
+            codes.join(", "),
+        );
+    }
+    println!();
+    for invariant in checks.invariants() {
+        let verdict = if invariant.broken == 0 { "held" } else { "BROKEN" };
+        println!(
+            "{verdict:<7} {} ({} cases, {} broken)",
+            invariant.name, invariant.cases, invariant.broken
+        );
+        for fault in &invariant.faults {
+            println!("        {fault}");
+        }
+    }
+    if let Some(slowest) = records.iter().max_by_key(|record| record.latency) {
+        let limit = Duration::from_secs(1);
+        if slowest.latency > limit {
+            println!("slowest request: {} after {:?}", slowest.id, slowest.latency);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/demo/script.rs
@@ -0,0 +1,250 @@
+//! What happens during the demo.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+use tt_bench::Ask;
+use tt_bench::Checks;
+use tt_bench::Fleet;
+use tt_bench::FleetSettings;
+use tt_bench::Http;
+use tt_bench::Load;
+use tt_bench::LoadKind;
+use tt_bench::LoadSettings;
+use tt_bench::ServiceLoad;
+use tt_model::Environment;
+use tt_model::ResultCode;
+use tt_standin::Profile;
+use tt_standin::State;
+
+use crate::client::json;
+use crate::demo::DemoSettings;
+use crate::demo::report;
+use crate::output::Failure;
+use crate::output::Format;
+
+/// A leaving searcher must get no new work after this time.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+
+/// A change must be in force everywhere within this time.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Part of its contract that each service offers.
+const OFFERED: f64 = 0.35;
+
+/// Revisions seen at the daemons.
+#[derive(Debug, Default)]
+struct Revisions {
+    seen: Vec<(SocketAddr, u64)>,
+    faults: Vec<String>,
+}
+
+/// Runs the demo.
+pub(crate) async fn run(settings: DemoSettings) -> Result<(), Failure> {
+    let progress = |text: &str| match settings.format {
+        Format::Text => println!("{text}"),
+        Format::Json => {}
+    };
+    let http = Http::new();
+    progress(&format!("Starting {} daemons and the stand-ins.", settings.daemons));
+    let mut fleet = start(settings).await?;
+    let name = fleet.environment.name.clone();
+    let operators = fleet.operators(0).ok_or_else(|| internal("no daemon runs"))?;
+
+    let (tried, promoted) = bring_into_force(&http, &fleet, operators, &name, &progress).await?;
+    settle(&http, &fleet).await?;
+
+    progress(&format!("Sending queries for {} s.", settings.seconds));
+    let start = Instant::now();
+    let length = Duration::from_secs(settings.seconds);
+    let load = tokio::spawn(Load::new(load(settings, &fleet)).run());
+
+    sleep_until(start + length / 6).await;
+    progress("Publishing snapshot 2 at one searcher after another.");
+    for searcher in fleet.searchers.values() {
+        searcher.publish(2);
+        sleep(Duration::from_millis(2)).await;
+    }
+
+    sleep_until(start + length / 4).await;
+    let leaving = leaving_searcher(&fleet.environment);
+    progress(&format!("Searcher {leaving} leaves."));
+    fleet.searchers[&leaving].set_state(State::Draining);
+    let left = Instant::now();
+
+    sleep_until(start + length / 3).await;
+    for searcher in fleet.searchers.values() {
+        searcher.retire(1);
+    }
+    let mut revisions = Revisions::default();
+    watch_revisions(&http, &fleet, &name, &mut revisions).await;
+
+    sleep_until(start + length / 2).await;
+    let stopping = settings.daemons - 1;
+    progress(&format!("Daemon {stopping} stops gracefully."));
+    fleet.stop(stopping).await;
+    progress(&format!("Daemon {stopping} has stopped."));
+    watch_revisions(&http, &fleet, &name, &mut revisions).await;
+
+    sleep_until(left + LEAVE_LIMIT).await;
+    let before = fleet.searchers[&leaving].counts().received;
+    let records = load.await.map_err(|error| internal(&error.to_string()))?;
+    let after = fleet.searchers[&leaving].counts().received;
+
+    let mut checks = Checks::of(&fleet.environment, &records, &fleet.searchers);
+    let late = after - before;
+    let fault =
+        (late > 0).then(|| format!("{leaving} got {late} sub-queries after {LEAVE_LIMIT:?}"));
+    checks.add("a leaving searcher gets no new work", 1, fault.into_iter().collect());
+    checks.add("in force everywhere in time", 2, slow_changes(&[&tried, &promoted]));
+    checks.add("a revision never goes back", revisions.seen.len() as u64, revisions.faults);
+    report::print(settings, &records, &checks, &tried, &promoted)?;
+    if checks.hold() {
+        return Ok(());
+    }
+    Err(Failure::new(ResultCode::InvariantBroken, "see the invariants above".to_owned()))
+}
+
+async fn start(settings: DemoSettings) -> Result<Fleet, Failure> {
+    let fleet = FleetSettings {
+        document: settings.site.document().to_owned(),
+        daemons: settings.daemons,
+        seed: settings.seed,
+        profile: Profile { straggler_rate: 0.01, ..Profile::default() },
+        ..FleetSettings::default()
+    };
+    Fleet::start(fleet).await.map_err(|error| internal(&error.to_string()))
+}
+
+/// Tries and promotes the document of the site.
+async fn bring_into_force(
+    http: &Http,
+    fleet: &Fleet,
+    operators: SocketAddr,
+    name: &str,
+    progress: &dyn Fn(&str),
+) -> Result<(Value, Value), Failure> {
+    let document = fleet.document.clone().into_bytes();
+    let path = format!("/v1/env/{name}/trial?operator=demo");
+    let tried = json(http, Ask::post(operators, path, document)).await?;
+    progress(&format!("Document in trial: {}", in_force(&tried)));
+    let digest = fleet.environment.digest.as_str();
+    let path = format!("/v1/env/{name}/promote?operator=demo&digest={digest}");
+    let promoted = json(http, Ask::post(operators, path, Vec::new())).await?;
+    progress(&format!("Document promoted: {}", in_force(&promoted)));
+    Ok((tried, promoted))
+}
+
+/// Waits until the daemons agree on the owners of all searchers and know their snapshots.
+async fn settle(http: &Http, fleet: &Fleet) -> Result<(), Failure> {
+    let http = http.clone();
+    let addresses: Vec<SocketAddr> =
+        (0..fleet.len()).filter_map(|index| fleet.operators(index)).collect();
+    let searchers = fleet.environment.searchers.len() as u64;
+    let settled = Fleet::wait_for(Duration::from_secs(20), async || {
+        let mut full = 0;
+        for &address in &addresses {
+            let ask = Ask::get(address, "/v1/members".to_owned());
+            let members = json(&http, ask).await.unwrap_or_default();
+            full += members["searchers_full"].as_u64().unwrap_or(0);
+        }
+        full >= searchers
+    })
+    .await;
+    if !settled {
+        return Err(internal("the daemons did not agree on the owners of the searchers"));
+    }
+    // Status polls run twice a second, and their results are exchanged as often.
+    sleep(Duration::from_millis(1_500)).await;
+    Ok(())
+}
+
+fn load(settings: DemoSettings, fleet: &Fleet) -> LoadSettings {
+    let environment = &fleet.environment;
+    let once = settings.site.once_service();
+    let mut services: Vec<ServiceLoad> = environment
+        .services
+        .values()
+        .map(|service| ServiceLoad {
+            service: service.name.clone(),
+            class: environment.classes[service.class].name.clone(),
+            rate: service.contract.rate * OFFERED,
+            kind: LoadKind::Search,
+        })
+        .collect();
+    services.push(ServiceLoad {
+        service: once.to_owned(),
+        class: "at-most-once".to_owned(),
+        rate: 2.0,
+        kind: LoadKind::Once { shard: once.to_owned() },
+    });
+    LoadSettings {
+        environment: environment.name.clone(),
+        services,
+        length: Duration::from_secs(settings.seconds),
+        seed: settings.seed,
+        seeds: fleet.all_callers(),
+    }
+}
+
+/// A searcher that does not hold the shard of the requests that run at most once, so that
+/// its leaving shows in searches.
+fn leaving_searcher(environment: &Environment) -> String {
+    let first = environment.searchers.values().next();
+    first.map(|searcher| searcher.name.clone()).unwrap_or_default()
+}
+
+async fn watch_revisions(http: &Http, fleet: &Fleet, name: &str, revisions: &mut Revisions) {
+    for index in 0..8 {
+        let Some(address) = fleet.operators(index) else {
+            continue;
+        };
+        let path = format!("/v1/env/{name}");
+        let Ok(status) = json(http, Ask::get(address, path)).await else {
+            continue;
+        };
+        let stages = status["stages"].as_array().cloned().unwrap_or_default();
+        let revision = stages.iter().filter_map(|stage| stage["revision"].as_u64()).max();
+        let revision = revision.unwrap_or(0);
+        let before = revisions.seen.iter().filter(|(at, _)| *at == address).map(|(_, r)| *r).max();
+        if before.is_some_and(|before| revision < before) {
+            revisions.faults.push(format!("{address}: {before:?} then {revision}"));
+        }
+        revisions.seen.push((address, revision));
+    }
+}
+
+/// Changes that were not in force everywhere in time.
+fn slow_changes(changes: &[&Value]) -> Vec<String> {
+    changes
+        .iter()
+        .filter(|change| {
+            let others =
+                change["in_force"]["others"].as_array().is_none_or(|list| !list.is_empty());
+            let time = change["in_force_ms"].as_u64().map(Duration::from_millis);
+            others || time.is_none_or(|time| time > IN_FORCE_LIMIT)
+        })
+        .map(|change| change.to_string())
+        .collect()
+}
+
+fn in_force(change: &Value) -> String {
+    let report = &change["in_force"];
+    format!(
+        "revision {}, accepted after {} ms, in force on {} of {} daemons after {} ms",
+        change["revision"],
+        change["accepted_ms"],
+        report["adopted"],
+        report["members"],
+        change["in_force_ms"],
+    )
+}
+
+fn internal(detail: &str) -> Failure {
+    Failure::new(ResultCode::Internal, detail.to_owned())
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -56,7 +56,11 @@
         }
         None => {
             print!("{HELP}");
-            if arguments.help() { Ok(()) } else { Err(Failure::usage("expected a command".to_owned())) }
+            if arguments.help() {
+                Ok(())
+            } else {
+                Err(Failure::usage("expected a command".to_owned()))
+            }
         }
         Some("demo") => commands::demo(&mut arguments),
         Some("check") => commands::check(&mut arguments),
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -34,7 +34,8 @@
 
     /// A refusal by a daemon.
     pub(crate) fn refused(answer: Value) -> Failure {
-        let code = answer["code"].as_u64().and_then(|number| ResultCode::from_number(number as u16));
+        let code =
+            answer["code"].as_u64().and_then(|number| ResultCode::from_number(number as u16));
         let detail = answer["detail"].as_str().unwrap_or_default().to_owned();
         Failure { code: code.unwrap_or(ResultCode::Internal), detail, answer: Some(answer) }
     }
--- /dev/null
+++ b/crates/daemon/src/change.rs
@@ -0,0 +1,79 @@
+//! Operators' changes: the store calls of the change state machine.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use tt_control::CATALOG_KEY;
+use tt_control::Catalog;
+use tt_control::Change;
+use tt_control::ChangeRequest;
+use tt_control::ChangeSettings;
+use tt_control::Outcome;
+use tt_control::Stage;
+use tt_control::StoreRequest;
+use tt_control::catalog::Entry;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
+
+use crate::node::Node;
+
+/// Runs one change to its outcome.
+pub(crate) async fn run(node: &Arc<Node>, request: ChangeRequest) -> Outcome {
+    let settings = ChangeSettings { seed: node.me.id.incarnation.0, ..ChangeSettings::default() };
+    let (mut change, mut calls) = Change::start(request, &settings, Instant::now());
+    let (sender, mut replies) = mpsc::unbounded_channel();
+    loop {
+        for StoreRequest { id, call } in std::mem::take(&mut calls) {
+            let store = node.store.clone();
+            let sender = sender.clone();
+            node.runtime.spawn(async move {
+                let reply = store.call(call).await;
+                // The change may have been decided.
+                let _ = sender.send((id, reply));
+            });
+        }
+        if let Some(outcome) = change.outcome() {
+            return outcome.clone();
+        }
+        let wake = change.wake_at().unwrap_or_else(Instant::now);
+        tokio::select! {
+            reply = replies.recv() => {
+                // This loop holds a sender, so the channel is open.
+                let Some((id, reply)) = reply else { continue };
+                calls = change.on_reply(id, reply, Instant::now());
+            }
+            () = sleep_until(wake) => calls = change.tick(Instant::now()),
+        }
+    }
+}
+
+/// The catalog in the store, or `None` if the store does not answer.
+pub(crate) async fn stored_catalog(node: &Node) -> Option<Catalog> {
+    let call = StoreCall::Get { key: CATALOG_KEY.to_owned() };
+    match node.store.call(call).await {
+        StoreReply::Value { value, .. } => Catalog::decode(&value).ok(),
+        StoreReply::Missing => Some(Catalog::default()),
+        _ => None,
+    }
+}
+
+impl Node {
+    /// The entry of the adopted catalog.
+    pub(crate) fn catalog_entry(&self, environment: &str, stage: Stage) -> Option<Entry> {
+        self.plane().replica().adopted().entry(environment, stage).cloned()
+    }
+
+    /// The revision of the entry in the adopted catalog; 0 if there is none.
+    pub(crate) fn entry_revision(&self, environment: &str, stage: Stage) -> Revision {
+        self.catalog_entry(environment, stage).map_or(Revision(0), |entry| entry.revision())
+    }
+
+    /// Lets the control plane look whether something is due.
+    pub(crate) fn look_at_catalog(self: &Arc<Self>) {
+        self.control(|plane, now| plane.tick(now));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,111 @@
+//! Start and stop of a daemon.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use tt_membership::drain::Stage;
+use tt_membership::members::Intent;
+use tt_model::ResultCode;
+
+use crate::http;
+use crate::http::Listener;
+use crate::http::Side;
+use crate::metrics;
+use crate::node::Node;
+use crate::peers;
+use crate::settings::Settings;
+use crate::tasks;
+
+/// Time for calls of other daemons that are in flight when everything else has ended.
+const PEER_LIMIT: Duration = Duration::from_secs(2);
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    node: Arc<Node>,
+    callers: Listener,
+    operators: Listener,
+    peers: peers::Server,
+    tasks: JoinSet<()>,
+}
+
+/// A listening address that cannot be used.
+#[derive(Debug, Display, Error)]
+#[display("{address}: {error} (result code {})", ResultCode::AddressInUse)]
+pub struct StartError {
+    address: SocketAddr,
+    #[error(source)]
+    error: io::Error,
+}
+
+impl Daemon {
+    /// Binds the addresses of `settings` and starts.
+    pub async fn start(settings: Settings) -> Result<Daemon, StartError> {
+        metrics::install();
+        let listen = settings.listen;
+        let failed = |address| move |error| StartError { address, error };
+        let listener = TcpListener::bind(listen.peers).await.map_err(failed(listen.peers))?;
+        let address = listener.local_addr().map_err(failed(listen.peers))?;
+        let node = Node::new(settings, address);
+        let peers = peers::start(node.clone(), listener).map_err(failed(listen.peers))?;
+        let callers = http::start(node.clone(), Side::Callers, listen.callers)
+            .map_err(failed(listen.callers))?;
+        let operators = http::start(node.clone(), Side::Operators, listen.operators)
+            .map_err(failed(listen.operators))?;
+        node.set_public_address(callers.address);
+        let tasks = tasks::start(&node);
+        log::info!(
+            "daemon: Started. Callers at {}, operators at {}, daemons at {}.",
+            callers.address,
+            operators.address,
+            peers.address
+        );
+        Ok(Daemon { node, callers, operators, peers, tasks })
+    }
+
+    /// The address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address
+    }
+
+    /// The address for operators.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address
+    }
+
+    /// The address for other daemons.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers.address
+    }
+
+    /// Waits until an operator has asked for a stop.
+    pub async fn drain_requested(&self) {
+        while self.node.drain().stage() == Stage::Running {
+            self.node.stopping.notified().await;
+        }
+    }
+
+    /// Stops gracefully: callers are no longer sent here, owned searchers are handed over,
+    /// requests in flight finish.
+    pub async fn stop(self) {
+        self.node.start_drain();
+        while self.node.drain().stage() != Stage::Stopped {
+            self.node.stopping.notified().await;
+        }
+        self.callers.stop().await;
+        self.operators.stop().await;
+        self.node.announce(Intent::Stopped);
+        self.node.tick_members();
+        self.peers.stop(PEER_LIMIT).await;
+        let mut tasks = self.tasks;
+        tasks.shutdown().await;
+        log::info!("daemon: Stopped.");
+    }
+}
--- a/crates/daemon/src/env.rs
+++ b/crates/daemon/src/env.rs
@@ -13,6 +13,7 @@
 use tt_limits::Admission;
 use tt_limits::AdmissionSettings;
 use tt_limits::MemberView;
+use tt_limits::UsageReport;
 use tt_model::Environment;
 use tt_model::Revision;
 use tt_model::SearcherId;
@@ -44,14 +45,12 @@
         let now = Instant::now();
         let routers = (0..ROUTERS)
             .map(|_| {
-                let router =
-                    Router::new(environment.clone(), Settings::default(), random(), now);
+                let router = Router::new(environment.clone(), Settings::default(), random(), now);
                 Mutex::new(router)
             })
             .collect();
         let members = MemberView::Uncertain(1);
-        let admission =
-            Admission::new(now, AdmissionSettings::default(), &environment, members);
+        let admission = Admission::new(now, AdmissionSettings::default(), &environment, members);
         let admission = Arc::new(Mutex::new(admission));
         Env { stage, revision, environment, routers, admission }
     }
@@ -79,6 +78,11 @@
         lock(&self.admission)
     }
 
+    /// Usage of the contracts here since the last report.
+    pub(crate) fn usage(&self, now: Instant) -> UsageReport {
+        self.admission().usage_report(now)
+    }
+
     /// Takes in what a searcher's owner knows of it.
     pub(crate) fn note(&self, searcher: SearcherId, hint: Hint, held: &[Snapshot]) {
         let now = Instant::now();
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -10,8 +10,8 @@
 
 use tokio::task::JoinHandle;
 use xitca_web::App;
-use xitca_web::BodyStream;
 use xitca_web::WebContext;
+use xitca_web::body::BodyExt;
 use xitca_web::body::RequestBody;
 use xitca_web::error::Error;
 use xitca_web::http::HeaderValue;
@@ -97,6 +97,13 @@
     }
 }
 
+/// The value of a parameter in the query part of a URI.
+pub(crate) fn parameter(query: &str, name: &str) -> Option<String> {
+    form_urlencoded::parse(query.as_bytes())
+        .find(|(key, _)| key == name)
+        .map(|(_, value)| value.into_owned())
+}
+
 async fn handle(mut context: WebContext<'_, State>) -> Result<WebResponse, Error> {
     let State { node, side } = context.state().clone();
     let uri = context.req().uri();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,28 @@
-//! The daemon: sockets, timers and threads around the decision crates.
+//! The daemon on each entry VM: sockets, timers and threads around the decision crates.
+//!
+//! [`Daemon::start`] binds the three interfaces (callers, operators, other daemons) and starts
+//! the periodic tasks. A query comes in over [`http`], is run by [`query`], which sends
+//! sub-queries to the daemons that own the searchers ([`peers`]), where [`owner`] runs them.
+//! [`node`] holds the state that all of them share.
+
+mod change;
+mod claims;
+mod clock;
+mod codec;
+mod daemon;
+mod env;
+mod http;
+mod metrics;
+mod node;
+mod owner;
+mod peers;
+mod query;
+mod settings;
+mod tasks;
+
+pub use daemon::Daemon;
+pub use daemon::StartError;
+pub use settings::Callers;
+pub use settings::Listen;
+pub use settings::Settings;
+pub use settings::SettingsError;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,133 @@
-//! Entry point.
+//! The `trefoiltiller` daemon.
 
-fn main() {}
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use tt_daemon::Daemon;
+use tt_daemon::Settings;
+
+const HELP: &str = "\
+trefoiltiller: the daemon of the query tier
+
+Usage: trefoiltiller --settings FILE [--check]
+
+Options:
+  --settings FILE  the settings, JSON with comments
+  --check          check the settings and exit
+  -h, --help       print this text
+  --version        print the version
+
+SIGTERM and SIGINT stop it gracefully: it is no longer named to callers, hands over what it
+owns and finishes what is in flight.
+
+Exit codes: 0 done, 1 cannot run, 2 wrong command line or settings.
+";
+
+/// What the command line asks for.
+#[derive(Debug)]
+enum Command {
+    Help,
+    Version,
+    Check(PathBuf),
+    Run(PathBuf),
+}
+
+fn main() -> ExitCode {
+    let command = match parse(pico_args::Arguments::from_env()) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("trefoiltiller: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    match command {
+        Command::Help => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Command::Version => {
+            println!("trefoiltiller {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Command::Check(path) => match Settings::load(&path) {
+            Ok(_) => {
+                println!("{}: valid", path.display());
+                ExitCode::SUCCESS
+            }
+            Err(error) => report(&error),
+        },
+        Command::Run(path) => match Settings::load(&path) {
+            Ok(settings) => run(settings),
+            Err(error) => report(&error),
+        },
+    }
+}
+
+fn parse(mut arguments: pico_args::Arguments) -> Result<Command, pico_args::Error> {
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(Command::Help);
+    }
+    if arguments.contains("--version") {
+        return Ok(Command::Version);
+    }
+    let check = arguments.contains("--check");
+    let path: PathBuf = arguments.value_from_str("--settings")?;
+    let rest = arguments.finish();
+    if let Some(word) = rest.first() {
+        return Err(pico_args::Error::ArgumentParsingFailed {
+            cause: format!("did not expect `{}`", word.to_string_lossy()),
+        });
+    }
+    Ok(if check { Command::Check(path) } else { Command::Run(path) })
+}
+
+fn report(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("trefoiltiller: {error}");
+    ExitCode::from(2)
+}
+
+fn run(settings: Settings) -> ExitCode {
+    let environment = env_logger::Env::default().default_filter_or(settings.log.clone());
+    env_logger::Builder::from_env(environment)
+        .format(|out, record| {
+            let time = out.timestamp_millis();
+            writeln!(out, "{time} {} {}", record.level(), record.args())
+        })
+        .init();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return report(&error),
+    };
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> ExitCode {
+    let daemon = match Daemon::start(settings).await {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            log::error!("daemon: {error}.");
+            return ExitCode::FAILURE;
+        }
+    };
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        log::error!("daemon: Signals cannot be received.");
+        return ExitCode::FAILURE;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = daemon.drain_requested() => {}
+    }
+    daemon.stop().await;
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,198 @@
+//! The state of one daemon, and what its interfaces and tasks do with it.
+
+mod config;
+mod entries;
+mod exchange;
+mod membership;
+mod ownership;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::runtime::Handle;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use tt_control::ControlPlane;
+use tt_control::ControlSettings;
+use tt_control::Stage;
+use tt_control::catalog::EntryKey;
+use tt_membership::Assignments;
+use tt_membership::Drain;
+use tt_membership::Member;
+use tt_membership::MemberId;
+use tt_membership::Members;
+use tt_membership::Rights;
+use tt_membership::drain::DrainSettings;
+use tt_membership::drain::Stage as DrainStage;
+use tt_membership::rights::RightsSettings;
+use tt_model::Incarnation;
+use tt_model::ResultCode;
+use tt_platform::Store;
+use tt_platform::StoreSettings;
+use tt_platform::VmList;
+
+use crate::claims::Claims;
+use crate::clock;
+use crate::env::Env;
+use crate::owner::Hosts;
+use crate::peers::Origin;
+use crate::peers::Peers;
+use crate::peers::Running;
+use crate::settings::Settings;
+
+pub(crate) use exchange::Beat;
+pub(crate) use exchange::ClaimMessage;
+pub(crate) use exchange::ConfigAnswer;
+pub(crate) use exchange::ConfigMessage;
+
+/// The state of one daemon. Each part is under its own lock; no two of them are held at the
+/// same time, except that the rights are held while hosts are.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) me: Member,
+    pub(crate) runtime: Handle,
+    pub(crate) store: Store,
+    pub(crate) vms: VmList,
+    pub(crate) peers: Peers,
+    pub(crate) hosts: Hosts,
+    pub(crate) running: Arc<Running>,
+    pub(crate) claims: Claims,
+    /// Woken when the state of the stop sequence changes.
+    pub(crate) stopping: Notify,
+    /// Addresses that callers use, by the address for daemons.
+    public: Mutex<BTreeMap<SocketAddr, SocketAddr>>,
+    plane: Mutex<ControlPlane>,
+    members: Mutex<Members>,
+    assignments: Mutex<Assignments>,
+    rights: Mutex<Rights>,
+    drain: Mutex<Drain>,
+    envs: RwLock<BTreeMap<EntryKey, Arc<Env>>>,
+    queries: AtomicU64,
+}
+
+/// Where sub-queries for a searcher are sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Route {
+    /// This daemon holds slots of the searcher.
+    Local,
+    /// This daemon does.
+    Peer(SocketAddr),
+    /// No daemon does.
+    Nobody,
+}
+
+/// How long ago the configuration was confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ConfigAge {
+    pub(crate) age: Duration,
+    pub(crate) stale: bool,
+}
+
+impl Node {
+    /// The state of a process that has just started.
+    pub(crate) fn new(settings: Settings, peers: SocketAddr) -> Arc<Node> {
+        let now = Instant::now();
+        let random: u32 = rand::rng().random();
+        let incarnation = Incarnation(clock::unix_ms() << 20 | u64::from(random >> 12));
+        let me = Member {
+            id: MemberId { address: peers, incarnation },
+            domain: settings.domain.clone(),
+            weight: settings.weight,
+        };
+        let control = ControlSettings {
+            address: peers,
+            domain: settings.domain.clone(),
+            seed: incarnation.0,
+            ..ControlSettings::default()
+        };
+        let drain = DrainSettings { keep: settings.callers.keep(), ..DrainSettings::default() };
+        Arc::new(Node {
+            runtime: Handle::current(),
+            store: Store::new(settings.platform, StoreSettings::default()),
+            vms: VmList::new(settings.platform),
+            peers: Peers::default(),
+            hosts: Hosts::default(),
+            running: Arc::default(),
+            claims: Claims::default(),
+            stopping: Notify::new(),
+            public: Mutex::default(),
+            plane: Mutex::new(ControlPlane::new(control, now)),
+            members: Mutex::new(Members::new(me.clone(), settings.peers.clone())),
+            assignments: Mutex::new(Assignments::new(me.id)),
+            rights: Mutex::new(Rights::new(me.id, RightsSettings::default(), now)),
+            drain: Mutex::new(Drain::new(drain)),
+            envs: RwLock::default(),
+            queries: AtomicU64::new(1),
+            me,
+            settings,
+        })
+    }
+
+    /// A number for a query, unique in this process.
+    pub(crate) fn next_query(&self) -> u64 {
+        self.queries.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// How other daemons know a query of this process.
+    pub(crate) fn origin(&self, query: u64) -> Origin {
+        Origin { incarnation: self.me.id.incarnation.0, query }
+    }
+
+    /// Whether callers may send queries; otherwise why not.
+    pub(crate) fn accepts_queries(&self) -> Result<(), (ResultCode, String)> {
+        let stage = lock(&self.drain).stage();
+        if stage >= DrainStage::Releasing {
+            return Err((ResultCode::Draining, String::new()));
+        }
+        match lock(&self.plane).not_ready() {
+            Some(reason) => Err((ResultCode::NotReady, reason.to_string())),
+            None => Ok(()),
+        }
+    }
+
+    /// The document in force for an environment and a stage.
+    pub(crate) fn env(&self, environment: &str, stage: Stage) -> Option<Arc<Env>> {
+        let key = EntryKey { environment: environment.to_owned(), stage };
+        let envs = self.envs.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+        envs.get(&key).cloned()
+    }
+
+    /// All documents in force.
+    pub(crate) fn envs(&self) -> Vec<Arc<Env>> {
+        let envs = self.envs.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+        envs.values().cloned().collect()
+    }
+
+    /// Queries and sub-queries in flight.
+    pub(crate) fn in_flight(&self) -> usize {
+        let queries: usize = self.envs().iter().map(|env| env.in_flight()).sum();
+        let subs: usize = self.hosts.all().iter().map(|host| host.running() as usize).sum();
+        queries + subs + self.claims.in_flight()
+    }
+
+    pub(crate) fn plane(&self) -> MutexGuard<'_, ControlPlane> {
+        lock(&self.plane)
+    }
+
+    pub(crate) fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.members)
+    }
+
+    pub(crate) fn drain(&self) -> MutexGuard<'_, Drain> {
+        lock(&self.drain)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/daemon/src/node/config.rs
@@ -0,0 +1,185 @@
+//! The configuration of this daemon: what the control plane decides is carried out here.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use tt_control::Action;
+use tt_control::ControlPlane;
+use tt_control::PullFailed;
+use tt_control::PullRequest;
+use tt_control::Update;
+use tt_control::Versions;
+use tt_control::catalog::EntryKey;
+use tt_membership::Assignment;
+use tt_membership::DomainKey;
+use tt_membership::SearcherKey;
+use tt_membership::ownership::SearcherSpec;
+use tt_model::Environment;
+use tt_model::Revision;
+use tt_model::Searcher;
+use tt_rpc::Kind;
+
+use crate::env::Env;
+use crate::node::ConfigAge;
+use crate::node::ConfigAnswer;
+use crate::node::ConfigMessage;
+use crate::node::Node;
+use crate::node::lock;
+
+/// Time for a push; a peer that misses it pulls.
+const PUSH_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time for a pull, a little less than the control plane waits for it.
+const PULL_LIMIT: Duration = Duration::from_millis(1_900);
+
+impl Node {
+    /// Gives an event to the control plane and carries out what it decides.
+    pub(crate) fn control<F>(self: &Arc<Self>, event: F)
+    where
+        F: FnOnce(&mut ControlPlane, Instant) -> Vec<Action>,
+    {
+        let actions = event(&mut self.plane(), Instant::now());
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    /// How long ago the configuration was confirmed.
+    pub(crate) fn config_age(&self) -> ConfigAge {
+        let now = Instant::now();
+        let plane = self.plane();
+        ConfigAge { age: plane.config_age(now), stale: plane.is_stale(now) }
+    }
+
+    /// What this daemon has adopted.
+    pub(crate) fn versions(&self) -> Versions {
+        self.plane().versions()
+    }
+
+    /// Answers a peer's configuration message.
+    pub(crate) fn on_config(self: &Arc<Self>, message: ConfigMessage) -> ConfigAnswer {
+        match message {
+            ConfigMessage::Pull(request) => ConfigAnswer::Update(self.plane().serve_pull(&request)),
+            ConfigMessage::Push { from, update } => {
+                self.control(|plane, now| plane.on_push(from, &update, now));
+                ConfigAnswer::Taken
+            }
+        }
+    }
+
+    /// Asks a peer what it has adopted, or for what is missing.
+    pub(crate) async fn pull(&self, to: SocketAddr, request: PullRequest) -> Option<Update> {
+        let message = ConfigMessage::Pull(request);
+        match self.peers.exchange(to, Kind::Config, &message, PULL_LIMIT).await {
+            Ok(ConfigAnswer::Update(update)) => Some(update),
+            Ok(ConfigAnswer::Taken) | Err(_) => None,
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, action: Action) {
+        let node = self.clone();
+        match action {
+            Action::Store(request) => {
+                tokio::spawn(async move {
+                    let reply = node.store.call(request.call).await;
+                    node.control(|plane, now| plane.on_store_reply(request.id, reply, now));
+                });
+            }
+            Action::Pull { id, to, request } => {
+                tokio::spawn(async move {
+                    let update = node.pull(to, request).await;
+                    let answer = update.as_ref().ok_or(PullFailed);
+                    node.control(|plane, now| plane.on_pulled(id, answer, now));
+                });
+            }
+            Action::Push { to, update } => {
+                tokio::spawn(async move {
+                    let from = node.me.id.address;
+                    let message = ConfigMessage::Push { from, update };
+                    // A peer that misses a push pulls after the next heartbeat.
+                    let _: Result<ConfigAnswer, _> =
+                        node.peers.exchange(to, Kind::Config, &message, PUSH_LIMIT).await;
+                });
+            }
+            Action::Adopted { revision } => self.adopt_documents(revision),
+            Action::Assignment { value, .. } => match serde_json::from_slice(&value) {
+                Ok(assignment) => self.adopt_assignment(assignment),
+                Err(error) => log::error!("member: The assignment cannot be read: {error}."),
+            },
+        }
+    }
+
+    /// Puts the documents of the adopted catalog into force.
+    fn adopt_documents(self: &Arc<Self>, revision: Revision) {
+        let documents: Vec<(EntryKey, Revision, Arc<Environment>)> = {
+            let plane = self.plane();
+            let replica = plane.replica();
+            replica
+                .documents()
+                .iter()
+                .map(|(key, document)| {
+                    let entry = replica.adopted().entry(&key.environment, key.stage);
+                    let revision = entry.map_or(Revision(0), |entry| entry.revision());
+                    (key.clone(), revision, document.clone())
+                })
+                .collect()
+        };
+        let mut envs = self.envs.write().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut next = BTreeMap::new();
+        for (key, revision, document) in documents {
+            let env = match envs.get(&key) {
+                Some(env) if env.revision >= revision => env.clone(),
+                Some(env) => Arc::new(env.successor(revision, document)),
+                None => Arc::new(Env::new(key.stage, revision, document)),
+            };
+            next.insert(key, env);
+        }
+        *envs = next;
+        drop(envs);
+        log::info!("config: Revision {revision} is in force.");
+        self.update_members_of_contracts();
+        self.update_searchers();
+    }
+
+    /// Takes the searchers of all documents in force. A searcher that is in several has the
+    /// limits of the production document.
+    fn update_searchers(self: &Arc<Self>) {
+        let envs = self.envs();
+        let mut searchers: HashMap<SocketAddr, (&Searcher, &Environment)> = HashMap::new();
+        // Trial comes before production in the order of stages, so production wins.
+        let mut ordered: Vec<&Arc<Env>> = envs.iter().collect();
+        ordered.sort_by_key(|env| env.stage);
+        for env in ordered {
+            for searcher in env.environment.searchers.values() {
+                searchers.insert(searcher.address, (searcher, &env.environment));
+            }
+        }
+        let specs: Vec<SearcherSpec> = searchers
+            .values()
+            .map(|(searcher, environment)| SearcherSpec {
+                key: SearcherKey::of(searcher.address),
+                domain: DomainKey::of(&environment.domains[searcher.domain].name),
+                slots: searcher.slots,
+                connections: searcher.connections,
+            })
+            .collect();
+        self.hosts.update(searchers.values().map(|(searcher, _)| *searcher));
+        self.change_rights(|rights, now| rights.set_searchers(&specs, now));
+    }
+
+    /// Puts a newer assignment into force.
+    pub(crate) fn adopt_assignment(self: &Arc<Self>, assignment: Assignment) {
+        if !lock(&self.assignments).adopt(assignment.clone()) {
+            return;
+        }
+        let now = Instant::now();
+        self.members().on_assignment(&assignment, now);
+        self.change_rights(|rights, now| rights.set_assignment(&assignment, now));
+        self.claims.assign(self);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/exchange.rs
@@ -0,0 +1,198 @@
+//! Control messages from other daemons.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+use tonic::Status;
+
+use bytes::Bytes;
+
+use tt_claims::ClaimRequest;
+use tt_claims::PartitionId;
+use tt_control::PullRequest;
+use tt_control::Stage;
+use tt_control::Update;
+use tt_control::Versions;
+use tt_membership::members::Heartbeat;
+use tt_membership::rights::Release;
+use tt_membership::rights::Renew;
+use tt_rpc::Envelope;
+use tt_rpc::GatherRequest;
+use tt_rpc::Kind;
+use tt_rpc::Outcome;
+use tt_rpc::SubReply;
+
+use crate::codec;
+use crate::node::Node;
+use crate::owner::Call;
+use crate::owner::Handle;
+use crate::owner::Work;
+
+/// Sub-queries of one `Gather` run no longer than this, whatever the message says.
+const MAX_BUDGET: Duration = Duration::from_secs(60);
+
+/// A heartbeat with what travels along.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Beat {
+    pub(crate) heartbeat: Heartbeat,
+    /// Where the sender serves callers.
+    pub(crate) callers: SocketAddr,
+    pub(crate) versions: Versions,
+    /// Searchers that the sender has seen leaving.
+    pub(crate) leaving: Vec<SocketAddr>,
+    /// Usage of contracts at the sender.
+    pub(crate) usage: Vec<Used>,
+}
+
+/// Usage of one service at one entry.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Used {
+    pub(crate) environment: String,
+    pub(crate) stage: Stage,
+    pub(crate) service: String,
+    pub(crate) rate: f64,
+    pub(crate) in_flight: u32,
+}
+
+/// A configuration message.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum ConfigMessage {
+    Pull(PullRequest),
+    Push { from: SocketAddr, update: Update },
+}
+
+/// The answer to a [`ConfigMessage`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum ConfigAnswer {
+    Update(Update),
+    Taken,
+}
+
+/// A claim for a partition.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct ClaimMessage {
+    pub(crate) partition: PartitionId,
+    pub(crate) request: ClaimRequest,
+}
+
+/// Asks for the whole member table, or for what the owner knows of its searchers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum MemberMessage {
+    Beat(Box<Beat>),
+    Table,
+    Searchers { since: u64 },
+}
+
+/// What an owner knows of a searcher.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct SearcherNote {
+    pub(crate) address: SocketAddr,
+    pub(crate) leaving: bool,
+    pub(crate) cold: bool,
+    pub(crate) held: Vec<u64>,
+}
+
+impl Node {
+    /// Answers a control message.
+    pub(crate) async fn exchange(self: &Arc<Self>, envelope: Envelope) -> Result<Envelope, Status> {
+        let kind = envelope.kind();
+        let payload = &envelope.payload;
+        let answer = match kind {
+            Kind::Heartbeat => match read(payload)? {
+                MemberMessage::Beat(beat) => codec::encode(&self.on_beat(*beat)),
+                MemberMessage::Table => codec::encode(&self.members().snapshot()),
+                MemberMessage::Searchers { since } => codec::encode(&self.searcher_notes(since)),
+            },
+            Kind::Renew => {
+                let renew: Renew = read(payload)?;
+                codec::encode(&self.on_renew(&renew))
+            }
+            Kind::Release => {
+                let release: Release = read(payload)?;
+                codec::encode(&self.on_release(&release))
+            }
+            Kind::Config => codec::encode(&self.on_config(read(payload)?)),
+            Kind::Claim => {
+                let message: ClaimMessage = read(payload)?;
+                let reply = self.claims.answer(self, message.partition, message.request).await;
+                codec::encode(&reply)
+            }
+            Kind::Unspecified | Kind::Refused => {
+                return Err(Status::unimplemented("the kind of the message is not known"));
+            }
+        };
+        Ok(Envelope { kind: kind.into(), payload: answer })
+    }
+
+    /// Queues the sub-queries of a `Gather` at their searchers. Each gets exactly one reply.
+    pub(crate) fn run_subs(
+        &self,
+        request: GatherRequest,
+        replies: &UnboundedSender<SubReply>,
+    ) -> Vec<Handle> {
+        let mode = request.mode();
+        let stage = match request.stage() {
+            tt_rpc::Stage::Production => Stage::Production,
+            tt_rpc::Stage::Trial => Stage::Trial,
+        };
+        let Some(env) = self.env(&request.environment, stage) else {
+            refuse(request.subs.iter().map(|sub| sub.key), replies);
+            return Vec::new();
+        };
+        let environment = &env.environment;
+        let Some(service) = environment.service(&request.service) else {
+            refuse(request.subs.iter().map(|sub| sub.key), replies);
+            return Vec::new();
+        };
+        let contract = environment.services[service].contract;
+        let class = &environment.classes[environment.services[service].class];
+        let budget = Duration::from_micros(request.budget_us).min(MAX_BUDGET);
+        let call = Arc::new(Call {
+            service,
+            share: contract.share,
+            urgency: class.urgency,
+            snapshot: request.snapshot,
+            deadline: Instant::now() + budget,
+            mode,
+            request: request.request_id,
+            query: Bytes::from(request.query_text),
+        });
+        let mut handles = Vec::with_capacity(request.subs.len());
+        for sub in request.subs {
+            let host = sub.searcher.parse().ok().and_then(|address| self.hosts.get(address));
+            let Some(host) = host else {
+                refuse(std::iter::once(sub.key), replies);
+                continue;
+            };
+            let work =
+                Work { key: sub.key, shard: sub.shard, call: call.clone(), reply: replies.clone() };
+            if let Some(ticket) = host.push(work) {
+                handles.push(Handle { host, ticket, key: sub.key });
+            }
+        }
+        handles
+    }
+}
+
+fn refuse<I>(keys: I, replies: &UnboundedSender<SubReply>)
+where
+    I: Iterator<Item = u64>,
+{
+    for key in keys {
+        let reply = SubReply { key, outcome: Outcome::NotOwner.into(), ..SubReply::default() };
+        // The entry may have gone away.
+        let _ = replies.send(reply);
+    }
+}
+
+fn read<T>(payload: &[u8]) -> Result<T, Status>
+where
+    T: serde::de::DeserializeOwned,
+{
+    codec::decode(payload).map_err(|error| Status::invalid_argument(error.to_string()))
+}
--- /dev/null
+++ b/crates/daemon/src/node/membership.rs
@@ -0,0 +1,387 @@
+//! Membership: heartbeats, the platform's list, and proposals of assignments.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::time::Instant;
+
+use tt_control::Member as ControlMember;
+use tt_limits::MemberView;
+use tt_limits::ServiceUsage;
+use tt_limits::UsageReport;
+use tt_membership::assignment::Step;
+use tt_membership::members::Action;
+use tt_membership::members::Event;
+use tt_membership::members::Intent;
+use tt_membership::members::ListedState;
+use tt_membership::members::ListedVm;
+use tt_membership::members::Note;
+use tt_membership::members::State;
+use tt_membership::rights::RightsSettings;
+use tt_model::SearcherId;
+use tt_model::Snapshot;
+use tt_model::VmId;
+use tt_platform::VmState;
+use tt_routing::Hint;
+use tt_rpc::Kind;
+
+use crate::node::Beat;
+use crate::node::Node;
+use crate::node::exchange::MemberMessage;
+use crate::node::exchange::SearcherNote;
+use crate::node::exchange::Used;
+use crate::node::lock;
+
+/// Time for the answer to a heartbeat; less than the time between two.
+const BEAT_LIMIT: Duration = Duration::from_millis(900);
+
+impl Node {
+    /// Sends heartbeats that are due and takes in what has changed.
+    pub(crate) fn tick_members(self: &Arc<Self>) {
+        let now = Instant::now();
+        let settled = self.settled();
+        let versions = self.versions();
+        let actions = {
+            let mut members = self.members();
+            members.set_report(versions.epoch, versions.catalog, settled);
+            members.tick(&mut rand::rng(), now)
+        };
+        for action in actions {
+            let node = self.clone();
+            match action {
+                Action::Send(to, heartbeat) => {
+                    let beat = self.beat(heartbeat);
+                    tokio::spawn(async move { node.send_beat(to, beat).await });
+                }
+                Action::Pull(to) => {
+                    tokio::spawn(async move { node.pull_table(to).await });
+                }
+            }
+        }
+        self.take_events(now);
+        self.propose(now);
+        self.update_control_members();
+    }
+
+    /// Answers a heartbeat.
+    pub(crate) fn on_beat(self: &Arc<Self>, beat: Beat) -> Beat {
+        let now = Instant::now();
+        let from = beat.heartbeat.from.member.id.address;
+        self.take_extras(from, &beat, now);
+        let heartbeat = self.members().on_heartbeat(beat.heartbeat, &mut rand::rng(), now);
+        self.control(|plane, now| plane.on_heartbeat(from, beat.versions, now));
+        self.beat(heartbeat)
+    }
+
+    /// A call to a member succeeded.
+    pub(crate) fn heard(&self, peer: SocketAddr) {
+        self.members().on_heard(peer, Instant::now());
+    }
+
+    /// A call to a member failed.
+    pub(crate) fn unheard(&self, peer: SocketAddr) {
+        self.members().on_failed(peer, Instant::now());
+    }
+
+    /// Reads the platform's list, if this daemon is one of those that do.
+    pub(crate) async fn read_vm_list(&self) {
+        let alone = self.members().len() == 1;
+        if !alone && !self.plane().is_watcher() {
+            return;
+        }
+        let Some(list) = self.vms.fetch().await else {
+            return;
+        };
+        let list: Vec<ListedVm> = list
+            .iter()
+            .map(|vm| ListedVm {
+                address: vm.address,
+                state: match vm.state {
+                    VmState::Live => ListedState::Live,
+                    VmState::Leaving => ListedState::Leaving,
+                },
+            })
+            .collect();
+        self.members().on_platform_list(&list, Instant::now());
+    }
+
+    /// Says in heartbeats that this daemon is stopping, or has stopped.
+    pub(crate) fn announce(&self, intent: Intent) {
+        let mut members = self.members();
+        if intent == Intent::Stopped {
+            let versions = (members.me().id, tt_model::Epoch(u64::MAX));
+            let catalog = members.get(versions.0.address).map(|view| view.catalog);
+            let epoch = members.get(versions.0.address).map(|view| view.epoch);
+            members.set_report(epoch.unwrap_or_default(), catalog.unwrap_or_default(), versions.1);
+        }
+        members.set_intent(intent);
+    }
+
+    /// What this daemon knows of the searchers that it holds.
+    pub(crate) fn searcher_notes(&self, _since: u64) -> Vec<SearcherNote> {
+        let hosts = self.hosts.all();
+        hosts
+            .iter()
+            .filter_map(|host| {
+                let status = host.status();
+                (status.version > 0).then_some(SearcherNote {
+                    address: host.address,
+                    leaving: status.leaving,
+                    cold: status.cold,
+                    held: status.held,
+                })
+            })
+            .collect()
+    }
+
+    /// Gives what this daemon and its peers know of searchers to the routers.
+    pub(crate) async fn refresh_searchers(self: &Arc<Self>) {
+        self.take_searcher_notes(&self.searcher_notes(0));
+        let peers: Vec<SocketAddr> = self.live_peers().collect();
+        for peer in peers {
+            let node = self.clone();
+            tokio::spawn(async move {
+                let ask = MemberMessage::Searchers { since: 0 };
+                let notes: Result<Vec<SearcherNote>, _> =
+                    node.peers.exchange(peer, Kind::Heartbeat, &ask, BEAT_LIMIT).await;
+                if let Ok(notes) = notes {
+                    node.take_searcher_notes(&notes);
+                }
+            });
+        }
+    }
+
+    /// Tells the contracts how many entries there are.
+    pub(crate) fn update_members_of_contracts(&self) {
+        let view = self.member_view();
+        let now = Instant::now();
+        for env in self.envs() {
+            env.admission().set_members(now, view.clone());
+        }
+    }
+
+    fn live_peers(&self) -> impl Iterator<Item = SocketAddr> + use<> {
+        let me = self.me.id.address;
+        let peers: Vec<SocketAddr> = self
+            .members()
+            .iter()
+            .filter(|view| matches!(view.state, State::Live | State::Leaving))
+            .map(|view| view.member.id.address)
+            .filter(|address| *address != me)
+            .collect();
+        peers.into_iter()
+    }
+
+    fn member_view(&self) -> MemberView {
+        let members = self.members();
+        let known = members.iter().filter(|view| view.state != State::Gone).count();
+        if members.is_partitioned() {
+            return MemberView::Uncertain(known as u32);
+        }
+        let me = members.me().id.address;
+        let others = members
+            .iter()
+            .filter(|view| view.state != State::Gone && view.member.id.address != me)
+            .map(|view| vm_id(view.member.id.address))
+            .collect();
+        MemberView::Certain(others)
+    }
+
+    fn beat(&self, heartbeat: tt_membership::members::Heartbeat) -> Beat {
+        let hosts = self.hosts.all();
+        let leaving =
+            hosts.iter().filter(|host| host.status().leaving).map(|host| host.address).collect();
+        Beat {
+            heartbeat,
+            callers: self.public_address(),
+            versions: self.versions(),
+            leaving,
+            usage: self.usage_reports(),
+        }
+    }
+
+    fn usage_reports(&self) -> Vec<Used> {
+        let now = Instant::now();
+        let mut reports = Vec::new();
+        for env in self.envs() {
+            let report = env.usage(now);
+            for used in report.services {
+                reports.push(Used {
+                    environment: env.environment.name.clone(),
+                    stage: env.stage,
+                    service: env.environment.services[used.service].name.clone(),
+                    rate: used.rate,
+                    in_flight: used.in_flight,
+                });
+            }
+        }
+        reports
+    }
+
+    async fn send_beat(self: Arc<Self>, to: SocketAddr, beat: Beat) {
+        let message = MemberMessage::Beat(Box::new(beat));
+        let answer: Result<Beat, _> =
+            self.peers.exchange(to, Kind::Heartbeat, &message, BEAT_LIMIT).await;
+        let now = Instant::now();
+        let Ok(answer) = answer else {
+            self.unheard(to);
+            return;
+        };
+        let from = answer.heartbeat.from.member.id.address;
+        self.take_extras(from, &answer, now);
+        let next = self.members().on_answer(answer.heartbeat, now);
+        self.control(|plane, now| plane.on_heartbeat(from, answer.versions, now));
+        if let Some(Action::Pull(to)) = next {
+            self.pull_table(to).await;
+        }
+    }
+
+    async fn pull_table(&self, to: SocketAddr) {
+        let notes: Result<Vec<Note>, _> =
+            self.peers.exchange(to, Kind::Heartbeat, &MemberMessage::Table, BEAT_LIMIT).await;
+        if let Ok(notes) = notes {
+            self.members().on_snapshot(notes, Instant::now());
+        }
+    }
+
+    /// Takes in what travels with a heartbeat.
+    fn take_extras(&self, from: SocketAddr, beat: &Beat, now: Instant) {
+        lock(&self.public).insert(from, beat.callers);
+        for address in &beat.leaving {
+            for env in self.envs() {
+                for (id, _) in searchers_at(&env, *address) {
+                    env.note(id, Hint::Leaving, &[]);
+                }
+            }
+        }
+        for env in self.envs() {
+            let environment = &env.environment;
+            let services = beat
+                .usage
+                .iter()
+                .filter(|used| used.environment == environment.name && used.stage == env.stage)
+                .filter_map(|used| {
+                    let service = environment.service(&used.service)?;
+                    Some(ServiceUsage { service, rate: used.rate, in_flight: used.in_flight })
+                })
+                .collect();
+            let report = UsageReport { services };
+            env.admission().report_received(vm_id(from), now, report);
+        }
+    }
+
+    fn take_searcher_notes(&self, notes: &[SearcherNote]) {
+        let envs = self.envs();
+        for note in notes {
+            let hint = match (note.leaving, note.cold) {
+                (true, _) => Hint::Leaving,
+                (false, true) => Hint::Cold,
+                (false, false) => Hint::Ready,
+            };
+            let held: Vec<Snapshot> = note.held.iter().copied().map(Snapshot).collect();
+            for env in &envs {
+                for (id, _) in searchers_at(env, note.address) {
+                    env.note(id, hint, &held);
+                }
+            }
+        }
+    }
+
+    fn take_events(self: &Arc<Self>, now: Instant) {
+        let events = self.members().take_events();
+        if events.is_empty() {
+            return;
+        }
+        for event in &events {
+            match *event {
+                Event::Joined(id) => log::info!("member: {id} has joined."),
+                Event::Changed(id, state) => log::info!("member: {id} is {state:?} now."),
+                Event::Ended(id) => self.change_rights(|rights, now| rights.member_ended(id, now)),
+                Event::Stopped(id) => {
+                    self.change_rights(|rights, now| rights.member_stopped(id, now));
+                }
+                Event::Superseded => {
+                    log::error!("member: A later process has announced itself at this address.");
+                }
+            }
+        }
+        let _ = now;
+        self.update_members_of_contracts();
+    }
+
+    /// Proposes an assignment if it is this daemon's turn.
+    fn propose(self: &Arc<Self>, now: Instant) {
+        let steps = {
+            let mut assignments = lock(&self.assignments);
+            let target = self.target(&assignments, now);
+            assignments.tick(&target, now)
+        };
+        self.carry_out_steps(steps);
+    }
+
+    fn target(
+        &self,
+        assignments: &tt_membership::Assignments,
+        now: Instant,
+    ) -> tt_membership::assignment::Target {
+        let hold_off = RightsSettings::default().hold_off();
+        self.members().target(assignments.current(), hold_off, now)
+    }
+
+    fn carry_out_steps(self: &Arc<Self>, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Call(id, call) => {
+                    let node = self.clone();
+                    tokio::spawn(async move {
+                        let reply = node.store.call(call).await;
+                        let now = Instant::now();
+                        let nonce = rand::rng().random();
+                        let steps = {
+                            let mut assignments = lock(&node.assignments);
+                            let target = node.target(&assignments, now);
+                            assignments.on_reply(id, reply, &target, nonce, now)
+                        };
+                        node.carry_out_steps(steps);
+                    });
+                }
+                Step::Adopted(assignment) => {
+                    self.members().on_assignment(&assignment, Instant::now());
+                    self.change_rights(|rights, now| rights.set_assignment(&assignment, now));
+                    self.claims.assign(self);
+                    // The control plane spreads it to the daemons that do not watch.
+                    if let Ok(value) = serde_json::to_vec(&assignment) {
+                        self.control(|plane, now| plane.on_assignment_written(&value, now));
+                    }
+                }
+            }
+        }
+    }
+
+    fn update_control_members(self: &Arc<Self>) {
+        let members: Vec<ControlMember> = self
+            .members()
+            .iter()
+            .filter(|view| matches!(view.state, State::Live | State::Leaving))
+            .map(|view| ControlMember {
+                address: view.member.id.address,
+                domain: view.member.domain.clone(),
+            })
+            .collect();
+        self.control(|plane, now| plane.on_members(&members, now));
+    }
+}
+
+/// The key of a member in usage reports.
+fn vm_id(address: SocketAddr) -> VmId {
+    VmId(tt_membership::SearcherKey::of(address).0 as u32)
+}
+
+fn searchers_at(
+    env: &crate::env::Env,
+    address: SocketAddr,
+) -> impl Iterator<Item = (SearcherId, &tt_model::Searcher)> {
+    env.environment.searchers.iter().filter(move |(_, searcher)| searcher.address == address)
+}
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -20,12 +20,15 @@
 
 use tt_limits::SlotRight;
 use tt_limits::Ticket;
+use tt_membership::Allowance;
+use tt_membership::SearcherKey;
 use tt_model::Searcher;
 use tt_model::ServiceId;
 use tt_rpc::SubReply;
 
+use crate::clock;
+
 pub(crate) use host::Host;
-pub(crate) use host::Status;
 
 /// A sub-query to run at a searcher.
 #[derive(Debug)]
@@ -62,6 +65,25 @@
 pub(crate) struct Right {
     pub(crate) slots: SlotRight,
     pub(crate) connections: u32,
+    /// End of the promise in `slots`, on the wall clock.
+    pub(crate) promise_ms: Option<u64>,
+}
+
+impl Right {
+    /// The right for what the ownership allows.
+    pub(crate) fn of(allowance: Allowance) -> Right {
+        let Allowance { slots, bounded, until, connections } = allowance;
+        let right = match until {
+            Some(until) if bounded > 0 => SlotRight::Full {
+                slots: slots + bounded,
+                half: slots,
+                until: clock::instant_at(until),
+            },
+            _ if slots > 0 => SlotRight::Half { slots },
+            _ => SlotRight::None,
+        };
+        Right { slots: right, connections, promise_ms: until }
+    }
 }
 
 /// All searchers that this daemon knows, by address.
@@ -76,6 +98,12 @@
         self.lock().get(&address).cloned()
     }
 
+    /// The host of a searcher, by the key of its ownership.
+    pub(crate) fn by_key(&self, key: SearcherKey) -> Option<Arc<Host>> {
+        let hosts = self.lock();
+        hosts.values().find(|host| SearcherKey::of(host.address) == key).cloned()
+    }
+
     /// All hosts.
     pub(crate) fn all(&self) -> Vec<Arc<Host>> {
         self.lock().values().cloned().collect()
--- a/crates/daemon/src/owner/client.rs
+++ b/crates/daemon/src/owner/client.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -27,6 +25,7 @@
 use tt_rpc::RunMode;
 use tt_rpc::SubReply;
 
+use crate::clock;
 use crate::owner::Work;
 use crate::owner::reply::Found;
 use crate::owner::reply::Gone;
@@ -51,6 +50,15 @@
     pub(crate) sender: Option<Sender>,
 }
 
+/// When a sub-query is of no use any more.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Bound {
+    /// On this machine's clock.
+    pub(crate) deadline: Instant,
+    /// On the wall clock, for a slot that is used under a promise.
+    pub(crate) latest_ms: Option<u64>,
+}
+
 /// Opens a connection.
 pub(crate) async fn connect(address: SocketAddr, expected: Duration) -> Option<(Sender, Driver)> {
     let limit = (expected * 10).max(MIN_CONNECT_LIMIT);
@@ -60,8 +68,8 @@
 }
 
 /// Sends one sub-query and reads the reply.
-pub(crate) async fn search(mut sender: Sender, work: &Work, deadline: Instant) -> Exchange {
-    let Some(request) = search_request(work, deadline) else {
+pub(crate) async fn search(mut sender: Sender, work: &Work, bound: Bound) -> Exchange {
+    let Some(request) = search_request(work, bound) else {
         return Exchange { reply: outcome(work.key, Outcome::Expired), sender: Some(sender) };
     };
     // A connection that was closed while it was idle has not carried the request.
@@ -102,8 +110,10 @@
     SubReply { key, outcome: outcome.into(), ..SubReply::default() }
 }
 
-fn search_request(work: &Work, deadline: Instant) -> Option<Request<Full<Bytes>>> {
-    let left = deadline.checked_duration_since(Instant::now())?;
+fn search_request(work: &Work, bound: Bound) -> Option<Request<Full<Bytes>>> {
+    bound.deadline.checked_duration_since(Instant::now())?;
+    let deadline_ms = clock::unix_ms_at(bound.deadline);
+    let deadline_ms = bound.latest_ms.map_or(deadline_ms, |latest| latest.min(deadline_ms));
     let call = &work.call;
     let query: &RawValue = serde_json::from_slice(&call.query).ok()?;
     let body = json!({
@@ -118,7 +128,7 @@
         .header("host", "searcher")
         .header("content-type", "application/json")
         .header("x-request-id", &call.request)
-        .header("x-deadline-unix-ms", unix_ms(left))
+        .header("x-deadline-unix-ms", deadline_ms)
         .body(Full::new(Bytes::from(body.to_string())))
         .ok()
 }
@@ -130,8 +140,7 @@
     };
     let executed = header("x-executed") != "no";
     let draining = header("x-searcher-state") == "draining";
-    let body =
-        Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
+    let body = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
     let reply = match status {
         StatusCode::OK => {
             let found: Found<'_> = serde_json::from_slice(&body).ok()?;
@@ -155,8 +164,3 @@
     };
     Some(reply)
 }
-
-fn unix_ms(after: Duration) -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    (now + after).as_millis() as u64
-}
--- a/crates/daemon/src/owner/host.rs
+++ b/crates/daemon/src/owner/host.rs
@@ -26,9 +26,11 @@
 use tt_limits::RejectReason;
 use tt_limits::RunOutcome;
 use tt_limits::SlotAction;
+use tt_limits::SlotKind;
 use tt_limits::SlotQueue;
 use tt_limits::SubQuery;
 use tt_limits::Ticket;
+use tt_membership::Usage;
 use tt_model::Searcher;
 use tt_model::SearcherState;
 use tt_rpc::Outcome;
@@ -37,6 +39,7 @@
 use crate::owner::Right;
 use crate::owner::Work;
 use crate::owner::client;
+use crate::owner::client::Bound;
 use crate::owner::client::Exchange;
 use crate::owner::client::Sender;
 
@@ -49,6 +52,10 @@
 /// Time for a searcher to notice a closed connection and free the slot behind it.
 const CLOSE_SETTLE: Duration = Duration::from_millis(5);
 
+/// Least wait between two looks at the state without an event, so that a due action that
+/// needs another event cannot make a busy loop.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
 /// What is known of the searcher from its own statements.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Status {
@@ -80,7 +87,23 @@
     status: Status,
     polled: Option<Instant>,
     random: SmallRng,
-    retired: bool,
+    mode: Mode,
+    /// Whether the document calls the searcher leaving, which its own statements cannot end.
+    listed: SearcherState,
+    /// End of the promise on the wall clock, as it was when the promise was asked for. A
+    /// deadline taken from the other clock later would be too late by the time for which the
+    /// VM was suspended.
+    promise_ms: Option<u64>,
+}
+
+/// Whether a host takes steps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    Serving,
+    /// Takes none until the next [`Host::set_right`].
+    Frozen,
+    /// Ends when nothing runs any more.
+    Retired,
 }
 
 #[derive(Debug)]
@@ -93,7 +116,7 @@
 struct Started {
     ticket: Ticket,
     work: Work,
-    deadline: Instant,
+    bound: Bound,
 }
 
 #[derive(Debug)]
@@ -125,7 +148,9 @@
             status: Status::default(),
             polled: None,
             random: SmallRng::seed_from_u64(u64::from(searcher.address.port())),
-            retired: false,
+            mode: Mode::Serving,
+            listed: SearcherState::Active,
+            promise_ms: None,
         };
         let host = Arc::new(Host {
             address: searcher.address,
@@ -148,9 +173,11 @@
 
     /// Takes in the state that the document gives.
     pub(crate) fn set_state(&self, state: SearcherState) {
-        match state {
-            SearcherState::Leaving => self.mark_leaving(),
-            SearcherState::Active => {}
+        let before = std::mem::replace(&mut self.lock().listed, state);
+        match (before, state) {
+            (_, SearcherState::Leaving) => self.mark_leaving(),
+            // The next status poll tells whether it takes work again.
+            (SearcherState::Leaving | SearcherState::Active, SearcherState::Active) => {}
         }
     }
 
@@ -170,16 +197,40 @@
     pub(crate) fn retire(&self) {
         let mut state = self.lock();
         state.queue.drain();
-        state.retired = true;
+        state.mode = Mode::Retired;
         drop(state);
         self.wake.notify_one();
     }
 
+    /// Stops starting sub-queries and opening connections until the next
+    /// [`Host::set_right`], so that the use that is reported in between stays true.
+    pub(crate) fn freeze(&self) {
+        let mut state = self.lock();
+        if state.mode == Mode::Serving {
+            state.mode = Mode::Frozen;
+        }
+    }
+
+    /// What this daemon uses of the searcher.
+    pub(crate) fn usage(&self) -> Usage {
+        let state = self.lock();
+        let bounded = state.queue.running_promised();
+        Usage {
+            slots: state.queue.running() - bounded,
+            bounded,
+            connections: state.connections.count(),
+        }
+    }
+
     /// Changes the right to use the searcher.
     pub(crate) fn set_right(&self, right: Right) {
         let now = Instant::now();
         let mut state = self.lock();
         let state = &mut *state;
+        if state.mode == Mode::Frozen {
+            state.mode = Mode::Serving;
+        }
+        state.promise_ms = right.promise_ms;
         state.queue.set_right(right.slots);
         state.connections.set_limit(now, right.connections, &mut state.random);
         state.connections.set_need(right.slots.allowed(now));
@@ -251,12 +302,20 @@
         loop {
             let now = Instant::now();
             let mut state = self.lock();
+            if state.mode == Mode::Frozen {
+                return;
+            }
             let Some(action) = state.queue.next_action(now) else {
                 break;
             };
             match action {
-                SlotAction::Start { ticket, item, deadline, .. } => {
-                    state.waiting.push_back(Started { ticket, work: item, deadline });
+                SlotAction::Start { ticket, item, deadline, slot } => {
+                    let latest_ms = match slot {
+                        SlotKind::Half => None,
+                        SlotKind::Promised => state.promise_ms,
+                    };
+                    let bound = Bound { deadline, latest_ms };
+                    state.waiting.push_back(Started { ticket, work: item, bound });
                 }
                 SlotAction::Reject { item, reason, .. } => {
                     drop(state);
@@ -289,7 +348,7 @@
                 connection,
                 sender,
                 work.clone(),
-                started.deadline,
+                started.bound,
             ));
             let run = Run { connection, task: task.abort_handle(), work };
             state.running.insert(started.ticket, run);
@@ -302,10 +361,10 @@
         connection: ConnectionId,
         sender: Sender,
         work: Arc<Work>,
-        deadline: Instant,
+        bound: Bound,
     ) {
         let started = Instant::now();
-        let exchange = client::search(sender, &work, deadline).await;
+        let exchange = client::search(sender, &work, bound).await;
         self.finish(ticket, connection, exchange, &work, started);
     }
 
@@ -376,13 +435,17 @@
             if state.is_over() {
                 return Next::End;
             }
+            if state.mode == Mode::Frozen {
+                return Next::At(now + STATUS_EVERY);
+            }
             let allowed = state.queue.allowed(now);
             state.connections.set_need(allowed.max(state.queue.running()));
             let step = state.next_step(now);
             let Some(step) = step else {
                 let times = [state.queue.wake_at(), state.connections.wake_at()];
                 let poll = state.polled.map_or(now, |polled| polled) + STATUS_EVERY;
-                return Next::At(times.into_iter().flatten().fold(poll, Instant::min).max(now + Duration::from_millis(1)));
+                let next = times.into_iter().flatten().fold(poll, Instant::min);
+                return Next::At(next.max(now + MIN_WAIT));
             };
             drop(guard);
             match step {
@@ -439,9 +502,20 @@
     fn lost(&self, id: ConnectionId) {
         let mut guard = self.lock();
         let state = &mut *guard;
+        let now = Instant::now();
         state.open.remove(&id);
-        state.connections.closed(Instant::now(), id, &mut state.random);
+        state.connections.closed(now, id, &mut state.random);
+        // Without any connection the searcher is taken to be unreachable; its replicas may
+        // have the answer sooner than the next attempt.
+        let stranded: Vec<Started> =
+            if state.open.is_empty() { state.waiting.drain(..).collect() } else { Vec::new() };
+        for started in &stranded {
+            state.queue.finish(now, started.ticket, RunOutcome::NotRun);
+        }
         drop(guard);
+        for started in &stranded {
+            self.report(&started.work, Outcome::Unreachable);
+        }
         self.wake.notify_one();
     }
 
@@ -536,6 +610,7 @@
         if leaving && !self.status.leaving {
             self.queue.drain();
         }
+        let leaving = leaving || self.listed == SearcherState::Leaving;
         if !leaving && self.status.leaving {
             self.queue.resume();
         }
@@ -549,7 +624,7 @@
     }
 
     fn is_over(&self) -> bool {
-        self.retired && self.queue.running() == 0 && self.waiting.is_empty()
+        self.mode == Mode::Retired && self.queue.running() == 0 && self.waiting.is_empty()
     }
 }
 
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -99,10 +99,7 @@
 impl Tier for Service {
     type GatherStream = Replies;
 
-    async fn gather(
-        &self,
-        request: Request<GatherRequest>,
-    ) -> Result<Response<Replies>, Status> {
+    async fn gather(&self, request: Request<GatherRequest>) -> Result<Response<Replies>, Status> {
         let request = request.into_inner();
         let origin = Origin { incarnation: request.incarnation, query: request.query };
         let (sender, replies) = mpsc::unbounded_channel();
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -111,7 +111,8 @@
         }
         Mode::AtMostOnce => {
             // Goes on when the caller hangs up, because its outcome must be recorded.
-            let submission = once::Submission { query, digest: body.digest(), attempt: body.attempt };
+            let submission =
+                once::Submission { query, digest: body.digest(), attempt: body.attempt };
             let task = node.runtime.clone().spawn(async move {
                 let _permit = permit;
                 once::run(node, submission, outline).await
--- a/crates/daemon/src/query/request.rs
+++ b/crates/daemon/src/query/request.rs
@@ -92,12 +92,19 @@
         let body: QueryBody = serde_json::from_slice(body)
             .map_err(|error| Refused::new(ResultCode::MalformedRequest, error.to_string()))?;
         let id = &body.request_id;
-        if id.is_empty() || id.len() > MAX_ID_BYTES || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
-            let detail = format!("request_id: expected 1 to {MAX_ID_BYTES} visible ASCII characters");
+        if id.is_empty()
+            || id.len() > MAX_ID_BYTES
+            || !id.bytes().all(|byte| byte.is_ascii_graphic())
+        {
+            let detail =
+                format!("request_id: expected 1 to {MAX_ID_BYTES} visible ASCII characters");
             return Err(Refused::new(ResultCode::MalformedRequest, detail));
         }
         if body.deadline_ms == Some(0) {
-            return Err(Refused::new(ResultCode::DeadlinePassed, "deadline_ms: found 0".to_owned()));
+            return Err(Refused::new(
+                ResultCode::DeadlinePassed,
+                "deadline_ms: found 0".to_owned(),
+            ));
         }
         Ok(body)
     }
@@ -119,7 +126,10 @@
     /// Looks up what the request names.
     pub(crate) fn resolve(&self, environment: &Environment) -> Result<Resolved, Refused> {
         let Some(service) = environment.service(&self.service) else {
-            return Err(Refused::new(ResultCode::UnknownService, format!("service: `{}`", self.service)));
+            return Err(Refused::new(
+                ResultCode::UnknownService,
+                format!("service: `{}`", self.service),
+            ));
         };
         let class = &environment.classes[environment.services[service].class];
         let time = match self.deadline_ms {
--- a/crates/daemon/src/query/run.rs
+++ b/crates/daemon/src/query/run.rs
@@ -297,10 +297,9 @@
 
 fn verdict(reply: SubReply) -> Verdict<Bytes> {
     match reply.outcome() {
-        Outcome::Answered => Verdict::Answered {
-            snapshot: Snapshot(reply.snapshot),
-            body: Bytes::from(reply.hits),
-        },
+        Outcome::Answered => {
+            Verdict::Answered { snapshot: Snapshot(reply.snapshot), body: Bytes::from(reply.hits) }
+        }
         Outcome::Shed | Outcome::Expired | Outcome::Cancelled => Verdict::Shed,
         Outcome::Draining => Verdict::Draining,
         Outcome::SnapshotGone => Verdict::SnapshotGone,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -147,7 +147,9 @@
             return Err("callers.keep_ms: expected at least 1, found 0".to_owned());
         }
         if listen.peers.ip().is_unspecified() || listen.callers.ip().is_unspecified() {
-            return Err("listen: expected the address that others use, found 0.0.0.0 or ::".to_owned());
+            return Err(
+                "listen: expected the address that others use, found 0.0.0.0 or ::".to_owned()
+            );
         }
         let ports = [listen.callers, listen.operators, listen.peers];
         let distinct = ports[0] != ports[1] && ports[1] != ports[2] && ports[0] != ports[2];
--- /dev/null
+++ b/crates/daemon/src/tasks.rs
@@ -0,0 +1,98 @@
+//! The periodic tasks of a daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use tt_membership::drain::Remaining;
+use tt_membership::drain::Stage;
+use tt_membership::members::Intent;
+
+use crate::metrics;
+use crate::metrics::DaemonState;
+use crate::node::Node;
+
+/// Time between looks at what is due; heartbeats and renewals are due once a second.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time between reads of the platform's list, which lags anyway.
+const LIST_EVERY: Duration = Duration::from_secs(2);
+
+/// Time between exchanges of what owners know of their searchers.
+const SEARCHERS_EVERY: Duration = Duration::from_millis(500);
+
+/// Starts the tasks; they end when the set is dropped.
+pub(crate) fn start(node: &Arc<Node>) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(decide(node.clone()));
+    tasks.spawn(read_list(node.clone()));
+    tasks.spawn(watch_searchers(node.clone()));
+    tasks
+}
+
+async fn decide(node: Arc<Node>) {
+    let mut ticks = interval(TICK);
+    // A pause must not be followed by a burst of ticks.
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        node.tick_members();
+        node.tick_rights();
+        node.control(|plane, now| plane.tick(now));
+        node.claims.assign(&node);
+        node.tick_drain();
+    }
+}
+
+async fn read_list(node: Arc<Node>) {
+    let mut ticks = interval(LIST_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        node.read_vm_list().await;
+    }
+}
+
+async fn watch_searchers(node: Arc<Node>) {
+    let mut ticks = interval(SEARCHERS_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        node.refresh_searchers().await;
+    }
+}
+
+impl Node {
+    /// Starts the stop sequence.
+    pub(crate) fn start_drain(&self) {
+        self.drain().start(Instant::now());
+        self.announce(Intent::Leaving);
+        self.stopping.notify_waiters();
+    }
+
+    /// Publishes the state of this daemon as metrics.
+    pub(crate) fn publish_metrics(&self) {
+        let versions = self.versions();
+        metrics::daemon(&DaemonState {
+            members: self.members().len(),
+            epoch: versions.epoch.0,
+            catalog: versions.catalog.0,
+            age: self.config_age().age,
+            in_flight: self.in_flight(),
+            held: self.held().halves,
+        });
+    }
+
+    fn tick_drain(&self) {
+        if self.drain().stage() == Stage::Running {
+            return;
+        }
+        let remaining = Remaining { held: self.held().halves, in_flight: self.in_flight() };
+        self.drain().tick(remaining, Instant::now());
+        self.stopping.notify_waiters();
+    }
+}
--- a/crates/limits/src/slots.rs
+++ b/crates/limits/src/slots.rs
@@ -368,6 +368,11 @@
         self.half_running + self.promised_running
     }
 
+    /// Sub-queries that hold a slot above the half, under a promise.
+    pub fn running_promised(&self) -> u32 {
+        self.promised_running
+    }
+
     /// Sub-queries that wait.
     pub fn queued(&self) -> usize {
         self.order.queued()
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -20,6 +20,7 @@
 pub use digest::Digest;
 pub use document::Fault;
 pub use document::Faults;
+pub use document::MAX_DOCUMENT_BYTES;
 pub use environment::Class;
 pub use environment::Contract;
 pub use environment::Domain;
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -125,8 +125,7 @@
 struct SearchBody {
     shard: String,
     snapshot: u64,
-    query: String,
-    idempotent: bool,
+    query: serde_json::Value,
 }
 
 impl Searcher {
@@ -185,12 +184,12 @@
         self.shared.lock().counts
     }
 
-    /// How often the non-idempotent request `id` ran here.
+    /// How often the request `id` ran here.
     pub fn executions(&self, id: &str) -> u32 {
         self.shared.lock().executions.get(id).copied().unwrap_or(0)
     }
 
-    /// All non-idempotent request ids that ran here, with how often.
+    /// All request ids that ran here, with how often.
     pub fn all_executions(&self) -> Vec<(String, u32)> {
         self.shared.lock().executions.iter().map(|(id, count)| (id.clone(), *count)).collect()
     }
@@ -259,9 +258,7 @@
             inner.busy += 1;
             inner.counts.executed += 1;
             inner.counts.peak_busy = inner.counts.peak_busy.max(inner.busy);
-            if !body.idempotent {
-                *inner.executions.entry(request).or_insert(0) += 1;
-            }
+            *inner.executions.entry(request).or_insert(0) += 1;
             let age = inner.started.elapsed();
             let profile = inner.profile.clone();
             let time = profile.sample(age, &mut inner.random);
