fix: measure latencies above the histogram's first range, stop HTTP servers off the runtime

Cause: the demo's latencies were clamped, because a histogram without bounds does not grow under saturating_record. A killed daemon panicked, because the HTTP server owns runtimes that a task of another runtime must not drop. Change: bounds for the histogram, a thread of its own for each HTTP server, and the reasons of uncovered shards in the statistics.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -169,8 +169,8 @@
         let running = self.daemons.get_mut(index).and_then(Option::take)?;
         let Running { runtime, daemon, domain, listen } = running;
         let peers = daemon.peers();
-        runtime.shutdown_background();
         drop(daemon);
+        runtime.shutdown_background();
         let listen = Listen { peers, ..listen };
         Some(Killed { index, domain, listen })
     }
@@ -249,7 +249,9 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         for running in self.daemons.drain(..).flatten() {
-            running.runtime.shutdown_background();
+            let Running { runtime, daemon, .. } = running;
+            drop(daemon);
+            runtime.shutdown_background();
         }
     }
 }
--- a/crates/bench/src/stats.rs
+++ b/crates/bench/src/stats.rs
@@ -7,6 +7,9 @@
 
 use crate::load::Record;
 
+/// Longest latency that is told apart; the client gives up before.
+const MAX_LATENCY_US: u64 = 120_000_000;
+
 /// Statistics of one class.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct ClassStats {
@@ -22,6 +25,8 @@
     pub coverage: f64,
     /// Sub-queries beyond one for each shard, as a part of those.
     pub extra_load: f64,
+    /// Shards that were not covered, by reason.
+    pub uncovered: BTreeMap<String, u64>,
     /// Answers by code name; `none` where no answer came.
     pub codes: BTreeMap<String, u64>,
 }
@@ -36,7 +41,8 @@
 }
 
 fn stats(records: &[&Record]) -> ClassStats {
-    let mut latencies = Histogram::<u64>::new(3).expect("3 significant digits are supported");
+    let mut latencies = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, 3)
+        .expect("the bounds and 3 significant digits are supported");
     let mut stats = ClassStats { queries: records.len() as u64, ..ClassStats::default() };
     let mut covered = 0;
     let mut asked = 0;
@@ -53,6 +59,10 @@
         let list = |field: &str| answer[field].as_array().map_or(0, Vec::len) as u64;
         covered += list("covered");
         asked += list("covered") + list("uncovered");
+        for gap in answer["uncovered"].as_array().into_iter().flatten() {
+            let reason = gap["reason"].as_str().unwrap_or("none");
+            *stats.uncovered.entry(reason.to_owned()).or_default() += 1;
+        }
         let effort = |field: &str| answer["stats"][field].as_u64().unwrap_or(0);
         primaries += effort("sub_queries");
         let sent = effort("hedges") + effort("retries") + effort("restarts");
--- a/crates/ctl/src/demo/report.rs
+++ b/crates/ctl/src/demo/report.rs
@@ -61,6 +61,11 @@
             stats.extra_load * 100.0,
             codes.join(", "),
         );
+        if !stats.uncovered.is_empty() {
+            let reasons: Vec<String> =
+                stats.uncovered.iter().map(|(name, count)| format!("{name} {count}")).collect();
+            println!("{:<14} not covered: {}", "", reasons.join(", "));
+        }
     }
     println!();
     for invariant in checks.invariants() {
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::task::JoinHandle;
+use tokio::sync::oneshot;
 use xitca_web::App;
 use xitca_web::WebContext;
 use xitca_web::body::BodyExt;
@@ -40,8 +40,15 @@
 /// A running server.
 pub(crate) struct Listener {
     pub(crate) address: SocketAddr,
-    stop: Box<dyn Fn() + Send + Sync>,
-    task: JoinHandle<io::Result<()>>,
+    stop: Box<dyn Fn(Stop) + Send + Sync>,
+    ended: Option<oneshot::Receiver<()>>,
+}
+
+/// How a server stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stop {
+    Graceful,
+    AtOnce,
 }
 
 /// A request with its body.
@@ -78,16 +85,35 @@
         .listen(listener)?
         .run();
     let handle = server.handle()?;
-    let task = tokio::spawn(async move { server.await });
-    Ok(Listener { address, stop: Box::new(move || handle.stop(true)), task })
+    let (end, ended) = oneshot::channel();
+    // The server owns runtimes, which must not be dropped by a task of another runtime.
+    std::thread::Builder::new().name("http".to_owned()).spawn(move || {
+        if let Err(error) = server.wait() {
+            log::error!("http: The server ended: {error}.");
+        }
+        // The listener may have been dropped.
+        let _ = end.send(());
+    })?;
+    let stop = move |stop| handle.stop(stop == Stop::Graceful);
+    Ok(Listener { address, stop: Box::new(stop), ended: Some(ended) })
 }
 
 impl Listener {
     /// Stops accepting and waits until requests in flight have their answers.
-    pub(crate) async fn stop(self) {
-        (self.stop)();
-        // The task can only fail by a panic of the server, which has been logged.
-        let _ = self.task.await;
+    pub(crate) async fn stop(mut self) {
+        (self.stop)(Stop::Graceful);
+        if let Some(ended) = self.ended.take() {
+            // A sender that is gone means that the server has ended too.
+            let _ = ended.await;
+        }
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        if self.ended.is_some() {
+            (self.stop)(Stop::AtOnce);
+        }
     }
 }
 
