--- a/crates/ctl/src/commands/standin.rs
+++ b/crates/ctl/src/commands/standin.rs
@@ -1,10 +1,163 @@
 //! `tillerctl standin`.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncBufReadExt;
+use tokio::io::BufReader;
+use tokio::time::sleep;
+
+use tt_model::Environment;
+use tt_model::ResultCode;
+use tt_standin::Fault;
+use tt_standin::Platform;
+use tt_standin::Profile;
+use tt_standin::Searcher;
+use tt_standin::SearcherSettings;
+use tt_standin::State;
+
 use crate::arguments::Arguments;
+use crate::commands::block_on;
+use crate::commands::read;
 use crate::output::Failure;
 
-/// Runs measurement scenarios.
+const HELP: &str = "\
+Usage: tillerctl standin DOCUMENT --platform ADDRESS [--seconds N]
+
+Serves stand-ins on loopback: the platform at ADDRESS and every searcher of the document at
+its address there, for daemons that run as processes of their own. Ends after N seconds
+(default 600) or at the end of the standard input, from which it takes one command a line:
+
+  store up | down | refusing | slow MS | lose N | lapse
+  vms JSON                     the platform's list of VMs
+  searcher NAME ready | draining | shedding | dead | slow FACTOR
+  publish SNAPSHOT             at every searcher
+  retire SNAPSHOT              at every searcher
+  counts                       print what the stand-ins have counted
+";
+
+/// Serves stand-ins.
 pub(crate) fn standin(arguments: &mut Arguments) -> Result<(), Failure> {
-    let _ = arguments;
-    Err(Failure::usage("there is no scenario yet".to_owned()))
+    if arguments.help() {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let platform: SocketAddr = arguments.required("--platform")?;
+    let seconds: u64 = arguments.option("--seconds")?.unwrap_or(600);
+    let path = arguments.path("the path of a document")?;
+    arguments.end()?;
+    let text = read(&path)?;
+    let environment = Environment::parse(&text)
+        .map_err(|faults| Failure::new(faults.code, format!("{}: {faults}", path.display())))?;
+    let addresses = environment.searchers.values().map(|searcher| searcher.address);
+    if let Some(address) = addresses.chain([platform]).find(|address| !address.ip().is_loopback()) {
+        return Err(Failure::usage(format!("expected loopback addresses, found {address}")));
+    }
+    block_on(serve(environment, platform, Duration::from_secs(seconds)))?
+}
+
+async fn serve(
+    environment: Environment,
+    platform: SocketAddr,
+    limit: Duration,
+) -> Result<(), Failure> {
+    let platform =
+        Platform::start(platform).await.map_err(|error| bind_failure(platform, &error))?;
+    let mut searchers = BTreeMap::new();
+    for (id, searcher) in environment.searchers.iter() {
+        let shards = environment.shards.values().filter(|shard| shard.replicas.contains(&id));
+        let settings = SearcherSettings {
+            address: searcher.address,
+            shards: shards.map(|shard| shard.name.clone()).collect(),
+            slots: searcher.slots,
+            connections: searcher.connections,
+            connect: searcher.connect,
+            seed: u64::from(id.0),
+            ..SearcherSettings::default()
+        };
+        let standin = Searcher::start(settings)
+            .await
+            .map_err(|error| bind_failure(searcher.address, &error))?;
+        searchers.insert(searcher.name.clone(), standin);
+    }
+    println!("platform at {}, {} searchers", platform.address(), searchers.len());
+    let commands = take_commands(&platform, &searchers);
+    tokio::select! {
+        () = commands => {}
+        () = sleep(limit) => {}
+    }
+    Ok(())
+}
+
+async fn take_commands(platform: &Platform, searchers: &BTreeMap<String, Searcher>) {
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        if let Err(message) = carry_out(&line, platform, searchers) {
+            eprintln!("{message}: `{line}`");
+        }
+    }
+}
+
+fn carry_out(
+    line: &str,
+    platform: &Platform,
+    searchers: &BTreeMap<String, Searcher>,
+) -> Result<(), &'static str> {
+    let words: Vec<&str> = line.split_whitespace().collect();
+    match words.as_slice() {
+        [] => {}
+        ["store", "up"] => platform.set_fault(Fault::None),
+        ["store", "down"] => platform.set_fault(Fault::Down),
+        ["store", "refusing"] => platform.set_fault(Fault::Refusing),
+        ["store", "slow", ms] => {
+            platform.set_fault(Fault::Slow(Duration::from_millis(number(ms)?)));
+        }
+        ["store", "lose", count] => platform.lose_replies(number(count)? as u32),
+        ["store", "lapse"] => platform.lapse_leases(),
+        ["vms", ..] => platform.set_vms(line.trim_start().trim_start_matches("vms").trim()),
+        ["searcher", name, state @ ..] => {
+            let searcher = searchers.get(*name).ok_or("there is no such searcher")?;
+            change_searcher(searcher, state)?;
+        }
+        ["publish", snapshot] => {
+            let snapshot = number(snapshot)?;
+            searchers.values().for_each(|searcher| searcher.publish(snapshot));
+        }
+        ["retire", snapshot] => {
+            let snapshot = number(snapshot)?;
+            searchers.values().for_each(|searcher| searcher.retire(snapshot));
+        }
+        ["counts"] => {
+            println!("store: {:?}", platform.counts());
+            for (name, searcher) in searchers {
+                println!("{name}: {:?}", searcher.counts());
+            }
+        }
+        _ => return Err("the command is not known"),
+    }
+    Ok(())
+}
+
+fn change_searcher(searcher: &Searcher, state: &[&str]) -> Result<(), &'static str> {
+    match state {
+        ["ready"] => searcher.set_state(State::Ready),
+        ["draining"] => searcher.set_state(State::Draining),
+        ["shedding"] => searcher.set_state(State::Shedding),
+        ["dead"] => searcher.set_state(State::Dead),
+        ["slow", factor] => {
+            let slow_factor = factor.parse().map_err(|_| "expected a number")?;
+            searcher.set_profile(Profile { slow_factor, ..Profile::default() });
+        }
+        _ => return Err("the state is not known"),
+    }
+    Ok(())
+}
+
+fn number(text: &str) -> Result<u64, &'static str> {
+    text.parse().map_err(|_| "expected a number")
+}
+
+fn bind_failure(address: SocketAddr, error: &std::io::Error) -> Failure {
+    Failure::new(ResultCode::AddressInUse, format!("{address}: {error}"))
 }
