--- a/crates/ctl/src/commands/query.rs
+++ b/crates/ctl/src/commands/query.rs
@@ -23,6 +23,7 @@
   --deadline-ms N            time for the answer (default: that of the service's class)
   --at-most-once             for requests that must not run twice
   --id ID                    request id (default: a new UUID version 7)
+  --attempt N                how often this id has been sent, this time included
 ";
 
 const ENTRIES_HELP: &str = "\
@@ -44,11 +45,14 @@
     let shards: Option<String> = arguments.option("--shards")?;
     let deadline: Option<u64> = arguments.option("--deadline-ms")?;
     let id: Option<String> = arguments.option("--id")?;
+    let attempt: Option<u32> = arguments.option("--attempt")?;
     let mode = if arguments.flag("--at-most-once") { "at-most-once" } else { "idempotent" };
     let text = arguments.word("a query")?;
     arguments.end()?;
 
     let query: Value = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    // A new id is sent for the first time, so "not run" can be told apart from "unknown".
+    let attempt = attempt.or(if id.is_none() { Some(1) } else { None });
     let mut body = json!({
         "environment": environment,
         "service": service,
@@ -56,6 +60,9 @@
         "mode": mode,
         "query": query,
     });
+    if let Some(attempt) = attempt {
+        body["attempt"] = json!(attempt);
+    }
     if let Some(stage) = stage {
         body["stage"] = json!(stage);
     }
--- a/crates/daemon/src/node/config.rs
+++ b/crates/daemon/src/node/config.rs
@@ -108,7 +108,7 @@
             }
             Action::Adopted { revision } => self.adopt_documents(revision),
             Action::Assignment { value, .. } => match serde_json::from_slice(&value) {
-                Ok(assignment) => self.adopt_assignment(assignment),
+                Ok(assignment) => self.adopt_assignment(&assignment),
                 Err(error) => log::error!("member: The assignment cannot be read: {error}."),
             },
         }
@@ -173,13 +173,13 @@
     }
 
     /// Puts a newer assignment into force.
-    pub(crate) fn adopt_assignment(self: &Arc<Self>, assignment: Assignment) {
+    pub(crate) fn adopt_assignment(self: &Arc<Self>, assignment: &Assignment) {
         if !lock(&self.assignments).adopt(assignment.clone()) {
             return;
         }
         let now = Instant::now();
-        self.members().on_assignment(&assignment, now);
-        self.change_rights(|rights, now| rights.set_assignment(&assignment, now));
+        self.members().on_assignment(assignment, now);
+        self.change_rights(|rights, now| rights.set_assignment(assignment, now));
         self.claims.assign(self);
     }
 }
