perf: serve flows within their share by deadline, with a credit of eight

With plain start-time fair queueing a service with a small share waited long for the second of two sub-queries that arrived together, and an entry's token bucket for a small service held less than one request of its burst. Flows within their share now go by deadline and may run eight sub-queries ahead after they were idle; the expected wait of a backlogged flow follows the pace at which it is served; usage is averaged over enough requests; every entry admits a burst of four.

--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -1,6 +1,7 @@
 //! Admission at the entry: each service's contract and this entry's part of it.
 
 mod bucket;
+mod meter;
 mod part;
 
 use std::collections::HashMap;
@@ -16,6 +17,7 @@
 use tt_model::VmId;
 
 use crate::admission::bucket::Bucket;
+use crate::admission::meter::Meter;
 use crate::admission::part::Others;
 
 /// Settings of [`Admission`].
@@ -101,7 +103,7 @@
     reserved: u32,
     in_flight: u32,
     peak: u32,
-    admitted: u32,
+    admitted: Meter,
     published: ServiceUsage,
 }
 
@@ -117,6 +119,15 @@
     recomputed: Instant,
 }
 
+/// Requests that every entry admits at once from a service that was idle, if the contract's
+/// burst allows them. A part of the burst below this would reject a small service's
+/// requests within its contract just because two arrive at the same entry.
+const MIN_BURST: f64 = 4.0;
+
+/// Requests in flight that every entry admits, if the contract allows them, for the same
+/// reason.
+const MIN_CONCURRENCY: u32 = 2;
+
 /// Parts are recomputed at most this often apart from changes of contracts and members.
 const RECOMPUTE: Duration = Duration::from_millis(250);
 
@@ -166,7 +177,7 @@
             return Err(ResultCode::RateLimited);
         }
         account.in_flight += 1;
-        account.admitted = account.admitted.saturating_add(1);
+        account.admitted.add();
         account.peak = account.peak.max(account.in_flight);
         self.in_flight += 1;
         Ok(Permit { account: index })
@@ -186,9 +197,8 @@
         if seconds > 0.0 {
             self.reported = now;
             for account in &mut self.accounts {
-                account.published.rate = f64::from(account.admitted) / seconds;
+                account.published.rate = account.admitted.close(seconds);
                 account.published.in_flight = account.peak;
-                account.admitted = 0;
                 account.peak = account.in_flight;
             }
             self.recompute(now);
@@ -290,12 +300,13 @@
             let account = &mut self.accounts[index as usize];
             let contract = &account.contract;
             let rate = parts.rate(service, contract.rate, account.published.rate);
-            let burst = (contract.burst * rate / contract.rate).max(1.0);
+            let least = contract.burst.clamp(1.0, MIN_BURST);
+            let burst = (contract.burst * rate / contract.rate).max(least);
             account.bucket.set(now, rate, burst);
             let own = f64::from(account.published.in_flight);
             let concurrency = parts.in_flight(service, f64::from(contract.concurrency), own);
-            // The floor keeps the sum of equal parts within the contract.
-            account.concurrency = (concurrency.floor() as u32).max(1);
+            let least = contract.concurrency.min(MIN_CONCURRENCY);
+            account.concurrency = (concurrency.floor() as u32).max(least);
         }
     }
 }
@@ -310,7 +321,7 @@
             reserved: 1,
             in_flight: 0,
             peak: 0,
-            admitted: 0,
+            admitted: Meter::default(),
             published: ServiceUsage { service, rate: 0.0, in_flight: 0 },
         }
     }
--- a/crates/limits/src/slots.rs
+++ b/crates/limits/src/slots.rs
@@ -243,14 +243,14 @@
 
     /// Queues a sub-query, or refuses it at once if it cannot be run in time.
     pub fn push(&mut self, now: Instant, sub: SubQuery, item: T) -> Result<Ticket, Rejected<T>> {
-        if let Some(reason) = self.refusal(now, &sub) {
-            return Err(Rejected { item, reason });
-        }
-        let position = self.position(&sub);
+        let position = match self.admit(now, &sub) {
+            Ok(position) => position,
+            Err(reason) => return Err(Rejected { item, reason }),
+        };
         let ticket = self.entries.reserve();
         self.sequence += 1;
         self.entries.set(ticket, Entry::Queued(Queued { item, position, deadline: sub.deadline }));
-        self.order.push(position, ticket, sub.share, self.service_time);
+        self.order.push(position, ticket);
         self.deadlines.insert((sub.deadline, ticket));
         Ok(ticket)
     }
@@ -291,7 +291,7 @@
             RunOutcome::NotRun => Usage::NotRun,
             RunOutcome::Answered | RunOutcome::Failed => Usage::Held(held),
         };
-        self.order.finish(run.service, run.charged, usage);
+        self.order.finish(run.flow, run.charged, usage);
         match outcome {
             RunOutcome::Answered => {
                 self.service_time.observe(held);
@@ -387,40 +387,37 @@
         }
     }
 
-    fn refusal(&mut self, now: Instant, sub: &SubQuery) -> Option<RejectReason> {
+    /// The position of a new sub-query, or why it is refused.
+    fn admit(&mut self, now: Instant, sub: &SubQuery) -> Result<Position, RejectReason> {
         if self.state == State::Leaving {
-            return Some(RejectReason::SearcherLeaving);
+            return Err(RejectReason::SearcherLeaving);
         }
         if self.right == SlotRight::None {
-            return Some(RejectReason::NoRight);
+            return Err(RejectReason::NoRight);
         }
         if sub.deadline <= now {
-            return Some(RejectReason::DeadlinePassed);
+            return Err(RejectReason::DeadlinePassed);
         }
-        if self.settings.policy == QueuePolicy::Fair {
+        let position = self.position(sub);
+        // An idle searcher always gets one sub-query: without it a wrong estimate would
+        // reject everything and never be corrected.
+        let idle = self.running() == 0 && self.order.queued() == 0;
+        if self.settings.policy == QueuePolicy::Fair && !idle {
             let allowed = self.allowed(now);
-            let position = self.position(sub);
-            let wait = self.order.expected_wait(position, sub.share, allowed, self.service_time)
+            let wait = self.order.expected_wait(position, allowed, self.service_time)
                 + self.residual(allowed);
-            // An idle searcher always gets one sub-query: without it a wrong estimate would
-            // reject everything and never be corrected.
-            let idle = self.running() == 0 && self.order.queued() == 0;
-            if !idle && now + wait + self.service_time.mean() > sub.deadline {
-                return Some(RejectReason::WaitTooLong);
+            if now + wait + self.service_time.mean() > sub.deadline {
+                return Err(RejectReason::WaitTooLong);
             }
         }
-        if self.order.queued() < self.settings.capacity {
-            return None;
+        if self.order.queued() >= self.settings.capacity {
+            let victim = match self.settings.policy {
+                QueuePolicy::Fair => self.order.eviction(position.flow),
+                QueuePolicy::Fifo => None,
+            };
+            self.withdraw(victim.ok_or(RejectReason::QueueFull)?, RejectReason::QueueFull);
         }
-        let victim = match self.settings.policy {
-            QueuePolicy::Fair => self.order.eviction(sub.service, sub.share),
-            QueuePolicy::Fifo => None,
-        };
-        let Some(victim) = victim else {
-            return Some(RejectReason::QueueFull);
-        };
-        self.withdraw(victim, RejectReason::QueueFull);
-        None
+        Ok(position)
     }
 
     fn start(&mut self, now: Instant) -> Option<SlotAction<T>> {
@@ -439,16 +436,18 @@
         {
             return self.reject(ticket, RejectReason::WaitTooLong);
         }
-        let charged = self.order.start(position);
-        self.deadlines.remove(&(deadline, ticket));
-        let deadline = free.until.map_or(deadline, |until| until.min(deadline));
-        self.deadlines.insert((deadline, ticket));
+        let charged = self.order.start(now, position);
+        let queue_deadline = deadline;
+        let deadline = free.until.map_or(queue_deadline, |until| until.min(queue_deadline));
+        if deadline != queue_deadline {
+            self.deadlines.remove(&(queue_deadline, ticket));
+            self.deadlines.insert((deadline, ticket));
+        }
         match free.kind {
             SlotKind::Half => self.half_running += 1,
             SlotKind::Promised => self.promised_running += 1,
         }
-        let run =
-            Running { service: position.service, slot: free.kind, started: now, deadline, charged };
+        let run = Running { flow: position.flow, slot: free.kind, started: now, deadline, charged };
         let Some(Entry::Queued(queued)) = self.entries.take(ticket) else {
             unreachable!("the entry was queued above");
         };
@@ -480,21 +479,24 @@
         self.service_time.mean() / allowed.max(1)
     }
 
-    fn position(&self, sub: &SubQuery) -> Position {
+    fn position(&mut self, sub: &SubQuery) -> Position {
+        let sequence = self.sequence;
         match self.settings.policy {
-            QueuePolicy::Fair => Position {
-                service: sub.service,
-                rank: Rank {
-                    deadline_ms: sub.deadline.saturating_duration_since(self.origin).as_millis()
-                        as u64,
-                    urgency: Reverse(sub.urgency),
-                    sequence: self.sequence,
-                },
-            },
+            QueuePolicy::Fair => {
+                let due = sub.deadline.saturating_duration_since(self.origin);
+                Position {
+                    flow: self.order.flow(sub.service, sub.share, self.service_time),
+                    rank: Rank {
+                        deadline_ms: due.as_millis() as u64,
+                        urgency: Reverse(sub.urgency),
+                        sequence,
+                    },
+                }
+            }
             // One flow in order of arrival.
             QueuePolicy::Fifo => Position {
-                service: ServiceId(0),
-                rank: Rank { deadline_ms: 0, urgency: Reverse(0), sequence: self.sequence },
+                flow: self.order.flow(ServiceId(0), 1.0, self.service_time),
+                rank: Rank { deadline_ms: 0, urgency: Reverse(0), sequence },
             },
         }
     }
--- a/crates/limits/src/slots/entries.rs
+++ b/crates/limits/src/slots/entries.rs
@@ -2,8 +2,7 @@
 
 use tokio::time::Instant;
 
-use tt_model::ServiceId;
-
+use crate::slots::order::FlowKey;
 use crate::slots::order::Position;
 
 /// Names a sub-query in one [`SlotQueue`](crate::SlotQueue). A ticket of a sub-query that
@@ -32,7 +31,7 @@
 
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Running {
-    pub(crate) service: ServiceId,
+    pub(crate) flow: FlowKey,
     pub(crate) slot: SlotKind,
     pub(crate) started: Instant,
     pub(crate) deadline: Instant,
--- a/crates/limits/src/slots/order.rs
+++ b/crates/limits/src/slots/order.rs
@@ -1,8 +1,10 @@
-//! Start-time fair queueing over services, earliest deadline first within a service.
+//! Weighted fair queueing over services, earliest deadline first among those within their
+//! share and within a service.
 //!
-//! Each service with queued or running work is a flow with a virtual start tag: slot time
-//! used divided by its share. The flow with the lowest tag goes next. A flow that becomes
-//! backlogged starts at the current virtual time, so idle time earns no credit.
+//! Each service is a flow with a virtual start tag: slot time used divided by its share. A
+//! flow whose tag is at most the virtual time is within its share; those flows go by their
+//! deadlines. If there is none, the flow with the lowest tag goes and the virtual time
+//! advances to its tag.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -10,6 +12,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use tt_model::ServiceId;
 
 use crate::slots::entries::Ticket;
@@ -19,8 +23,15 @@
 const MIN_SHARE: f64 = 1e-3;
 const MAX_SHARE: f64 = 1e6;
 
-/// Flows without work that are kept for their service time; more are dropped when the
-/// queue becomes idle.
+/// Sub-queries that a flow may run ahead of its share after it was idle. Without credit a
+/// service with a small share waits long for the second of two sub-queries that arrive
+/// together, although both are within its contract.
+const CREDIT: u64 = 8;
+
+/// First virtual time; leaves room for the credit of the smallest share.
+const FIRST_TIME: u64 = 1 << 52;
+
+/// Flows without work are dropped above this number.
 const IDLE_FLOWS_KEPT: usize = 64;
 
 /// Place of a sub-query within its flow.
@@ -31,31 +42,50 @@
     pub(crate) sequence: u64,
 }
 
+/// A flow of a [`FairOrder`], valid while it has queued or running sub-queries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct FlowKey(u32);
+
 /// Place of a queued sub-query.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Position {
-    pub(crate) service: ServiceId,
+    pub(crate) flow: FlowKey,
     pub(crate) rank: Rank,
 }
 
 /// Place of a backlogged flow among the others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct FlowRank {
-    tag: u64,
-    deadline_ms: u64,
-    urgency: Reverse<u8>,
-    service: ServiceId,
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    /// It has no queued sub-queries.
+    Idle,
+    /// Within its share: by its first sub-query.
+    Within(Rank),
+    /// Ahead of its share: by its tag, then by its first sub-query.
+    Ahead(u64, Rank),
 }
 
 #[derive(Debug)]
 struct Flow {
+    service: ServiceId,
     share: f64,
     tag: u64,
     queue: BTreeMap<Rank, Ticket>,
     running: u32,
     estimate: Estimate,
-    /// The flow's key in [`FairOrder::backlogged`].
-    rank: Option<FlowRank>,
+    pace: Pace,
+    place: Place,
+}
+
+/// How fast a flow is served while it has work queued. The shares alone do not show this,
+/// because other flows within theirs take slots first as their work arrives.
+#[derive(Debug, Clone, Copy, Default)]
+struct Pace {
+    /// The last start, if work has been queued since.
+    last: Option<Instant>,
+    /// Starts since the flow became backlogged.
+    starts: u32,
+    /// Moving average of the time between starts.
+    seconds: f64,
 }
 
 /// What an ended run means for its flow.
@@ -69,8 +99,11 @@
 
 #[derive(Debug)]
 pub(crate) struct FairOrder {
-    flows: HashMap<ServiceId, Flow>,
-    backlogged: BTreeSet<FlowRank>,
+    flows: Vec<Flow>,
+    free: Vec<FlowKey>,
+    by_service: HashMap<ServiceId, FlowKey>,
+    within: BTreeSet<(Rank, FlowKey)>,
+    ahead: BTreeSet<(u64, Rank, FlowKey)>,
     virtual_time: u64,
     /// Sum of the shares of backlogged flows.
     weight: f64,
@@ -80,9 +113,12 @@
 impl FairOrder {
     pub(crate) fn new() -> FairOrder {
         FairOrder {
-            flows: HashMap::new(),
-            backlogged: BTreeSet::new(),
-            virtual_time: 0,
+            flows: Vec::new(),
+            free: Vec::new(),
+            by_service: HashMap::new(),
+            within: BTreeSet::new(),
+            ahead: BTreeSet::new(),
+            virtual_time: FIRST_TIME,
             weight: 0.0,
             queued: 0,
         }
@@ -92,121 +128,149 @@
         self.queued
     }
 
-    pub(crate) fn push(
+    /// The flow of a service, with its share brought up to date.
+    pub(crate) fn flow(
         &mut self,
-        position: Position,
-        ticket: Ticket,
+        service: ServiceId,
         share: f64,
         service_time: Estimate,
-    ) {
-        let share = clamp_share(share);
-        let virtual_time = self.virtual_time;
-        let flow = self.flows.entry(position.service).or_insert_with(|| Flow {
+    ) -> FlowKey {
+        let share = share.clamp(MIN_SHARE, MAX_SHARE);
+        if let Some(&key) = self.by_service.get(&service) {
+            let flow = &mut self.flows[key.0 as usize];
+            if !flow.queue.is_empty() {
+                self.weight += share - flow.share;
+            }
+            flow.share = share;
+            return key;
+        }
+        let flow = Flow {
+            service,
             share,
-            tag: virtual_time,
+            tag: 0,
             queue: BTreeMap::new(),
             running: 0,
             estimate: service_time,
-            rank: None,
-        });
+            pace: Pace::default(),
+            place: Place::Idle,
+        };
+        let key = match self.free.pop() {
+            Some(key) => {
+                self.flows[key.0 as usize] = flow;
+                key
+            }
+            None => {
+                self.flows.push(flow);
+                FlowKey((self.flows.len() - 1) as u32)
+            }
+        };
+        self.by_service.insert(service, key);
+        key
+    }
+
+    pub(crate) fn push(&mut self, position: Position, ticket: Ticket) {
+        let flow = &mut self.flows[position.flow.0 as usize];
         if flow.queue.is_empty() {
-            flow.tag = flow.tag.max(virtual_time);
-        } else {
-            self.weight -= flow.share;
+            let credit = CREDIT * cost(flow.estimate.mean(), flow.share);
+            flow.tag = flow.tag.max(self.virtual_time.saturating_sub(credit));
+            self.weight += flow.share;
         }
-        flow.share = share;
-        self.weight += share;
         flow.queue.insert(position.rank, ticket);
         self.queued += 1;
-        self.reposition(position.service);
+        self.reposition(position.flow);
     }
 
     /// The next sub-query to start.
     pub(crate) fn first(&self) -> Option<Ticket> {
-        let rank = self.backlogged.first()?;
-        self.flows[&rank.service].queue.first_key_value().map(|(_, ticket)| *ticket)
+        let key = match self.within.first() {
+            Some((_, key)) => key,
+            None => self.ahead.first().map(|(_, _, key)| key)?,
+        };
+        self.flows[key.0 as usize].queue.first_key_value().map(|(_, ticket)| *ticket)
     }
 
     /// Takes a sub-query out of the queue without a start.
     pub(crate) fn remove(&mut self, position: Position) {
-        let Some(flow) = self.flows.get_mut(&position.service) else { return };
+        let flow = &mut self.flows[position.flow.0 as usize];
         if flow.queue.remove(&position.rank).is_none() {
             return;
         }
         self.queued -= 1;
         if flow.queue.is_empty() {
             self.weight -= flow.share;
+            flow.pace = Pace::default();
         }
-        self.reposition(position.service);
+        self.reposition(position.flow);
+        self.forget(position.flow);
     }
 
     /// Takes a sub-query out of the queue for its start and returns the charge.
-    pub(crate) fn start(&mut self, position: Position) -> u64 {
-        let Some(flow) = self.flows.get_mut(&position.service) else { return 0 };
-        self.virtual_time = self.virtual_time.max(flow.tag);
-        let charge = cost(flow.estimate.mean(), flow.share);
-        flow.tag = flow.tag.saturating_add(charge);
+    pub(crate) fn start(&mut self, now: Instant, position: Position) -> u64 {
+        let flow = &mut self.flows[position.flow.0 as usize];
+        let (before, charge) = (flow.tag, cost(flow.estimate.mean(), flow.share));
+        flow.tag = before.saturating_add(charge);
         flow.running += 1;
+        flow.pace.started(now);
         self.remove(position);
+        if before > self.virtual_time {
+            self.advance(before);
+        }
         charge
     }
 
     /// Ends a run and corrects the charge to the slot time that was really used.
-    pub(crate) fn finish(&mut self, service: ServiceId, charged: u64, usage: Usage) {
-        let Some(flow) = self.flows.get_mut(&service) else { return };
-        flow.running = flow.running.saturating_sub(1);
+    pub(crate) fn finish(&mut self, key: FlowKey, charged: u64, usage: Usage) {
+        let flow = &mut self.flows[key.0 as usize];
+        flow.running -= 1;
         let used = match usage {
             Usage::Held(held) => cost(flow.estimate.observe(held), flow.share),
             Usage::NotRun => 0,
         };
         flow.tag = flow.tag.saturating_sub(charged).saturating_add(used);
-        self.reposition(service);
-        self.forget_idle_flows();
+        self.reposition(key);
+        self.forget(key);
     }
 
     /// Expected time until the slots reach a new sub-query, apart from the rest of the
-    /// running ones: the lesser of its wait behind its own flow at the flow's share and
-    /// its wait behind everything queued.
+    /// running ones.
     pub(crate) fn expected_wait(
         &self,
         position: Position,
-        share: f64,
         slots: u32,
         service_time: Estimate,
     ) -> Duration {
-        let share = clamp_share(share);
-        let slots = f64::from(slots.max(1));
-        let behind_all = self.queued as f64 * service_time.seconds() / slots;
-        let mut weight = self.weight;
-        let mut lead = 0.0;
-        match self.flows.get(&position.service) {
-            None => weight += share,
-            Some(flow) => {
-                if flow.queue.is_empty() {
-                    weight += share;
-                }
-                // Entries behind the new one are few, because most deadlines are later
-                // than those already queued.
-                let behind = flow.queue.range(position.rank..).count();
-                let ahead = flow.queue.len() - behind;
-                lead = flow.tag.saturating_sub(self.virtual_time) as f64 / 1e9
-                    + ahead as f64 * flow.estimate.seconds() / share;
-            }
+        if self.queued == 0 {
+            return Duration::ZERO;
         }
-        let in_share = lead * weight / slots;
-        Duration::from_secs_f64(in_share.min(behind_all))
+        let slot_time = service_time.seconds() / f64::from(slots.max(1));
+        let flow = &self.flows[position.flow.0 as usize];
+        // Entries behind the new one are few, because most deadlines are later than those
+        // already queued.
+        let behind = flow.queue.range(position.rank..).count();
+        let ahead = (flow.queue.len() - behind) as u64;
+        let all = self.queued as f64 * slot_time;
+        let tag = flow.tag.saturating_add(ahead * cost(flow.estimate.mean(), flow.share));
+        // In its share, behind its own work and one sub-query of each flow in its share.
+        let within = (ahead as f64 + self.within.len() as f64) * slot_time;
+        let lead = tag.saturating_sub(self.virtual_time) as f64 / 1e9;
+        let own_share = if flow.queue.is_empty() { flow.share } else { 0.0 };
+        let in_share = lead * (self.weight + own_share) / f64::from(slots.max(1)) + within;
+        let seconds = all.min(in_share).max(flow.pace.time_for(ahead));
+        Duration::from_secs_f64(seconds.min(MAX_WAIT_SECONDS))
     }
 
     /// The last sub-query of the flow with the most queued work for its share, or `None`
-    /// if a newcomer of `service` would make its own flow that one.
-    pub(crate) fn eviction(&self, service: ServiceId, share: f64) -> Option<Ticket> {
-        let own = self.flows.get(&service).map_or(0, |flow| flow.queue.len()) + 1;
-        let mut worst = own as f64 / clamp_share(share);
+    /// if a newcomer would make its own flow that one.
+    pub(crate) fn eviction(&self, newcomer: FlowKey) -> Option<Ticket> {
+        let own = &self.flows[newcomer.0 as usize];
+        let mut worst = (own.queue.len() + 1) as f64 / own.share;
         let mut victim = None;
-        for rank in &self.backlogged {
-            let flow = &self.flows[&rank.service];
+        let backlogged =
+            self.within.iter().map(|place| place.1).chain(self.ahead.iter().map(|place| place.2));
+        for key in backlogged {
+            let flow = &self.flows[key.0 as usize];
             let backlog = flow.queue.len() as f64 / flow.share;
-            if rank.service != service && backlog > worst {
+            if key != newcomer && backlog > worst {
                 worst = backlog;
                 victim = flow.queue.last_key_value().map(|(_, ticket)| *ticket);
             }
@@ -214,42 +278,94 @@
         victim
     }
 
-    fn reposition(&mut self, service: ServiceId) {
-        let Some(flow) = self.flows.get_mut(&service) else { return };
-        let rank = flow.queue.first_key_value().map(|(first, _)| FlowRank {
-            tag: flow.tag,
-            deadline_ms: first.deadline_ms,
-            urgency: first.urgency,
-            service,
-        });
-        if rank == flow.rank {
-            return;
+    fn advance(&mut self, to: u64) {
+        self.virtual_time = to;
+        while let Some(&(tag, _, key)) = self.ahead.first() {
+            if tag > to {
+                break;
+            }
+            self.reposition(key);
         }
-        if let Some(old) = flow.rank {
-            self.backlogged.remove(&old);
+    }
+
+    fn reposition(&mut self, key: FlowKey) {
+        let flow = &mut self.flows[key.0 as usize];
+        let place = match flow.queue.first_key_value() {
+            None => Place::Idle,
+            Some((&rank, _)) if flow.tag <= self.virtual_time => Place::Within(rank),
+            Some((&rank, _)) => Place::Ahead(flow.tag, rank),
+        };
+        if place == flow.place {
+            return;
         }
-        if let Some(new) = rank {
-            self.backlogged.insert(new);
+        match flow.place {
+            Place::Idle => {}
+            Place::Within(rank) => {
+                self.within.remove(&(rank, key));
+            }
+            Place::Ahead(tag, rank) => {
+                self.ahead.remove(&(tag, rank, key));
+            }
         }
-        flow.rank = rank;
-        if self.backlogged.is_empty() {
-            // Ends the drift from repeated additions and subtractions.
-            self.weight = 0.0;
+        flow.place = place;
+        match place {
+            Place::Idle if self.queued == 0 => {
+                // Ends the drift from repeated additions and subtractions.
+                self.weight = 0.0;
+            }
+            Place::Idle => {}
+            Place::Within(rank) => {
+                self.within.insert((rank, key));
+            }
+            Place::Ahead(tag, rank) => {
+                self.ahead.insert((tag, rank, key));
+            }
         }
     }
 
-    fn forget_idle_flows(&mut self) {
-        if self.queued == 0 && self.flows.len() > IDLE_FLOWS_KEPT {
-            let virtual_time = self.virtual_time;
-            self.flows.retain(|_, flow| flow.running > 0 || flow.tag > virtual_time);
+    /// Drops a flow without work, unless it is ahead of its share.
+    fn forget(&mut self, key: FlowKey) {
+        let flow = &self.flows[key.0 as usize];
+        if self.by_service.len() > IDLE_FLOWS_KEPT
+            && flow.queue.is_empty()
+            && flow.running == 0
+            && flow.tag <= self.virtual_time
+        {
+            self.by_service.remove(&flow.service);
+            self.free.push(key);
         }
     }
 }
 
-fn clamp_share(share: f64) -> f64 {
-    share.clamp(MIN_SHARE, MAX_SHARE)
+impl Pace {
+    fn started(&mut self, now: Instant) {
+        if let Some(last) = self.last {
+            let seconds = now.saturating_duration_since(last).as_secs_f64();
+            let weight = (1.0 / f64::from(self.starts)).max(PACE_WEIGHT);
+            self.seconds += weight * (seconds - self.seconds);
+        }
+        self.last = Some(now);
+        self.starts = self.starts.saturating_add(1);
+    }
+
+    /// Seconds until `ahead` more starts; 0 if there were too few to tell.
+    fn time_for(&self, ahead: u64) -> f64 {
+        if self.starts < PACE_STARTS {
+            return 0.0;
+        }
+        self.seconds * ahead as f64
+    }
 }
 
+/// Weight of one interval in [`Pace`], after the first few.
+const PACE_WEIGHT: f64 = 1.0 / 16.0;
+
+/// Fewer starts say nothing about the pace: most queues end after a few.
+const PACE_STARTS: u32 = 16;
+
+/// Longer waits exceed every deadline.
+const MAX_WAIT_SECONDS: f64 = 3600.0;
+
 fn cost(time: Duration, share: f64) -> u64 {
     (time.as_nanos() as f64 / share) as u64
 }
