internal: test dropped flows, the usage window, small bursts and the pace

Seven faults injected by hand were found by no test: flows dropped with work or never dropped, the usage window always at its longest, parts of a burst or of the concurrency below the least, and an expected wait that ignores the pace of a service above its share. Each now fails a test.

--- a/crates/limits/src/admission/meter.rs
+++ b/crates/limits/src/admission/meter.rs
@@ -1,5 +1,8 @@
 //! The rate of admitted requests, over a window that holds enough of them.
 
+#[cfg(test)]
+mod tests;
+
 /// Reports that the longest window spans.
 const WINDOWS: usize = 10;
 
--- a/crates/limits/src/slots/order.rs
+++ b/crates/limits/src/slots/order.rs
@@ -6,6 +6,9 @@
 //! deadlines. If there is none, the flow with the lowest tag goes and the virtual time
 //! advances to its tag.
 
+#[cfg(test)]
+mod tests;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/crates/limits/tests/admission.rs
+++ b/crates/limits/tests/admission.rs
@@ -206,6 +206,25 @@
     assert!(totals[9..].iter().all(|total| (95..=105).contains(total)), "{totals:?}");
 }
 
+/// Guards against a small service that is rejected within its contract because its part of
+/// the burst or of the concurrency is less than one request.
+#[test]
+fn an_entry_admits_a_few_requests_at_once_even_from_the_smallest_service() {
+    let now = Instant::now();
+    let check = |contract: &str, expect: usize| {
+        let environment = environment(&[contract]);
+        let mut admission =
+            Admission::new(now, AdmissionSettings::default(), &environment, others(9));
+        let held: Vec<Permit> =
+            (0..10).map_while(|_| admitted_or_none(&mut admission, now)).collect();
+        assert_eq!(held.len(), expect, "{contract}");
+    };
+    check(r#"{"rate": 1, "burst": 10, "concurrency": 100}"#, 4);
+    check(r#"{"rate": 1, "burst": 3, "concurrency": 100}"#, 3);
+    check(r#"{"rate": 1, "burst": 10, "concurrency": 5}"#, 2);
+    check(r#"{"rate": 1, "burst": 10, "concurrency": 1}"#, 1);
+}
+
 /// Guards against heartbeats that grow with the number of services instead of the traffic.
 #[test]
 fn the_report_names_only_services_with_traffic() {
--- a/crates/limits/tests/slots.rs
+++ b/crates/limits/tests/slots.rs
@@ -227,6 +227,35 @@
     queue.push(now, sub(now, 2, ms(200)), 2).unwrap();
 }
 
+/// Guards against work of a service above its share that is accepted and then expires in the
+/// queue, because the slots that others take as their work arrives were not foreseen.
+#[test]
+fn the_expected_wait_follows_the_pace_of_a_service_above_its_share() {
+    let mut now = Instant::now();
+    let mut queue = queue(now, one_slot());
+    let mut reasons = Vec::new();
+    for round in 0..600 {
+        // Service 2 needs two thirds of the slot, and service 1 asks for all of it.
+        if round % 3 != 0 {
+            queue.push(now, SubQuery { share: 10.0, ..sub(now, 2, ms(400)) }, 2).unwrap();
+        }
+        let _ = queue.push(now, sub(now, 1, ms(400)), 1);
+        let mut ticket = None;
+        while let Some(action) = queue.next_action(now) {
+            match action {
+                SlotAction::Start { ticket: started, .. } => ticket = Some(started),
+                SlotAction::Reject { reason, .. } if round > 200 => reasons.push(reason),
+                SlotAction::Reject { .. } => {}
+                SlotAction::Cancel { .. } => unreachable!("runs end before their deadlines"),
+            }
+        }
+        now += ms(10);
+        queue.finish(now, ticket.expect("the slot is free"), RunOutcome::Answered);
+    }
+    // 400 rounds, of which a third is left for service 1.
+    assert!(reasons.len() <= 13, "{} accepted sub-queries were not run", reasons.len());
+}
+
 /// Guards against a lockout: an estimate above all deadlines would reject everything, so
 /// no observation could correct it.
 #[test]
