--- a/crates/control/src/change.rs
+++ b/crates/control/src/change.rs
@@ -4,8 +4,10 @@
 //! catalog does not reference yet, and swaps the catalog. The swap is the only step that
 //! has an effect for others. It is answered with exactly one [`Outcome`].
 
+mod check;
 mod outcome;
 mod status;
+mod steps;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -16,9 +18,6 @@
 use tokio::time::Instant;
 
 use tt_model::Digest;
-use tt_model::Environment;
-use tt_model::Fault;
-use tt_model::ResultCode;
 use tt_model::Revision;
 use tt_model::StoreCall;
 use tt_model::StoreReply;
@@ -29,12 +28,10 @@
 use crate::catalog::ChangeId;
 use crate::catalog::Entry;
 use crate::catalog::EntryKey;
-use crate::catalog::MAX_OPERATOR_BYTES;
 use crate::catalog::ManifestRef;
 use crate::catalog::NewChange;
 use crate::catalog::Stage;
 use crate::journal::JOURNAL_KEY;
-use crate::journal::Journal;
 use crate::message::CallId;
 use crate::message::StoreRequest;
 use crate::parts;
@@ -51,9 +48,6 @@
 /// Part writes in flight for one change. The store takes several hundred writes a second;
 /// at a few milliseconds each, this many use about its rate and no more.
 const WRITES_IN_FLIGHT: usize = 4;
-/// Reads that show a catalog older than the operator's base before the base is judged wrong.
-const READS_BEHIND: u32 = 3;
-
 /// What an operator asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangeKind {
@@ -180,7 +174,7 @@
             ChangeKind::Trial { .. } => Stage::Trial,
             ChangeKind::Promote { .. } => Stage::Production,
         };
-        let (digest, parts, phase) = match (&request.kind, check(&request)) {
+        let (digest, parts, phase) = match (&request.kind, check::check(&request)) {
             (_, Err(refused)) => (Digest::of(b""), Vec::new(), Phase::Done(refused)),
             (ChangeKind::Trial { text }, Ok(())) => {
                 (Digest::of(text.as_bytes()), parts::cut(text), Phase::ReadCatalog { call: None })
@@ -291,230 +285,6 @@
         }
     }
 
-    fn on_catalog(&mut self, reply: StoreReply, now: Instant) -> Vec<StoreRequest> {
-        let seen = match reply {
-            StoreReply::Value { revision, value } => match Catalog::decode(&value) {
-                Ok(catalog) => Seen { revision, catalog },
-                Err(error) => return self.end_undecided(&error.to_string()),
-            },
-            StoreReply::Missing => Seen::default(),
-            _ => return self.retry_later(now),
-        };
-        if seen.revision < self.floor {
-            return self.retry_later(now);
-        }
-        self.floor = seen.revision;
-        self.seen = seen;
-        self.decide(now)
-    }
-
-    /// Continues with the catalog that was read last.
-    fn decide(&mut self, now: Instant) -> Vec<StoreRequest> {
-        let entry = self.seen.catalog.entries.get(&self.key);
-        if let Some(record) = entry.and_then(|entry| entry.find(&self.request.change)) {
-            if record.digest != self.digest {
-                let fault = fault("change", "the change id was used for another document");
-                return self.finish(Outcome::refused(ResultCode::RequestIdReused, fault));
-            }
-            let revision = record.revision;
-            return self.finish(Outcome::Accepted { revision });
-        }
-        if let Some(lost) = self.lost
-            && self.seen.revision > lost.expect
-        {
-            // The store is past the revision that the swap was based on, so the swap either is
-            // in the history or can no longer take effect.
-            if entry.is_some_and(|entry| !entry.covers(lost.makes)) {
-                return self.end_undecided("");
-            }
-            self.lost = None;
-        }
-        let found = entry.map_or(Revision(0), Entry::revision);
-        if found != self.request.base {
-            if self.seen.catalog.revision < self.request.base && self.reads_behind < READS_BEHIND {
-                // The operator has seen a newer catalog, so this read is stale.
-                self.reads_behind += 1;
-                return self.retry_later(now);
-            }
-            let winner = Winner::of(entry);
-            return self.finish(Outcome::Conflict { winner });
-        }
-        if let ChangeKind::Promote { digest } = &self.request.kind {
-            let trial = self.seen.catalog.entry(&self.key.environment, Stage::Trial);
-            let tried = match trial {
-                Some(trial) => trial,
-                None => {
-                    let fault = fault("environment", "the environment has no document in trial");
-                    return self.finish(Outcome::refused(ResultCode::UnknownEnvironment, fault));
-                }
-            };
-            if tried.digest() != digest {
-                let text = format!("the digest in trial is {}", tried.digest());
-                return self.finish(Outcome::refused(ResultCode::NotTried, fault("digest", &text)));
-            }
-        }
-        if let Err(error) = self.next_catalog().encode() {
-            let fault = fault("", &error.to_string());
-            return self.finish(Outcome::refused(error.code(), fault));
-        }
-        self.advance()
-    }
-
-    /// Starts the first step that is still needed before the swap, or the swap.
-    fn advance(&mut self) -> Vec<StoreRequest> {
-        if !self.parts.is_empty()
-            && let Some(digest) = self.unread_manifest()
-        {
-            self.phase = Phase::ReadManifest { call: None, digest };
-            return self.issue();
-        }
-        if !self.journaled {
-            self.phase = Phase::ReadJournal { call: None, tried: None };
-            return self.issue();
-        }
-        let queue = self.unwritten();
-        if !queue.is_empty() {
-            self.phase = Phase::WriteParts { queue, in_flight: BTreeMap::new() };
-            return self.issue();
-        }
-        let next = self.next_catalog();
-        let value = next.encode().expect("the size was checked when the catalog was read");
-        let expect = self.seen.revision;
-        let call = StoreCall::Put { key: CATALOG_KEY.to_owned(), expect, value };
-        let request = self.request_for(call);
-        self.phase = Phase::Swap { call: request.id, makes: next.revision };
-        vec![request]
-    }
-
-    fn on_manifest(
-        &mut self,
-        digest: Digest,
-        reply: StoreReply,
-        now: Instant,
-    ) -> Vec<StoreRequest> {
-        let manifest = match reply {
-            StoreReply::Value { value, .. } => Part::verified(&digest, &value)
-                .and_then(|part| Manifest::from_part(&part))
-                .unwrap_or(Manifest(Vec::new())),
-            // Without the manifest every part is written again, which is safe.
-            StoreReply::Missing => Manifest(Vec::new()),
-            _ => return self.retry_later(now),
-        };
-        self.manifests.insert(digest, manifest);
-        self.advance()
-    }
-
-    fn on_journal(
-        &mut self,
-        tried: Option<u64>,
-        reply: &StoreReply,
-        now: Instant,
-    ) -> Vec<StoreRequest> {
-        let (expect, mut journal) = match reply {
-            StoreReply::Value { revision, value } => match Journal::decode(value) {
-                Some(journal) => (*revision, journal),
-                None => return self.end_undecided("the journal of changes cannot be read"),
-            },
-            StoreReply::Missing => (Revision(0), Journal::default()),
-            _ => return self.retry_later(now),
-        };
-        if tried.is_some_and(|sequence| journal.holds(sequence, &self.request.change)) {
-            self.journaled = true;
-            return self.advance();
-        }
-        let sequence = journal.add(self.request.change.clone(), self.journal_manifests());
-        let Some(value) = journal.encode() else {
-            return self.end_undecided("the journal of changes is full; try again in an hour");
-        };
-        let call = StoreCall::Put { key: JOURNAL_KEY.to_owned(), expect, value };
-        let request = self.request_for(call);
-        self.phase = Phase::WriteJournal { call: request.id, sequence };
-        vec![request]
-    }
-
-    fn on_journal_written(
-        &mut self,
-        sequence: u64,
-        reply: &StoreReply,
-        now: Instant,
-    ) -> Vec<StoreRequest> {
-        match reply {
-            StoreReply::Written { .. } => {
-                self.journaled = true;
-                self.backoff.reset();
-                self.advance()
-            }
-            StoreReply::Conflict { .. } => {
-                self.phase = Phase::ReadJournal { call: None, tried: Some(sequence) };
-                self.retry_contended(now)
-            }
-            _ => {
-                self.phase = Phase::ReadJournal { call: None, tried: Some(sequence) };
-                self.retry_later(now)
-            }
-        }
-    }
-
-    fn on_part_written(
-        &mut self,
-        write: PartWrite,
-        reply: &StoreReply,
-        now: Instant,
-    ) -> Vec<StoreRequest> {
-        let Phase::WriteParts { queue, in_flight } = &mut self.phase else {
-            return Vec::new();
-        };
-        match reply {
-            StoreReply::Written { .. } => {
-                self.ensured.insert(write.part.digest().clone());
-            }
-            // The part was rewritten since this change first saw it, which has the same
-            // effect on the collector as rewriting it here.
-            StoreReply::Conflict { revision } if *revision > write.expect && write.expect.0 > 0 => {
-                self.ensured.insert(write.part.digest().clone());
-            }
-            StoreReply::Conflict { revision } => {
-                queue.push_front(PartWrite { expect: *revision, ..write });
-            }
-            _ => {
-                queue.push_front(write);
-                return self.retry_later(now);
-            }
-        }
-        if queue.is_empty() && in_flight.is_empty() {
-            self.backoff.reset();
-            return self.advance();
-        }
-        if self.retry_at.is_some() {
-            return Vec::new();
-        }
-        self.issue()
-    }
-
-    fn on_swap(&mut self, makes: Revision, reply: &StoreReply, now: Instant) -> Vec<StoreRequest> {
-        let expect = self.seen.revision;
-        match reply {
-            StoreReply::Written { .. } => self.finish(Outcome::Accepted { revision: makes }),
-            StoreReply::Conflict { revision } => {
-                self.floor = self.floor.max(*revision);
-                self.phase = Phase::ReadCatalog { call: None };
-                if now >= self.deadline {
-                    return self.tick(now);
-                }
-                self.retry_contended(now)
-            }
-            StoreReply::Unavailable => {
-                self.phase = Phase::ReadCatalog { call: None };
-                self.retry_later(now)
-            }
-            StoreReply::Lost | StoreReply::Value { .. } | StoreReply::Missing => {
-                self.lost = Some(LostSwap { expect, makes });
-                self.phase = Phase::ReadCatalog { call: None };
-                self.retry_later(now)
-            }
-        }
-    }
-
     /// Issues the calls that the current phase waits for.
     fn issue(&mut self) -> Vec<StoreRequest> {
         let next = &mut self.next_call;
@@ -676,30 +446,3 @@
             .collect()
     }
 }
-
-/// Checks everything that can be checked without the store.
-fn check(request: &ChangeRequest) -> Result<(), Outcome> {
-    let operator = &request.operator;
-    if operator.is_empty() || operator.len() > MAX_OPERATOR_BYTES {
-        let text = format!("expected 1 to {MAX_OPERATOR_BYTES} bytes");
-        return Err(Outcome::refused(ResultCode::MalformedRequest, fault("operator", &text)));
-    }
-    let ChangeKind::Trial { text } = &request.kind else {
-        return Ok(());
-    };
-    match Environment::parse(text) {
-        Ok(environment) if environment.name == request.environment => Ok(()),
-        Ok(environment) => {
-            let text = format!(
-                "expected `{}`, the environment of the request, found `{}`",
-                request.environment, environment.name
-            );
-            Err(Outcome::refused(ResultCode::InvalidDocument, fault("environment", &text)))
-        }
-        Err(faults) => Err(Outcome::Refused { code: faults.code, faults: faults.list }),
-    }
-}
-
-fn fault(field: &str, message: &str) -> Fault {
-    Fault { line: 1, column: 1, field: field.to_owned(), message: message.to_owned() }
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod backoff;
 pub mod catalog;
 pub mod change;
+mod collector;
 pub mod diff;
 pub mod dissemination;
 mod in_force;
@@ -32,6 +33,8 @@
 pub use change::ChangeSettings;
 pub use change::ChangeStatus;
 pub use change::Outcome;
+pub use collector::Collector;
+pub use collector::CollectorSettings;
 pub use diff::Diff;
 pub use diff::diff;
 pub use dissemination::Member;
