--- /dev/null
+++ b/crates/control/tests/in_force.rs
@@ -0,0 +1,67 @@
+//! The report of daemons on which a revision is in force.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use tt_control::InForce;
+use tt_control::Versions;
+use tt_model::Epoch;
+use tt_model::Incarnation;
+use tt_model::Revision;
+
+fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, (n / 250) as u8, (n % 250) as u8], 70))
+}
+
+fn at(catalog: u64) -> Versions {
+    Versions { catalog: Revision(catalog), epoch: Epoch(0) }
+}
+
+/// Guards against "in force" that counts a restarted daemon, or one that never answered.
+#[test]
+fn a_report_counts_only_daemons_that_hold_the_revision_now() {
+    let now = Instant::now();
+    let members: Vec<SocketAddr> = (0..5).map(address).collect();
+    let mut survey = InForce::new(Revision(7), &members, Duration::from_secs(2), now);
+    survey.on_versions(address(0), Incarnation(1), at(7));
+    survey.on_versions(address(1), Incarnation(1), at(8));
+    survey.on_versions(address(2), Incarnation(1), at(6));
+    survey.on_versions(address(3), Incarnation(1), at(7));
+    survey.on_versions(address(3), Incarnation(2), at(0));
+    survey.on_versions(address(3), Incarnation(1), at(7));
+    survey.on_versions(address(9), Incarnation(1), at(7));
+    let report = survey.report();
+    assert_eq!((report.adopted, report.members), (2, 5));
+    let others =
+        [(address(2), Some(Revision(6))), (address(3), Some(Revision(0))), (address(4), None)];
+    assert_eq!(report.others, others);
+
+    assert_eq!(survey.ask().len(), 3);
+    assert!(!survey.is_finished(now));
+    assert!(survey.is_finished(now + Duration::from_secs(2)));
+    (0..3).for_each(|_| survey.on_done());
+    assert!(survey.is_finished(now));
+}
+
+/// Guards against a status request that opens thousands of calls at once.
+#[test]
+fn a_survey_asks_a_bounded_number_of_daemons_at_once() {
+    let now = Instant::now();
+    let members: Vec<SocketAddr> = (0..2_700).map(address).collect();
+    let mut survey = InForce::new(Revision(7), &members, Duration::from_secs(2), now);
+    let mut asked = 0;
+    let mut at_once = 0;
+    while !survey.is_finished(now) {
+        let requests = survey.ask();
+        at_once = at_once.max(requests.len());
+        asked += requests.len();
+        for (member, _) in requests {
+            survey.on_versions(member, Incarnation(1), at(7));
+            survey.on_done();
+        }
+    }
+    assert_eq!((asked, at_once), (2_700, 64));
+    assert_eq!(survey.report().adopted, 2_700);
+}
