feat: tell repeated submissions apart and fuzz changes and daemons

An operator who repeated a change id while the store was down was answered "not changed" although the earlier submission had been accepted. A request now states whether it is a repeat; a repeat that stays undecided is "unknown". Found by the new stateful fuzz test; the oracle reads the stored values as plain JSON and shares no code with the crate.

--- a/crates/control/src/change.rs
+++ b/crates/control/src/change.rs
@@ -63,11 +63,23 @@
     },
 }
 
+/// Whether the same change id may have been submitted before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Attempt {
+    /// The id is new.
+    First,
+    /// An earlier submission was answered "unknown" or not at all. Its swap may have taken or
+    /// may yet take effect, so this submission cannot be answered "not changed".
+    Repeat,
+}
+
 /// An operator's request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ChangeRequest {
     /// The id of the change, chosen by the operator's tool.
     pub change: ChangeId,
+    /// Whether the id may have been submitted before.
+    pub attempt: Attempt,
     /// Who asks.
     pub operator: String,
     /// The environment.
@@ -363,7 +375,9 @@
     /// Ends the change without knowing more: "unknown" if a swap may have taken or may yet
     /// take effect, "not changed" otherwise.
     fn end_undecided(&mut self, reason: &str) -> Vec<StoreRequest> {
-        let in_doubt = self.lost.is_some() || matches!(self.phase, Phase::Swap { .. });
+        let in_doubt = self.request.attempt == Attempt::Repeat
+            || self.lost.is_some()
+            || matches!(self.phase, Phase::Swap { .. });
         let outcome = if in_doubt {
             Outcome::Unknown { change: self.request.change.clone() }
         } else {
--- a/crates/control/src/change/steps.rs
+++ b/crates/control/src/change/steps.rs
@@ -10,6 +10,7 @@
 use tt_model::StoreCall;
 use tt_model::StoreReply;
 
+use super::Attempt;
 use super::Change;
 use super::ChangeKind;
 use super::LostSwap;
@@ -78,6 +79,13 @@
                 self.reads_behind += 1;
                 return self.retry_later(now);
             }
+            // An earlier submission had the same base, so it can no longer take effect. It has
+            // taken effect if its record has left the history.
+            if self.request.attempt == Attempt::Repeat
+                && entry.is_some_and(|entry| !entry.covers(self.request.base.next()))
+            {
+                return self.end_undecided("");
+            }
             let winner = Winner::of(entry);
             return self.finish(Outcome::Conflict { winner });
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,6 +27,7 @@
 pub use catalog::Catalog;
 pub use catalog::ChangeId;
 pub use catalog::Stage;
+pub use change::Attempt;
 pub use change::Change;
 pub use change::ChangeKind;
 pub use change::ChangeRequest;
--- a/crates/control/tests/change.rs
+++ b/crates/control/tests/change.rs
@@ -4,6 +4,7 @@
 
 use std::collections::VecDeque;
 
+use tt_control::Attempt;
 use tt_control::Catalog;
 use tt_control::Change;
 use tt_control::ChangeKind;
@@ -112,6 +113,10 @@
         // The same request again gets the same change, not a second one.
         let mut again = trial("a", "alice", 1, &document("a", 3, 2));
         again.change = change_id(2);
+        again.attempt = Attempt::Repeat;
+        let mut down = |_: &str, _: &StoreCall| CallFault::Unavailable;
+        let undecided = desk.run(again.clone(), &mut down);
+        assert_eq!(undecided, Outcome::Unknown { change: change_id(2) }, "{fault:?}");
         assert_eq!(desk.run(again, &mut no_faults), accepted(2), "{fault:?}");
     }
 }
--- /dev/null
+++ b/crates/control/tests/fuzz.rs
@@ -0,0 +1,470 @@
+//! Random histories of operators, daemons and faults, checked against the oracle.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use tokio::time::Instant;
+
+use tt_control::Attempt;
+use tt_control::Change;
+use tt_control::ChangeId;
+use tt_control::ChangeKind;
+use tt_control::ChangeRequest;
+use tt_control::ChangeSettings;
+use tt_control::ChangeStatus;
+use tt_control::Collector;
+use tt_control::CollectorSettings;
+use tt_control::Outcome;
+use tt_control::StoreRequest;
+use tt_control::change::status;
+use tt_model::Digest;
+use tt_model::Revision;
+
+use support::change_id;
+use support::cluster::Cluster;
+use support::cluster::Layout;
+use support::cluster::StoreState;
+use support::document;
+use support::oracle::Oracle;
+use support::oracle::Submitted;
+use support::oracle::sha256;
+
+const DAEMONS: usize = 5;
+const OPERATORS: [&str; 3] = ["alice", "bob", "carol"];
+const ENVIRONMENTS: [&str; 2] = ["a", "b"];
+const TICK: Duration = Duration::from_millis(5);
+
+static HISTORIES: AtomicUsize = AtomicUsize::new(0);
+static STEPS: AtomicUsize = AtomicUsize::new(0);
+static ACCEPTED: AtomicUsize = AtomicUsize::new(0);
+static OUTCOMES: [AtomicUsize; 5] = [const { AtomicUsize::new(0) }; 5];
+static REMOVED: AtomicUsize = AtomicUsize::new(0);
+
+#[derive(Debug, Clone)]
+enum Step {
+    Trial {
+        operator: usize,
+        environment: usize,
+        variant: usize,
+        behind: u64,
+    },
+    Promote {
+        operator: usize,
+        environment: usize,
+        behind: u64,
+    },
+    /// The operator repeats the last request with the same change id. If it was not answered
+    /// yet, its daemon has failed with a store call on its way.
+    Repeat {
+        operator: usize,
+    },
+    Run {
+        ms: u64,
+    },
+    Store {
+        state: StoreState,
+    },
+    BreakWatches,
+    Restart {
+        daemon: usize,
+    },
+    Stop {
+        daemon: usize,
+    },
+    Split {
+        sides: [u32; DAEMONS],
+    },
+    Reach {
+        reaches: [bool; DAEMONS],
+    },
+    OldUpdate {
+        daemon: usize,
+        which: usize,
+    },
+    Loss {
+        percent: u32,
+    },
+    Sweep,
+}
+
+/// The generator needs no state: every step is possible at any time.
+struct Histories;
+
+impl ReferenceStateMachine for Histories {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Step> {
+        let operator = 0..OPERATORS.len();
+        let environment = 0..ENVIRONMENTS.len();
+        let daemon = 0..DAEMONS;
+        // Mostly the current base, sometimes an old one.
+        let behind = prop_oneof![4 => Just(0u64), 1 => 1u64..3];
+        let state = prop_oneof![
+            3 => Just(StoreState::Up),
+            1 => Just(StoreState::Down),
+            2 => Just(StoreState::LosesReplies),
+            1 => Just(StoreState::StaleReads),
+            1 => Just(StoreState::Slow(Duration::from_millis(700))),
+        ];
+        prop_oneof![
+            8 => (operator.clone(), environment.clone(), 0usize..6, behind.clone()).prop_map(
+                |(operator, environment, variant, behind)| Step::Trial {
+                    operator, environment, variant, behind
+                }),
+            4 => (operator.clone(), environment, behind).prop_map(
+                |(operator, environment, behind)| Step::Promote { operator, environment, behind }),
+            2 => operator.prop_map(|operator| Step::Repeat { operator }),
+            8 => (0u32..4).prop_flat_map(|scale| 1..10u64.pow(scale + 1))
+                .prop_map(|ms| Step::Run { ms }),
+            4 => state.prop_map(|state| Step::Store { state }),
+            1 => Just(Step::BreakWatches),
+            2 => daemon.clone().prop_map(|daemon| Step::Restart { daemon }),
+            1 => daemon.clone().prop_map(|daemon| Step::Stop { daemon }),
+            2 => prop::array::uniform5(0u32..2).prop_map(|sides| Step::Split { sides }),
+            2 => prop::array::uniform5(any::<bool>()).prop_map(|reaches| Step::Reach { reaches }),
+            2 => (daemon, 0usize..32).prop_map(|(daemon, which)| Step::OldUpdate { daemon, which }),
+            1 => (0u32..40).prop_map(|percent| Step::Loss { percent }),
+            1 => Just(Step::Sweep),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+struct Running {
+    change: Change,
+    calls: VecDeque<StoreRequest>,
+}
+
+struct World {
+    cluster: Cluster,
+    oracle: Oracle,
+    running: Vec<Running>,
+    last: BTreeMap<usize, ChangeRequest>,
+    /// What the last finished submission of each change was told.
+    told: BTreeMap<ChangeId, Outcome>,
+    collector: Collector,
+    collect: VecDeque<StoreRequest>,
+    checked: usize,
+    highest: BTreeMap<(usize, u32), Revision>,
+    changes: u64,
+}
+
+impl World {
+    fn submit(&mut self, operator: usize, environment: usize, behind: u64, text: Option<String>) {
+        let stage = if text.is_some() { "trial" } else { "production" };
+        let environment = ENVIRONMENTS[environment].to_owned();
+        let (base, _) = self.oracle.entry(&environment, stage);
+        let (_, tried) = self.oracle.entry(&environment, "trial");
+        self.changes += 1;
+        let change = change_id(self.changes);
+        let base = base.saturating_sub(behind);
+        let kind = match &text {
+            Some(text) => ChangeKind::Trial { text: text.clone() },
+            None => match serde_json::from_str::<Digest>(&format!("\"{tried}\"")) {
+                Ok(digest) => ChangeKind::Promote { digest },
+                Err(error) => panic!("{error}"),
+            },
+        };
+        let digest = text.as_ref().map_or(tried, |text| sha256(text.as_bytes()));
+        let submitted = Submitted { environment: environment.clone(), stage, base, digest, text };
+        self.oracle.submit(&change.to_string(), submitted);
+        let operator_name = OPERATORS[operator].to_owned();
+        let request = ChangeRequest {
+            change,
+            attempt: Attempt::First,
+            operator: operator_name,
+            environment,
+            base: Revision(base),
+            kind,
+        };
+        self.last.insert(operator, request.clone());
+        self.start(request);
+    }
+
+    fn start(&mut self, request: ChangeRequest) {
+        let settings = ChangeSettings { seed: self.changes, ..ChangeSettings::default() };
+        let (change, calls) = Change::start(request, &settings, self.cluster.now);
+        self.running.push(Running { change, calls: calls.into() });
+    }
+
+    /// Ends a change without an answer; a call of it that was sent arrives later.
+    fn abandon(&mut self, change: &ChangeId) {
+        let is_it = |one: &Running| one.change.request().change == *change;
+        if let Some(at) = self.running.iter().position(is_it) {
+            let one = self.running.remove(at);
+            for request in one.calls {
+                self.cluster.arrive_later(request.call);
+            }
+        }
+    }
+
+    /// Daemons run continuously; each change and the collector make one store call a tick.
+    fn run(&mut self, time: Duration) {
+        let until = self.cluster.now + time;
+        while self.cluster.now < until {
+            let idle = self.running.is_empty() && self.collect.is_empty();
+            let step = if idle { until - self.cluster.now } else { TICK };
+            self.cluster.run_for(step.min(Duration::from_secs(1)));
+            self.cluster.apply_late();
+            self.oracle.observe(&self.cluster.store.values);
+            self.step_changes();
+            self.step_collector();
+            self.check_daemons();
+        }
+    }
+
+    fn step_changes(&mut self) {
+        let now = self.cluster.now;
+        for one in &mut self.running {
+            one.calls.extend(one.change.tick(now));
+            if let Some(StoreRequest { id, call }) = one.calls.pop_front() {
+                let reply = self.cluster.operator_call(&call);
+                self.oracle.observe(&self.cluster.store.values);
+                one.calls.extend(one.change.on_reply(id, reply, now));
+            }
+            if let Some(outcome) = one.change.outcome() {
+                let change = one.change.request().change.clone();
+                self.oracle.check_outcome(&change.to_string(), &outcome.to_string());
+                self.told.insert(change, outcome.clone());
+            }
+        }
+        self.running.retain(|one| one.change.outcome().is_none());
+    }
+
+    fn step_collector(&mut self) {
+        let now = self.cluster.now;
+        self.collect.extend(self.collector.tick(now));
+        if let Some(StoreRequest { id, call }) = self.collect.pop_front() {
+            let reply = self.cluster.operator_call(&call);
+            self.oracle.check_parts(&self.cluster.store.values);
+            self.collect.extend(self.collector.on_reply(id, &reply, now));
+        }
+    }
+
+    /// Revisions only rise, and what is in force is what was accepted as that revision.
+    fn check_daemons(&mut self) {
+        for &(node, process, revision) in &self.cluster.adoptions[self.checked..] {
+            let highest = self.highest.entry((node, process)).or_default();
+            assert!(revision > *highest, "daemon {node} fell from {highest} to {revision}");
+            *highest = revision;
+        }
+        self.checked = self.cluster.adoptions.len();
+        for node in self.cluster.nodes.iter().filter(|node| node.is_up) {
+            let revision = node.plane.versions().catalog.0;
+            assert!(revision <= self.oracle.revision());
+            let held: BTreeMap<(String, String), String> = node
+                .plane
+                .replica()
+                .documents()
+                .iter()
+                .map(|(key, document)| {
+                    let name = (key.environment.clone(), key.stage.to_string());
+                    (name, document.digest.to_string())
+                })
+                .collect();
+            let accepted: BTreeMap<(String, String), String> = self
+                .oracle
+                .in_force(revision)
+                .into_iter()
+                .map(|(key, (_, digest))| (key, digest))
+                .collect();
+            assert_eq!(held, accepted, "at revision {revision}");
+        }
+    }
+
+    /// Ends all faults and checks that everything converges and every answer was true.
+    fn finish(mut self) {
+        self.cluster.store_state = StoreState::Up;
+        self.cluster.layout.loss = 0.0;
+        for n in 0..DAEMONS {
+            self.cluster.nodes[n].side = 0;
+            self.cluster.nodes[n].reaches_store = true;
+            if !self.cluster.nodes[n].is_up {
+                self.cluster.restart(n);
+            }
+        }
+        self.run(Duration::from_secs(21));
+        assert!(self.running.is_empty(), "a change is still undecided");
+        let revision = self.oracle.revision();
+        self.run(Duration::from_secs(15));
+        assert_eq!(self.oracle.revision(), revision);
+        for (n, node) in self.cluster.nodes.iter().enumerate() {
+            assert_eq!(node.plane.versions().catalog.0, revision, "daemon {n}");
+            assert_eq!(node.plane.not_ready().is_none(), revision > 0, "daemon {n}");
+            assert!(!node.plane.is_stale(self.cluster.now), "daemon {n}");
+        }
+        self.run(Duration::from_secs(300));
+        self.oracle.check_parts(&self.cluster.store.values);
+        let catalog = self.cluster.nodes[0].plane.replica().adopted();
+        for (change, outcome) in &self.told {
+            self.oracle.check_outcome(&change.to_string(), &outcome.to_string());
+            let environment = &self.oracle.submitted[&change.to_string()].environment;
+            let at = self.oracle.accepted_at(&change.to_string());
+            match status(catalog, environment, change) {
+                ChangeStatus::Accepted { revision, .. } => assert_eq!(at, Some(revision.0)),
+                ChangeStatus::NotAccepted { .. } => assert_eq!(at, None),
+                ChangeStatus::NotInHistory { .. } => {}
+            }
+            let kind = match outcome {
+                Outcome::Accepted { .. } => 0,
+                Outcome::Conflict { .. } => 1,
+                Outcome::Refused { .. } => 2,
+                Outcome::NotChanged { .. } => 3,
+                Outcome::Unknown { .. } => 4,
+            };
+            OUTCOMES[kind].fetch_add(1, Ordering::Relaxed);
+        }
+        HISTORIES.fetch_add(1, Ordering::Relaxed);
+        ACCEPTED.fetch_add(self.oracle.accepted.len(), Ordering::Relaxed);
+        REMOVED.fetch_add(self.collector.removed() as usize, Ordering::Relaxed);
+    }
+}
+
+struct ControlTest;
+
+impl StateMachineTest for ControlTest {
+    type SystemUnderTest = Option<World>;
+    type Reference = Histories;
+
+    fn init_test((): &()) -> Option<World> {
+        let cluster = Cluster::new(Layout { members: DAEMONS, domains: 2, ..Layout::default() });
+        // Longer than a change may take, and short enough to happen often.
+        let settings = CollectorSettings {
+            age: Duration::from_secs(30),
+            interval: Duration::from_secs(5),
+            retry: Duration::from_secs(2),
+            ..CollectorSettings::default()
+        };
+        let mut collector = Collector::new(settings);
+        collector.activate(Instant::now());
+        Some(World {
+            cluster,
+            oracle: Oracle::default(),
+            running: Vec::new(),
+            last: BTreeMap::new(),
+            told: BTreeMap::new(),
+            collector,
+            collect: VecDeque::new(),
+            checked: 0,
+            highest: BTreeMap::new(),
+            changes: 0,
+        })
+    }
+
+    fn apply(state: Option<World>, (): &(), step: Step) -> Option<World> {
+        let mut world = state?;
+        STEPS.fetch_add(1, Ordering::Relaxed);
+        match step {
+            Step::Trial { operator, environment, variant, behind } => {
+                let services = [3, 3, 60][variant % 3];
+                let text = document(ENVIRONMENTS[environment], services, variant as u32 + 1);
+                world.submit(operator, environment, behind, Some(text));
+            }
+            Step::Promote { operator, environment, behind } => {
+                if world.oracle.entry(ENVIRONMENTS[environment], "trial").0 > 0 {
+                    world.submit(operator, environment, behind, None);
+                }
+            }
+            Step::Repeat { operator } => {
+                if let Some(request) = world.last.get(&operator).cloned() {
+                    world.abandon(&request.change);
+                    world.told.remove(&request.change);
+                    world.start(ChangeRequest { attempt: Attempt::Repeat, ..request });
+                }
+            }
+            Step::Run { ms } => world.run(Duration::from_millis(ms)),
+            Step::Store { state } => {
+                world.cluster.store_state = state;
+                if matches!(state, StoreState::Down) {
+                    world.cluster.break_watches();
+                }
+                world.cluster.wake_watches();
+            }
+            Step::BreakWatches => world.cluster.break_watches(),
+            Step::Restart { daemon } => world.cluster.restart(daemon),
+            Step::Stop { daemon } => world.cluster.stop(daemon),
+            Step::Split { sides } => {
+                for (node, side) in world.cluster.nodes.iter_mut().zip(sides) {
+                    node.side = side;
+                }
+            }
+            Step::Reach { reaches } => {
+                for (node, reaches) in world.cluster.nodes.iter_mut().zip(reaches) {
+                    node.reaches_store = reaches;
+                }
+                world.cluster.break_watches();
+            }
+            Step::OldUpdate { daemon, which } => world.cluster.deliver_old_update(daemon, which),
+            Step::Loss { percent } => {
+                world.cluster.layout.loss = f64::from(percent) / 100.0;
+            }
+            Step::Sweep => world.run(Duration::from_secs(35)),
+        }
+        Some(world)
+    }
+
+    fn teardown(state: Option<World>, (): ()) {
+        if let Some(world) = state {
+            world.finish();
+        }
+    }
+}
+
+/// Guards against changes that are lost, half applied, applied twice or reverted, operators who
+/// are told something untrue, daemons that fall back, and daemons that do not converge.
+/// `CONTROL_FUZZ_CASES` sets the number of histories and `CONTROL_FUZZ_SEED` the seed.
+#[test]
+fn random_histories_agree_with_the_oracle() {
+    let number = |name: &str, default: u64| {
+        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let config = Config {
+        cases: number("CONTROL_FUZZ_CASES", 64) as u32,
+        rng_seed: RngSeed::Fixed(number("CONTROL_FUZZ_SEED", 5)),
+        failure_persistence: None,
+        max_shrink_iters: 400,
+        ..Config::default()
+    };
+    let started = std::time::Instant::now();
+    let strategy = Histories::sequential_strategy(5..60);
+    let mut runner = proptest::test_runner::TestRunner::new(config.clone());
+    let result = runner.run(&strategy, |(initial, steps, seen)| {
+        ControlTest::test_sequential(config.clone(), initial, steps, seen);
+        Ok(())
+    });
+    let count = |counter: &AtomicUsize| counter.load(Ordering::Relaxed);
+    println!(
+        "{} histories, {} steps, {} changes in the catalog, answers: accepted {}, conflict {}, \
+         refused {}, not changed {}, unknown {}; {} values removed; {:.1?}",
+        count(&HISTORIES),
+        count(&STEPS),
+        count(&ACCEPTED),
+        count(&OUTCOMES[0]),
+        count(&OUTCOMES[1]),
+        count(&OUTCOMES[2]),
+        count(&OUTCOMES[3]),
+        count(&OUTCOMES[4]),
+        count(&REMOVED),
+        started.elapsed()
+    );
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -81,8 +81,10 @@
 pub enum StoreState {
     Up,
     Down,
-    /// Calls take effect but replies do not arrive.
+    /// No reply arrives; a write takes effect at once, later or not at all.
     LosesReplies,
+    /// Daemons that read the catalog get the value before the last one.
+    StaleReads,
     /// Each call takes this long.
     Slow(Duration),
 }
@@ -158,6 +160,11 @@
     scheduled: BTreeMap<u64, Scheduled>,
     sequence: u64,
     waiting: Vec<Waiting>,
+    /// Writes whose reply was lost and that take effect later.
+    late: Vec<(Instant, StoreCall)>,
+    stale: Option<StoreReply>,
+    /// Updates that were sent earlier, for deliveries that are long overdue.
+    sent: Vec<(usize, Update)>,
     rng: StdRng,
 }
 
@@ -185,6 +192,9 @@
             scheduled: BTreeMap::new(),
             sequence: 0,
             waiting: Vec::new(),
+            late: Vec::new(),
+            stale: None,
+            sent: Vec::new(),
             rng: StdRng::seed_from_u64(layout.seed),
             members,
             layout,
@@ -282,18 +292,63 @@
         up().all(|node| node.plane.versions().catalog >= revision)
     }
 
-    /// Applies a call of an operator's change, which does not go through a daemon's replica.
+    /// Applies a call that does not come from a daemon's control state.
     pub fn operator_call(&mut self, call: &StoreCall) -> StoreReply {
-        let reply = match self.store_state {
-            StoreState::Up | StoreState::Slow(_) => self.store.call(call),
+        let reply = self.reply(call);
+        self.wake_watches();
+        reply
+    }
+
+    /// Applies delayed writes that are due.
+    pub fn apply_late(&mut self) {
+        let now = self.now;
+        let (due, late) =
+            std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
+        self.late = late;
+        let due: Vec<(Instant, StoreCall)> = due;
+        for (_, call) in due {
+            self.store.call(&call);
+        }
+        self.wake_watches();
+    }
+
+    /// Lets a call reach the store some time later.
+    pub fn arrive_later(&mut self, call: StoreCall) {
+        let delay = Duration::from_millis(self.rng.random_range(0..20_000));
+        self.late.push((self.now + delay, call));
+    }
+
+    /// Delivers an update that was sent long ago.
+    pub fn deliver_old_update(&mut self, to: usize, which: usize) {
+        if !self.sent.is_empty() && self.nodes[to].is_up {
+            let (from, update) = self.sent[which % self.sent.len()].clone();
+            self.receive(to, from, Message::Push(update), 1);
+        }
+    }
+
+    fn reply(&mut self, call: &StoreCall) -> StoreReply {
+        match self.store_state {
+            StoreState::Up | StoreState::Slow(_) | StoreState::StaleReads => {
+                if let StoreCall::Put { key, .. } = call
+                    && key == "catalog"
+                {
+                    let before = self.store.call(&StoreCall::Get { key: key.clone() });
+                    self.stale = Some(before);
+                }
+                self.store.call(call)
+            }
             StoreState::Down => StoreReply::Unavailable,
             StoreState::LosesReplies => {
-                self.store.call(call);
+                match self.rng.random_range(0..3) {
+                    0 => {
+                        self.store.call(call);
+                    }
+                    1 => self.arrive_later(call.clone()),
+                    _ => {}
+                }
                 StoreReply::Lost
             }
-        };
-        self.wake_watches();
-        reply
+        }
     }
 
     /// Ends waiting watches whose value has changed.
@@ -301,6 +356,7 @@
         if matches!(self.store_state, StoreState::Down | StoreState::LosesReplies) {
             return;
         }
+        // Also wakes watchers that cannot reach the store; their watches were broken before.
         let changed = |w: &Waiting| match self.store.values.get(&w.key) {
             Some((revision, _)) => *revision > w.after,
             None => false,
@@ -356,14 +412,11 @@
     }
 
     fn store_call(&mut self, n: usize, process: u32, id: CallId, call: &StoreCall) {
-        let reply = match self.store_state {
+        let is_read = matches!(call, StoreCall::Get { key } if key == "catalog");
+        let reply = match (&self.stale, self.store_state) {
             _ if !self.nodes[n].reaches_store => StoreReply::Unavailable,
-            StoreState::Down => StoreReply::Unavailable,
-            StoreState::LosesReplies => {
-                self.store.call(call);
-                StoreReply::Lost
-            }
-            StoreState::Up | StoreState::Slow(_) => self.store.call(call),
+            (Some(stale), StoreState::StaleReads) if is_read => stale.clone(),
+            _ => self.reply(call),
         };
         if let (StoreCall::Watch { key, after }, StoreReply::Missing) = (call, &reply) {
             let key = key.clone();
@@ -450,6 +503,9 @@
                 }
                 Action::Push { to, update } => {
                     let to = self.by_address[&to];
+                    if self.sent.len() < 32 {
+                        self.sent.push((n, update.clone()));
+                    }
                     let hops = self.nodes[n].hops + 1;
                     self.send(n, to, Message::Push(update), hops);
                 }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cluster;
 pub mod operators;
+pub mod oracle;
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
--- a/crates/control/tests/support/operators.rs
+++ b/crates/control/tests/support/operators.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::Instant;
 
+use tt_control::Attempt;
 use tt_control::CATALOG_KEY;
 use tt_control::Catalog;
 use tt_control::Change;
@@ -53,6 +54,7 @@
 pub fn trial(environment: &str, operator: &str, base: u64, text: &str) -> ChangeRequest {
     ChangeRequest {
         change: change_id(0),
+        attempt: Attempt::First,
         operator: operator.to_owned(),
         environment: environment.to_owned(),
         base: Revision(base),
