--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -1,6 +1,10 @@
 //! Documents, ids and a store fake shared by the tests.
 #![allow(dead_code)] // each test binary uses a part of it
 
+pub mod cluster;
+pub mod operators;
+pub mod oracle;
+
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
