fix: take over a log whose unnamed last segment is sealed

The first batch of a new segment can fill and seal it. If its writer stopped before the head named the segment, each later take-over started again without end. The take-over now names the segment and goes on behind it.

--- a/crates/claims/src/partition/owner.rs
+++ b/crates/claims/src/partition/owner.rs
@@ -92,8 +92,9 @@
                 Verdict::Write(record, reply) => {
                     let end = tail.records.len();
                     encode_record(&mut tail.records, &record);
-                    let full =
-                        SEGMENT_PREFIX_BYTES + tail.records.len() > self.settings.segment_bytes;
+                    // A new segment takes at least one record.
+                    let full = end > 0
+                        && SEGMENT_PREFIX_BYTES + tail.records.len() > self.settings.segment_bytes;
                     if full || count >= self.settings.batch_len {
                         tail.records.truncate(end);
                         if full {
@@ -399,9 +400,11 @@
                     }
                     match tail.seal {
                         Seal::Open => return self.fence_tail(tail, now),
-                        // Its writer had the head name it, so the head was read too early.
                         Seal::Sealed if sequence > self.head.tail => {
-                            return self.restart_take_over(now);
+                            self.kept.push_back(tail.kept());
+                            let head = Head { tail: sequence, ..self.head };
+                            self.phase = Phase::TakeOver(TakeOver::Extend(head));
+                            return self.write_head(head, Job::TakeOver, now);
                         }
                         Seal::Sealed => self.kept.push_back(tail.kept()),
                     }
@@ -426,7 +429,11 @@
         match mem::replace(step, TakeOver::FenceTail) {
             TakeOver::FenceHead(head) => {
                 self.set_head(head, revision);
-                self.phase = Phase::TakeOver(TakeOver::Segments(Replay::new(&head)));
+                self.phase = Phase::TakeOver(TakeOver::Segments(Replay::new(&head, head.first)));
+            }
+            TakeOver::Extend(head) => {
+                self.set_head(head, revision);
+                self.phase = Phase::TakeOver(TakeOver::Segments(Replay::new(&head, head.tail + 1)));
             }
             TakeOver::FenceTail => {
                 self.tail.revision = revision;
--- a/crates/claims/src/partition/take_over.rs
+++ b/crates/claims/src/partition/take_over.rs
@@ -31,6 +31,8 @@
     FenceTail,
     /// Names a new tail in the head.
     Confirm(Head),
+    /// Names a sealed segment in the head that its writer had no time to name.
+    Extend(Head),
 }
 
 /// Reads of the segments from `first` to one after the tail that the head names, several at a time.
@@ -78,11 +80,12 @@
 }
 
 impl Replay {
-    pub(crate) fn new(head: &Head) -> Replay {
+    /// Reads the segments from `first` on.
+    pub(crate) fn new(head: &Head, first: u64) -> Replay {
         Replay {
             tail: head.tail,
-            ask: head.first,
-            apply: head.first,
+            ask: first,
+            apply: first,
             open: HashMap::new(),
             again: Vec::new(),
             again_at: None,
--- a/crates/claims/tests/common/mod.rs
+++ b/crates/claims/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+pub mod world;
+
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
