--- a/crates/claims/src/claimant.rs
+++ b/crates/claims/src/claimant.rs
@@ -12,6 +12,7 @@
 use crate::message::RunResult;
 use crate::message::Start;
 use crate::message::Step;
+use crate::message::not_run_code;
 use crate::request_id::Attempt;
 use crate::request_id::BodyDigest;
 use crate::request_id::ClaimId;
@@ -255,7 +256,9 @@
                 }
             }
             ClaimantEvent::GiveUp { code } => match self.phase {
-                Phase::Claiming | Phase::Preparing | Phase::Starting => self.give_up(code, now),
+                Phase::Claiming | Phase::Preparing | Phase::Starting => {
+                    self.give_up(not_run_code(Some(code)), now);
+                }
                 Phase::Sent | Phase::Recording { .. } | Phase::Finished => {}
             },
             ClaimantEvent::Ran(outcome) => {
@@ -381,6 +384,7 @@
                 self.record(step, now);
             }
             RunOutcome::NotExecuted(code) => {
+                let code = not_run_code(Some(code));
                 // True before the record is durable, because `Started` keeps every other
                 // claim out. The record comes first so that an immediate repeat can run.
                 if let AnswerState::Open(answer) = &mut self.answer {
--- a/crates/claims/src/log/codec.rs
+++ b/crates/claims/src/log/codec.rs
@@ -15,6 +15,7 @@
 use crate::message::MAX_RESULT_BYTES;
 use crate::message::RunResult;
 use crate::message::Start;
+use crate::message::not_run_code;
 use crate::request_id::Attempt;
 use crate::request_id::BodyDigest;
 use crate::request_id::ClaimId;
@@ -165,10 +166,7 @@
                 claim,
                 digest: BodyDigest(self.u128()?),
                 attempt: Attempt(self.u32()?),
-                code: {
-                    let number = self.u16()?;
-                    ResultCode::from_number(number).ok_or_else(|| self.error())?
-                },
+                code: not_run_code(ResultCode::from_number(self.u16()?)),
             },
             _ => return Err(self.error()),
         })
--- a/crates/claims/src/message.rs
+++ b/crates/claims/src/message.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use tt_model::Ran;
 use tt_model::ResultCode;
 
 use crate::request_id::Attempt;
@@ -128,3 +129,9 @@
     /// The log holds no record of the id.
     Absent,
 }
+
+/// `code`, or a general one if it does not state that the request was not run. Codes come
+/// from peers and from logs of later versions.
+pub(crate) fn not_run_code(code: Option<ResultCode>) -> ResultCode {
+    code.filter(|code| code.ran() == Ran::No).unwrap_or(ResultCode::DeadlinePassed)
+}
--- a/crates/claims/src/partition.rs
+++ b/crates/claims/src/partition.rs
@@ -43,6 +43,8 @@
     /// Calls that may wait. Claims and starts may use three quarters, so that outcomes
     /// of requests that already ran find room.
     pub queue_len: usize,
+    /// Size of the results that may wait.
+    pub queue_bytes: usize,
     /// Largest segment value.
     pub segment_bytes: usize,
     /// Segments read at the same time at take-over.
@@ -62,6 +64,8 @@
             prune_gap: Duration::from_secs(10),
             retry_pause: Duration::from_millis(200),
             queue_len: 4096,
+            // Bounds four partitions to an eighth of the 128 MB that a daemon may use.
+            queue_bytes: 4 * 1024 * 1024,
             segment_bytes: crate::log::MAX_SEGMENT_BYTES,
             read_window: 16,
             max_wait: Duration::from_secs(30),
@@ -96,7 +100,8 @@
 /// Output of a [`Partition`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PartitionAction {
-    /// Make a store call and report its outcome.
+    /// Make a store call and report its outcome. Each call needs an outcome; one that gets
+    /// no answer in time is [`StoreReply::Lost`].
     Store {
         /// Number of the call.
         call: u64,
@@ -220,7 +225,8 @@
 }
 
 impl Partition {
-    /// Starts to take over the partition. The actions come with the next event, so send
+    /// Starts to take over the partition. A process may use the same token again for the
+    /// same partition only after it has dropped the earlier state machine. The actions come with the next event, so send
     /// a [`PartitionEvent::Timer`] at once.
     pub fn new(id: PartitionId, token: Token, settings: PartitionSettings, now: Now) -> Partition {
         Partition {
@@ -322,7 +328,7 @@
         }
         let limit = self.settings.queue_len;
         let limit = if outcome { limit } else { limit - limit / 4 };
-        if self.queue.len() >= limit {
+        if self.queue.len() >= limit || self.queue.result_bytes() >= self.settings.queue_bytes {
             return self.reply(tag, ClaimReply::Busy);
         }
         let wait = Duration::from_millis(u64::from(request.wait_ms)).min(self.settings.max_wait);
--- a/crates/claims/src/partition/queue.rs
+++ b/crates/claims/src/partition/queue.rs
@@ -6,6 +6,7 @@
 
 use crate::message::ClaimReply;
 use crate::message::ClaimRequest;
+use crate::message::RunResult;
 use crate::message::Step;
 
 /// A call that is not yet answered.
@@ -37,6 +38,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
     items: VecDeque<Waiting>,
+    result_bytes: usize,
     expire_at: Option<Instant>,
 }
 
@@ -49,28 +51,36 @@
         self.items.is_empty()
     }
 
+    /// Size of the results in the queue.
+    pub(crate) fn result_bytes(&self) -> usize {
+        self.result_bytes
+    }
+
     /// No item expires before this time.
     pub(crate) fn expire_at(&self) -> Option<Instant> {
         self.expire_at
     }
 
     pub(crate) fn push(&mut self, item: Waiting) {
-        self.note(item.expires);
+        self.note(&item);
         self.items.push_back(item);
     }
 
     pub(crate) fn push_front(&mut self, item: Waiting) {
-        self.note(item.expires);
+        self.note(&item);
         self.items.push_front(item);
     }
 
     pub(crate) fn pop(&mut self) -> Option<Waiting> {
-        self.items.pop_front()
+        let item = self.items.pop_front()?;
+        self.result_bytes -= result_bytes(&item.request.step);
+        Some(item)
     }
 
     /// Removes all items.
     pub(crate) fn take(&mut self) -> VecDeque<Waiting> {
         self.expire_at = None;
+        self.result_bytes = 0;
         std::mem::take(&mut self.items)
     }
 
@@ -90,7 +100,19 @@
         removed
     }
 
-    fn note(&mut self, expires: Instant) {
-        self.expire_at = Some(self.expire_at.map_or(expires, |at| at.min(expires)));
+    fn note(&mut self, item: &Waiting) {
+        self.result_bytes += result_bytes(&item.request.step);
+        self.expire_at = Some(self.expire_at.map_or(item.expires, |at| at.min(item.expires)));
+    }
+}
+
+fn result_bytes(step: &Step) -> usize {
+    match step {
+        Step::Finish { result: RunResult::Kept(bytes) } => bytes.len(),
+        Step::Finish { .. }
+        | Step::Abort { .. }
+        | Step::Claim { .. }
+        | Step::Start
+        | Step::LookUp => 0,
     }
 }
--- a/crates/claims/src/table.rs
+++ b/crates/claims/src/table.rs
@@ -12,6 +12,7 @@
 use crate::message::RunResult;
 use crate::message::Start;
 use crate::message::Step;
+use crate::message::not_run_code;
 use crate::request_id::Attempt;
 use crate::request_id::BodyDigest;
 use crate::request_id::ClaimId;
@@ -251,7 +252,7 @@
         claim: request.claim,
         digest: request.digest,
         attempt: request.attempt,
-        code,
+        code: not_run_code(Some(code)),
     };
     Verdict::Write(record, ClaimReply::Recorded)
 }
