--- a/crates/claims/src/claimant.rs
+++ b/crates/claims/src/claimant.rs
@@ -12,6 +12,7 @@
 use crate::message::RunResult;
 use crate::message::Start;
 use crate::message::Step;
+use crate::message::not_run_code;
 use crate::request_id::Attempt;
 use crate::request_id::BodyDigest;
 use crate::request_id::ClaimId;
@@ -255,7 +256,9 @@
                 }
             }
             ClaimantEvent::GiveUp { code } => match self.phase {
-                Phase::Claiming | Phase::Preparing | Phase::Starting => self.give_up(code, now),
+                Phase::Claiming | Phase::Preparing | Phase::Starting => {
+                    self.give_up(not_run_code(Some(code)), now);
+                }
                 Phase::Sent | Phase::Recording { .. } | Phase::Finished => {}
             },
             ClaimantEvent::Ran(outcome) => {
@@ -326,7 +329,10 @@
                 self.answer(self.refused(refusal));
             }
             (Phase::Claiming | Phase::Starting, ClaimReply::Busy) => {
-                self.give_up(ResultCode::Overloaded, now);
+                self.give_up_unrecorded(ResultCode::Overloaded, now);
+            }
+            (Phase::Claiming | Phase::Starting, ClaimReply::Down) => {
+                self.give_up_unrecorded(ResultCode::StoreUnavailable, now);
             }
             (Phase::Claiming | Phase::Starting, ClaimReply::Expired) => {
                 self.call_state = CallState::Due(now.at + self.settings.retry_pause);
@@ -363,6 +369,7 @@
                 self.answer(self.refused(refusal));
             }
             ClaimReply::Unavailable
+            | ClaimReply::Down
             | ClaimReply::Busy
             | ClaimReply::Expired
             | ClaimReply::Claimed
@@ -381,6 +388,7 @@
                 self.record(step, now);
             }
             RunOutcome::NotExecuted(code) => {
+                let code = not_run_code(Some(code));
                 // True before the record is durable, because `Started` keeps every other
                 // claim out. The record comes first so that an immediate repeat can run.
                 if let AnswerState::Open(answer) = &mut self.answer {
@@ -406,6 +414,18 @@
         self.record(Step::Abort { code }, now);
     }
 
+    /// The call that was just answered recorded nothing. If it was the only one of a first
+    /// attempt, there is nothing to abort; an outage does not end with one abort for each
+    /// claim that it refused.
+    fn give_up_unrecorded(&mut self, code: ResultCode, now: Now) {
+        if self.call == 1 && self.submission.attempt == Attempt::FIRST {
+            self.phase = Phase::Finished;
+            self.answer(Answer::NotRun(code));
+        } else {
+            self.give_up(code, now);
+        }
+    }
+
     fn record(&mut self, step: Step, now: Now) {
         self.phase = Phase::Recording { step, until: now.at + self.settings.finish_time };
         self.call_state = CallState::Due(now.at);
