--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -52,8 +52,8 @@
 const SHARDS_PER_PROBE: usize = 64;
 // Timers of a query are rounded up to this, so that one wake-up serves many shards.
 const TICK_US: u32 = 256;
-// Looks at an early answer between the earliest time for it and the deadline.
-const EARLY_LOOKS: u32 = 8;
+// Looks at an early answer during the whole time of a query; each look passes all shards.
+const EARLY_LOOKS: u32 = 32;
 
 /// What a query needs from its router.
 pub(crate) struct Context<'a, T, R> {
@@ -348,8 +348,7 @@
             if self.is_good_enough(ctx) {
                 return self.finish(End::Early, ctx);
             }
-            let step = (self.finish_at - self.early_at).min(self.finish_at / EARLY_LOOKS);
-            self.early_at = now + (step / EARLY_LOOKS).max(TICK_US);
+            self.early_at = now + (self.finish_at / EARLY_LOOKS).max(TICK_US);
         }
         self.proceed(ctx)
     }
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -118,7 +118,7 @@
             failures: 4,
             probe_after: Duration::from_secs(1),
             probe_limit: Duration::from_secs(16),
-            idle_probe: Duration::from_secs(5),
+            idle_probe: Duration::from_secs(1),
             evidence_hold: Duration::from_secs(2),
             leave_hold: Duration::from_secs(10),
             warm_step: Duration::from_secs(2),
--- a/crates/routing/src/view/choose.rs
+++ b/crates/routing/src/view/choose.rs
@@ -41,9 +41,9 @@
     No,
     /// Only ejected replicas may hold it.
     Doubtful,
-    /// A healthy replica may hold it, but a much faster one does not.
+    /// A healthy replica may hold it, but not all of the fast ones do.
     Slow,
-    /// One of the fastest healthy replicas may hold it.
+    /// All fast healthy replicas may hold it, so that a hedge has somewhere to go.
     Fast,
 }
 
@@ -83,8 +83,8 @@
     /// How well `shard` can be served at `snapshot`.
     pub(crate) fn served(&self, shard: ShardId, snapshot: Snapshot) -> Served {
         let mut best = Served::No;
-        let mut fastest = f32::MAX;
-        let mut fastest_holder = f32::MAX;
+        let mut fastest = f32::INFINITY;
+        let mut fastest_without = f32::INFINITY;
         for &replica in self.replicas(shard) {
             let entry = &self.entries[replica];
             if entry.health.is_leaving() {
@@ -97,16 +97,18 @@
                 }
                 continue;
             }
+            // Without samples a replica counts as fast.
             let median = entry.latency.median_us();
-            fastest = fastest.min(median.unwrap_or(f32::MAX));
+            fastest = fastest.min(median.unwrap_or(f32::INFINITY));
             if holds {
                 best = Served::Slow;
-                // Without samples a replica counts as fast.
-                fastest_holder = fastest_holder.min(median.unwrap_or(0.0));
+            } else {
+                fastest_without = fastest_without.min(median.unwrap_or(0.0));
             }
         }
         // The estimates of equal replicas differ by less than a factor of two.
-        if best == Served::Slow && fastest_holder <= 2.0 * fastest {
+        let others_slow = fastest_without.is_infinite() || fastest_without > 2.0 * fastest;
+        if best == Served::Slow && others_slow {
             return Served::Fast;
         }
         best
