--- a/crates/routing/src/query/attempt.rs
+++ b/crates/routing/src/query/attempt.rs
@@ -102,7 +102,8 @@
         let may_have_run =
             self.chain(part).any(|sub| !matches!(sub.state, SubState::Unexecuted(_)));
         if may_have_run && self.mode == Mode::AtMostOnce {
-            return self.uncover(part, Reason::Failed);
+            let reason = self.reason(part);
+            return self.uncover(part, reason);
         }
         if ctx.settings.policy == Policy::Baseline {
             return self.retry_in_turn(part, ctx);
--- /dev/null
+++ b/crates/routing/tests/oracle/mod.rs
@@ -0,0 +1,470 @@
+//! The oracle: a ledger of everything told to the router and sent by it.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tt_model::SearcherId;
+use tt_model::ServiceId;
+use tt_model::ShardId;
+use tt_model::Snapshot;
+use tt_routing::Action;
+use tt_routing::Answer;
+use tt_routing::BudgetSettings;
+use tt_routing::Hint;
+use tt_routing::Kind;
+use tt_routing::Mode;
+use tt_routing::Outcome;
+use tt_routing::Policy;
+use tt_routing::Pressure;
+use tt_routing::QueryKey;
+use tt_routing::Reason;
+use tt_routing::Reply;
+use tt_routing::Request;
+use tt_routing::Settings;
+use tt_routing::Shards;
+use tt_routing::State;
+use tt_routing::SubKey;
+use tt_routing::SubQuery;
+use tt_routing::Verdict;
+
+use super::ReplyKind;
+use super::common::Bench;
+use super::common::ShardLine;
+use super::common::environment;
+
+const CAPACITY: f64 = 8.0;
+const LEAVE_HOLD: Duration = Duration::from_secs(10);
+
+/// A shard of the test document with the pieces of the index that it consists of.
+struct Layout {
+    line: ShardLine<'static>,
+    lifetime: std::ops::Range<u64>,
+    pieces: &'static [u8],
+}
+
+/// `a` splits at 5 into `a1` and `a2`; `c` and `d` merge at 7 into `m`; `n` starts at 6.
+fn layout() -> Vec<Layout> {
+    let shard = |name, replicas, rest, lifetime, pieces| Layout {
+        line: ShardLine { name, replicas, rest },
+        lifetime,
+        pieces,
+    };
+    vec![
+        shard("a", &["p", "q"], r#""until": 5"#, 0..5, &[1, 2]),
+        shard("a1", &["p", "q"], r#""from": 5, "parents": ["a"]"#, 5..99, &[1]),
+        shard("a2", &["r", "s", "t"], r#""from": 5, "parents": ["a"]"#, 5..99, &[2]),
+        shard("b", &["u", "v"], "", 0..99, &[3]),
+        shard("c", &["w"], r#""until": 7"#, 0..7, &[4]),
+        shard("d", &["x", "y"], r#""until": 7"#, 0..7, &[5]),
+        shard("m", &["x", "y", "z"], r#""from": 7, "parents": ["c", "d"]"#, 7..99, &[4, 5]),
+        shard("n", &["p", "z"], r#""from": 6"#, 6..99, &[6]),
+    ]
+}
+
+struct Sent {
+    sub: SubQuery,
+    query: QueryKey,
+    // What was told of it first.
+    fate: Option<Fate>,
+    cancelled: bool,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Answered,
+    OtherSnapshot,
+    NotExecuted(ReplyKindTag),
+    Failed,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum ReplyKindTag {
+    Shed,
+    Gone,
+    Other,
+}
+
+struct Live {
+    service: u32,
+    mode: Mode,
+    named: Vec<u32>,
+    deadline: Instant,
+    wake: Option<Instant>,
+}
+
+pub struct World {
+    layout: Vec<Layout>,
+    bench: Bench,
+    policy: Policy,
+    sent: Vec<Sent>,
+    by_key: HashMap<SubKey, usize>,
+    live: HashMap<QueryKey, Live>,
+    order: Vec<QueryKey>,
+    ended: HashSet<QueryKey>,
+    leaving: HashMap<SearcherId, Instant>,
+    held: HashMap<SearcherId, Vec<Snapshot>>,
+    primaries: f64,
+    paid: f64,
+}
+
+impl World {
+    pub fn new(policy: Policy) -> World {
+        let layout = layout();
+        let lines: Vec<ShardLine<'static>> =
+            layout.iter().map(|shard| ShardLine { ..shard.line }).collect();
+        let budget = BudgetSettings { capacity: CAPACITY, ..Default::default() };
+        let settings = Settings { policy, budget, ..Default::default() };
+        let bench = Bench::new(environment(&lines), settings);
+        let searchers: Vec<SearcherId> = bench.environment.searchers.keys().collect();
+        let mut world = World {
+            layout,
+            bench,
+            policy,
+            sent: Vec::new(),
+            by_key: HashMap::new(),
+            live: HashMap::new(),
+            order: Vec::new(),
+            ended: HashSet::new(),
+            leaving: HashMap::new(),
+            held: HashMap::new(),
+            primaries: 0.0,
+            paid: 0.0,
+        };
+        for searcher in searchers {
+            world.hold(searcher.0, &[4, 5]);
+        }
+        world
+    }
+
+    pub fn start(&mut self, service: u32, mode: Mode, named: &[u32], ms: u64) {
+        let deadline = self.bench.now + Duration::from_millis(ms);
+        let shards = match named {
+            [] => Shards::All,
+            named => Shards::Named(named.iter().copied().map(ShardId).collect()),
+        };
+        let request = Request { service: ServiceId(service), shards, mode, deadline };
+        let started = self.bench.router.start(request, self.bench.now, &mut self.bench.out);
+        let Ok(key) = started else {
+            assert!(self.bench.out.is_empty(), "a refused request left actions");
+            return;
+        };
+        assert!(!self.ended.contains(&key) && !self.live.contains_key(&key), "a key is reused");
+        let live = Live { service, mode, named: named.to_vec(), deadline, wake: None };
+        self.live.insert(key, live);
+        self.order.push(key);
+        self.take_actions();
+    }
+
+    pub fn reply(&mut self, pick: usize, kind: ReplyKind, queued: u32) {
+        // Mostly what is still unanswered, now and then an old one as a duplicate.
+        let open: Vec<usize> =
+            (0..self.sent.len()).filter(|&i| self.sent[i].fate.is_none()).collect();
+        let index = match (open.len(), self.sent.len()) {
+            (_, 0) => return,
+            (0, all) => pick % all,
+            (some, all) if pick.is_multiple_of(8) => (pick / 8 + some) % all,
+            (some, _) => open[pick % some],
+        };
+        let sub = self.sent[index].sub;
+        let (verdict, fate) = match kind {
+            ReplyKind::Answer => {
+                (Verdict::Answered { snapshot: sub.snapshot, body: index as u64 }, Fate::Answered)
+            }
+            ReplyKind::OtherSnapshot => (
+                Verdict::Answered { snapshot: sub.snapshot.next(), body: index as u64 },
+                Fate::OtherSnapshot,
+            ),
+            ReplyKind::Shed => (Verdict::Shed, Fate::NotExecuted(ReplyKindTag::Shed)),
+            ReplyKind::Draining => (Verdict::Draining, Fate::NotExecuted(ReplyKindTag::Other)),
+            ReplyKind::SnapshotGone => {
+                (Verdict::SnapshotGone, Fate::NotExecuted(ReplyKindTag::Gone))
+            }
+            ReplyKind::WrongShard => (Verdict::WrongShard, Fate::NotExecuted(ReplyKindTag::Other)),
+            ReplyKind::Refused => (Verdict::Refused, Fate::NotExecuted(ReplyKindTag::Other)),
+            ReplyKind::OwnerUnreachable => {
+                (Verdict::OwnerUnreachable, Fate::NotExecuted(ReplyKindTag::Other))
+            }
+            ReplyKind::Failed => (Verdict::Failed, Fate::Failed),
+        };
+        let sent = &mut self.sent[index];
+        if sent.fate.is_none() {
+            sent.fate = Some(fate);
+            // News that the router must use: the query is in flight and wants the reply.
+            let wanted = self.live.contains_key(&sent.query) && !sent.cancelled;
+            match kind {
+                ReplyKind::Draining if wanted => {
+                    self.leaving.insert(sub.searcher, self.bench.now);
+                }
+                ReplyKind::SnapshotGone if wanted => {
+                    if let Some(held) = self.held.get_mut(&sub.searcher) {
+                        held.retain(|&snapshot| snapshot != sub.snapshot);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let pressure = Some(Pressure { queued, busy: 1 });
+        let reply = Reply { verdict, held: &[], pressure };
+        self.bench.router.reply(sub.key, reply, self.bench.now, &mut self.bench.out);
+        self.take_actions();
+    }
+
+    /// Moves the clock and delivers each wake-up at its time.
+    pub fn pass(&mut self, time: Duration) {
+        let until = self.bench.now + time;
+        loop {
+            let due = self.order.iter().filter_map(|key| Some((self.live.get(key)?.wake?, *key)));
+            let Some((at, key)) = due.min_by_key(|(at, _)| *at).filter(|(at, _)| *at <= until)
+            else {
+                break;
+            };
+            self.bench.now = self.bench.now.max(at);
+            self.live.get_mut(&key).expect("a live query").wake = None;
+            self.bench.router.wake(key, self.bench.now, &mut self.bench.out);
+            self.take_actions();
+        }
+        self.bench.now = until;
+    }
+
+    pub fn cancel(&mut self, pick: usize) {
+        if self.order.is_empty() {
+            return;
+        }
+        let key = self.order[pick % self.order.len()];
+        self.bench.router.cancel(key, self.bench.now, &mut self.bench.out);
+        let idempotent = self.live.get(&key).is_some_and(|live| live.mode == Mode::Idempotent);
+        self.take_actions();
+        assert!(!idempotent || !self.live.contains_key(&key), "a cancelled query goes on");
+    }
+
+    pub fn tell(&mut self, searcher: u32, hint: Hint) {
+        let searcher = SearcherId(searcher);
+        self.bench.router.hint(searcher, hint, self.bench.now);
+        match hint {
+            Hint::Leaving => {
+                self.leaving.insert(searcher, self.bench.now);
+            }
+            Hint::Ready | Hint::Cold => {
+                if self.leaving.get(&searcher).is_some_and(|&at| self.bench.now - at >= LEAVE_HOLD)
+                {
+                    self.leaving.remove(&searcher);
+                }
+            }
+            Hint::Unhealthy => {}
+        }
+    }
+
+    pub fn hold(&mut self, searcher: u32, held: &[u64]) {
+        let held: Vec<Snapshot> = held.iter().copied().map(Snapshot).collect();
+        self.bench.router.set_held(SearcherId(searcher), &held);
+        self.held.insert(SearcherId(searcher), held);
+    }
+
+    /// Delivers a reply with a key that was never given out.
+    pub fn forge(&mut self, pick: usize) {
+        let Some(sent) = self.sent.get(pick % self.sent.len().max(1)) else { return };
+        let mut key = sent.sub.key;
+        key.query.generation += 1_000_000;
+        let verdict = Verdict::Answered { snapshot: sent.sub.snapshot, body: u64::MAX };
+        let reply = Reply { verdict, held: &[], pressure: None };
+        let before = self.bench.router.counters().stale;
+        self.bench.router.reply(key, reply, self.bench.now, &mut self.bench.out);
+        assert!(self.bench.out.is_empty());
+        assert_eq!(self.bench.router.counters().stale, before + 1);
+    }
+
+    pub fn check(&self) {
+        assert_eq!(self.bench.router.in_flight(), self.live.len());
+        for live in self.live.values() {
+            assert!(live.deadline > self.bench.now, "a query outlives its deadline");
+            assert!(live.wake.is_some_and(|at| at < live.deadline), "a query would never wake");
+        }
+        let restarts_allowed = self.layout.len() as f64;
+        let allowed = CAPACITY + 0.05 * self.primaries + restarts_allowed;
+        assert!(self.paid <= allowed || self.policy == Policy::Baseline, "over the hedge budget");
+        let view = self.bench.router.view();
+        for shard in self.bench.environment.shards.values() {
+            let ejected = shard
+                .replicas
+                .iter()
+                .filter(|&&replica| view.state(replica, self.bench.now) == State::Ejected)
+                .count();
+            assert!(ejected <= shard.replicas.len() / 2, "too many replicas are ejected");
+        }
+    }
+
+    pub fn check_idle(&self) {
+        assert!(self.live.is_empty(), "a query never finished");
+        for searcher in self.bench.environment.searchers.keys() {
+            assert_eq!(self.bench.router.view().in_flight(searcher), 0);
+        }
+    }
+
+    fn take_actions(&mut self) {
+        for action in std::mem::take(&mut self.bench.out) {
+            match action {
+                Action::Send(sub) => self.take_send(sub),
+                Action::Cancel { key, searcher } => {
+                    let sent = &mut self.sent[self.by_key[&key]];
+                    assert_eq!(sent.sub.searcher, searcher);
+                    assert!(!sent.cancelled && sent.fate.is_none(), "cancelled for nothing");
+                    sent.cancelled = true;
+                }
+                Action::WakeAt { query, at } => {
+                    self.live.get_mut(&query).expect("a live query").wake = Some(at);
+                }
+                Action::Finish(answer) => self.take_answer(&answer),
+            }
+        }
+    }
+
+    fn take_send(&mut self, sub: SubQuery) {
+        let query = sub.key.query;
+        let live = self.live.get(&query).expect("a live query");
+        assert!(sub.deadline < live.deadline && sub.deadline > self.bench.now);
+        let shard = &self.layout[sub.shard.0 as usize];
+        assert!(shard.lifetime.contains(&sub.snapshot.0), "a shard outside its bounds");
+        let name = &self.bench.environment.searchers[sub.searcher].name;
+        assert!(shard.line.replicas.contains(&name.as_str()), "not a replica");
+        assert!(!self.leaving.contains_key(&sub.searcher), "work for a leaving searcher");
+        assert!(self.held[&sub.searcher].contains(&sub.snapshot), "a snapshot that is not held");
+
+        let mine: Vec<&Sent> = self.sent.iter().filter(|sent| sent.query == query).collect();
+        let may_have_run = |sent: &&&Sent| !matches!(sent.fate, Some(Fate::NotExecuted(_)));
+        let same_shard: Vec<&&Sent> = mine
+            .iter()
+            .filter(|s| s.sub.shard == sub.shard && s.sub.snapshot == sub.snapshot)
+            .collect();
+        match sub.kind {
+            Kind::Primary => {
+                assert!(same_shard.is_empty(), "two primaries for a shard");
+                self.primaries += 1.0;
+            }
+            Kind::Hedge => {
+                assert_eq!(self.policy, Policy::Adaptive);
+                self.paid += 1.0;
+            }
+            Kind::Retry => {
+                if same_shard.iter().any(|sent| may_have_run(sent)) {
+                    self.paid += 1.0;
+                } else {
+                    let repeated = same_shard.iter().any(|s| s.sub.searcher == sub.searcher);
+                    assert!(!repeated, "a replica is tried twice after it refused");
+                }
+            }
+            Kind::Restart => {
+                let old: HashSet<ShardId> = mine
+                    .iter()
+                    .filter(|sent| sent.sub.snapshot < sub.snapshot && may_have_run(sent))
+                    .map(|sent| sent.sub.shard)
+                    .collect();
+                let first = mine.iter().all(|sent| sent.sub.kind != Kind::Restart);
+                self.paid += if first { old.len() as f64 } else { 0.0 };
+                assert!(mine.iter().all(|s| s.sub.snapshot <= sub.snapshot), "an older snapshot");
+                assert!(same_shard.is_empty(), "two first sub-queries for a shard");
+            }
+        }
+        if live.mode == Mode::AtMostOnce {
+            assert!(matches!(sub.kind, Kind::Primary | Kind::Retry));
+            assert!(!same_shard.iter().any(|sent| may_have_run(sent)), "may run twice");
+        }
+        let index = self.sent.len();
+        assert!(self.by_key.insert(sub.key, index).is_none(), "a sub-query key is reused");
+        self.sent.push(Sent { sub, query, fate: None, cancelled: false });
+    }
+
+    fn take_answer(&mut self, answer: &Answer<u64>) {
+        let live = self.live.remove(&answer.query).expect("finished once");
+        assert!(self.ended.insert(answer.query), "finished twice");
+        assert!(self.bench.now < live.deadline, "finished late");
+        let mine: Vec<&Sent> = self.sent.iter().filter(|sent| sent.query == answer.query).collect();
+
+        let mut listed: Vec<ShardId> = answer.covered.iter().map(|part| part.shard).collect();
+        listed.extend(answer.uncovered.iter().map(|gap| gap.shard));
+        listed.sort();
+        assert_eq!(listed, self.expected_shards(&live, answer.snapshot.0), "coverage lists");
+
+        for part in &answer.covered {
+            let sent = &self.sent[part.body as usize];
+            assert_eq!(sent.query, answer.query, "another query's result");
+            assert_eq!(sent.sub.snapshot, answer.snapshot, "another snapshot");
+            assert_eq!(
+                (sent.sub.shard, sent.sub.searcher),
+                (part.shard, part.searcher),
+                "another shard's result"
+            );
+            assert!(sent.fate == Some(Fate::Answered) && !sent.cancelled);
+        }
+        for gap in &answer.uncovered {
+            let tried: Vec<&&Sent> = mine
+                .iter()
+                .filter(|s| s.sub.shard == gap.shard && s.sub.snapshot == answer.snapshot)
+                .collect();
+            let fate = |fate| tried.iter().any(|sent| sent.fate == Some(fate));
+            assert!(!fate(Fate::Answered), "a result is left out");
+            let open = tried.iter().any(|sent| sent.fate.is_none());
+            let truthful = match gap.reason {
+                Reason::TimedOut => open,
+                Reason::LeftOut => open && live.service == 1 && live.mode == Mode::Idempotent,
+                Reason::Cancelled => answer.outcome == Outcome::Cancelled,
+                Reason::Failed => fate(Fate::Failed),
+                Reason::Overloaded => fate(Fate::NotExecuted(ReplyKindTag::Shed)) && !open,
+                Reason::SnapshotGone => {
+                    tried.is_empty()
+                        || fate(Fate::NotExecuted(ReplyKindTag::Gone))
+                        || fate(Fate::OtherSnapshot)
+                }
+                Reason::NoReplica => {
+                    tried.iter().all(|s| matches!(s.fate, Some(Fate::NotExecuted(_))))
+                }
+                Reason::Absent => tried.is_empty(),
+            };
+            assert!(truthful, "the reason {:?} is not true", gap.reason);
+        }
+        let none_ran = mine.iter().all(|sent| matches!(sent.fate, Some(Fate::NotExecuted(_))));
+        let whole = answer.uncovered.is_empty();
+        let some = !answer.covered.is_empty();
+        let truthful = match answer.outcome {
+            Outcome::Complete => whole && live.mode == Mode::Idempotent,
+            Outcome::Partial => !whole && some && live.mode == Mode::Idempotent,
+            Outcome::NoAnswer => !some && !none_ran && live.mode == Mode::Idempotent,
+            Outcome::Done => whole && live.mode == Mode::AtMostOnce,
+            Outcome::NotRun(_) => none_ran,
+            Outcome::Unknown => !whole && !none_ran && live.mode == Mode::AtMostOnce,
+            Outcome::Cancelled => live.mode == Mode::Idempotent,
+        };
+        assert!(truthful, "the outcome {:?} is not true", answer.outcome);
+        let loose = mine.iter().find(|sent| sent.fate.is_none() && !sent.cancelled);
+        assert!(loose.is_none(), "a sub-query outlives its query");
+    }
+
+    /// The shards that hold the pieces of the index asked for, by brute force.
+    fn expected_shards(&self, live: &Live, snapshot: u64) -> Vec<ShardId> {
+        let exists = |index: &u32| self.layout[*index as usize].lifetime.contains(&snapshot);
+        let all: Vec<u32> = (0..self.layout.len() as u32).collect();
+        let asked = if live.named.is_empty() { &all } else { &live.named };
+        let pieces: HashSet<u8> =
+            asked.iter().flat_map(|&i| self.layout[i as usize].pieces).copied().collect();
+        let mut expected: HashSet<u32> = all
+            .iter()
+            .copied()
+            .filter(exists)
+            .filter(|&i| self.layout[i as usize].pieces.iter().any(|p| pieces.contains(p)))
+            .collect();
+        // A named shard whose pieces are in no shard of the snapshot is listed itself.
+        for &index in &live.named {
+            let own = self.layout[index as usize].pieces;
+            let found = expected.iter().any(|&i| {
+                exists(&i) && self.layout[i as usize].pieces.iter().any(|p| own.contains(p))
+            });
+            if !found {
+                expected.insert(index);
+            }
+        }
+        let mut expected: Vec<ShardId> = expected.into_iter().map(ShardId).collect();
+        expected.sort();
+        expected
+    }
+}
