--- a/crates/routing/tests/fuzz.rs
+++ b/crates/routing/tests/fuzz.rs
@@ -16,6 +16,7 @@
 use tt_routing::Mode;
 use tt_routing::Policy;
 
+use self::oracle::Past;
 use self::oracle::World;
 
 /// What happens next. Numbers that pick something are taken modulo what there is.
@@ -27,6 +28,7 @@
     Cancel { pick: usize },
     Tell { searcher: u32, hint: Hint },
     Hold { searcher: u32, held: Vec<u64> },
+    Publish { held: Vec<u64> },
     Forge { pick: usize },
 }
 
@@ -46,15 +48,19 @@
 
 /// The history needs no model of its own: the oracle learns from the actions.
 #[derive(Debug, Clone)]
-struct History(Policy);
+struct History {
+    policy: Policy,
+    past: Past,
+}
 
 impl ReferenceStateMachine for History {
     type State = History;
     type Transition = Step;
 
     fn init_state() -> BoxedStrategy<History> {
-        prop_oneof![4 => Just(History(Policy::Adaptive)), 1 => Just(History(Policy::Baseline))]
-            .boxed()
+        let policy = prop_oneof![4 => Just(Policy::Adaptive), 1 => Just(Policy::Baseline)];
+        let past = prop_oneof![Just(Past::None), Just(Past::Busy)];
+        (policy, past).prop_map(|(policy, past)| History { policy, past }).boxed()
     }
 
     fn transitions(_: &History) -> BoxedStrategy<Step> {
@@ -88,6 +94,7 @@
             1 => (0..10u32, hint).prop_map(|(searcher, hint)| Step::Tell { searcher, hint }),
             3 => (0..10u32, prop::collection::vec(4..9u64, 0..4))
                 .prop_map(|(searcher, held)| Step::Hold { searcher, held }),
+            1 => prop::collection::vec(4..9u64, 1..3).prop_map(|held| Step::Publish { held }),
             1 => any::<usize>().prop_map(|pick| Step::Forge { pick }),
         ]
         .boxed()
@@ -105,7 +112,7 @@
     type Reference = History;
 
     fn init_test(state: &History) -> World {
-        World::new(state.0)
+        World::new(state.policy, state.past)
     }
 
     fn apply(mut world: World, _: &History, step: Step) -> World {
@@ -116,6 +123,7 @@
             Step::Cancel { pick } => world.cancel(pick),
             Step::Tell { searcher, hint } => world.tell(searcher, hint),
             Step::Hold { searcher, held } => world.hold(searcher, &held),
+            Step::Publish { held } => world.publish(&held),
             Step::Forge { pick } => world.forge(pick),
         }
         world
--- a/crates/routing/tests/oracle/mod.rs
+++ b/crates/routing/tests/oracle/mod.rs
@@ -63,6 +63,13 @@
     ]
 }
 
+/// What a history starts from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Past {
+    None,
+    Busy,
+}
+
 struct Sent {
     sub: SubQuery,
     query: QueryKey,
@@ -110,12 +117,12 @@
 }
 
 impl World {
-    pub fn new(policy: Policy) -> World {
+    pub fn new(policy: Policy, past: Past) -> World {
         let layout = layout();
         let lines: Vec<ShardLine<'static>> =
             layout.iter().map(|shard| ShardLine { ..shard.line }).collect();
         let budget = BudgetSettings { capacity: CAPACITY, ..Default::default() };
-        let settings = Settings { policy, budget, ..Default::default() };
+        let settings = Settings { policy, budget, early_coverage: 0.4, ..Default::default() };
         let bench = Bench::new(environment(&lines), settings);
         let searchers: Vec<SearcherId> = bench.environment.searchers.keys().collect();
         let mut world = World {
@@ -135,9 +142,23 @@
         for searcher in searchers {
             world.hold(searcher.0, &[4, 5]);
         }
+        if past == Past::Busy {
+            world.train();
+        }
         world
     }
 
+    /// Gives each searcher latency samples, which hedges and early answers depend on.
+    fn train(&mut self) {
+        for _ in 0..60 {
+            self.start(0, Mode::Idempotent, &[], 400);
+            self.pass(Duration::from_millis(5));
+            for _ in 0..self.layout.len() {
+                self.reply(2, ReplyKind::Answer, 0);
+            }
+        }
+    }
+
     pub fn start(&mut self, service: u32, mode: Mode, named: &[u32], ms: u64) {
         let deadline = self.bench.now + Duration::from_millis(ms);
         let shards = match named {
@@ -158,16 +179,22 @@
     }
 
     pub fn reply(&mut self, pick: usize, kind: ReplyKind, queued: u32) {
-        // Mostly what is in flight, now and then any old one as a late reply or a duplicate.
-        let open: Vec<usize> = (0..self.sent.len())
-            .filter(|&i| self.sent[i].fate.is_none() && !self.sent[i].cancelled)
+        // Mostly what is in flight, now and then a late reply, a duplicate or a stale one.
+        let candidates: Vec<usize> = (0..self.sent.len())
+            .filter(|&i| {
+                let sent = &self.sent[i];
+                let done = sent.fate.is_some() || sent.cancelled;
+                match pick % 8 {
+                    0 => true,
+                    1 => done && self.live.contains_key(&sent.query),
+                    _ => !done,
+                }
+            })
             .collect();
-        let index = match (open.len(), self.sent.len()) {
-            (_, 0) => return,
-            (0, all) => pick % all,
-            (some, all) if pick.is_multiple_of(8) => (pick / 8 + some) % all,
-            (some, _) => open[pick % some],
-        };
+        if candidates.is_empty() {
+            return;
+        }
+        let index = candidates[pick / 8 % candidates.len()];
         let sub = self.sent[index].sub;
         let (verdict, fate) = match kind {
             ReplyKind::Answer => {
@@ -262,6 +289,13 @@
         self.held.insert(SearcherId(searcher), held);
     }
 
+    /// Lets every searcher hold the same snapshots.
+    pub fn publish(&mut self, held: &[u64]) {
+        for searcher in 0..self.bench.environment.searchers.len() as u32 {
+            self.hold(searcher, held);
+        }
+    }
+
     /// Delivers a reply with a key that was never given out.
     pub fn forge(&mut self, pick: usize) {
         let Some(sent) = self.sent.get(pick % self.sent.len().max(1)) else { return };
@@ -347,7 +381,7 @@
                 self.paid += 1.0;
             }
             Kind::Retry => {
-                if same_shard.iter().any(|sent| may_have_run(sent)) {
+                if same_shard.iter().any(&may_have_run) {
                     self.paid += 1.0;
                 } else {
                     let repeated = same_shard.iter().any(|s| s.sub.searcher == sub.searcher);
@@ -368,7 +402,7 @@
         }
         if live.mode == Mode::AtMostOnce {
             assert!(matches!(sub.kind, Kind::Primary | Kind::Retry));
-            assert!(!same_shard.iter().any(|sent| may_have_run(sent)), "may run twice");
+            assert!(!same_shard.iter().any(&may_have_run), "may run twice");
         }
         let index = self.sent.len();
         assert!(self.by_key.insert(sub.key, index).is_none(), "a sub-query key is reused");
