fix: keep ended members of an epoch until no pair depends on them

The successor of a pair depends on the owner, so removing an ended owner from the list changed the successor that a new holder computed for that epoch, and two processes held the same half. Records now stay, marked as released, until the base has passed them. Further members propose in turn, because the first one may be cut off from the store.

--- a/crates/membership/src/assignment.rs
+++ b/crates/membership/src/assignment.rs
@@ -45,6 +45,17 @@
     /// The first epoch after the membership, if it has ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub left: Option<Epoch>,
+    /// Whether the process certainly holds nothing that was assigned to it during this
+    /// membership. The record stays until [`Assignment::base`] has passed it, because the
+    /// pairs of that time cannot be computed without it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub released: bool,
+    /// Whether the platform's list has shown the VM; a daemon that starts later knows by it
+    /// that a VM that is not listed is gone.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub listed: bool,
+    /// The epoch in which the record was last changed.
+    pub changed: Epoch,
 }
 
 impl Record {
@@ -91,15 +102,15 @@
     pub nonce: u64,
     /// See [`Assignment::domains`].
     pub domains: Vec<String>,
-    /// Memberships that began after `from`.
-    pub joined: Vec<Record>,
+    /// Current memberships that changed after `from`.
+    pub changed: Vec<Record>,
     /// All ended memberships that are kept.
     pub ended: Vec<Record>,
 }
 
 impl Assignment {
     /// The first epoch.
-    pub fn first(members: &[Member], proposer: MemberId, nonce: u64) -> Assignment {
+    pub fn first(target: &Target, proposer: MemberId, nonce: u64) -> Assignment {
         let empty = Assignment {
             epoch: Epoch(0),
             base: Epoch(1),
@@ -109,31 +120,34 @@
             domains: Vec::new(),
             members: Vec::new(),
         };
-        empty.next(members, &HashMap::new(), proposer, nonce)
+        empty.next(target, proposer, nonce)
     }
 
-    /// The epoch after this one with the given members. `settled` states for processes the
-    /// epoch since which they hold only what was assigned to them (see
-    /// [`crate::Rights::settled`]); ended memberships that are settled are removed.
-    pub fn next(
-        &self,
-        members: &[Member],
-        settled: &HashMap<MemberId, Epoch>,
-        proposer: MemberId,
-        nonce: u64,
-    ) -> Assignment {
+    /// The epoch after this one.
+    pub fn next(&self, target: &Target, proposer: MemberId, nonce: u64) -> Assignment {
+        let Target { members, settled, listed, .. } = target;
         let epoch = self.epoch.next();
         let settled_at = |r: &Record| settled.get(&r.id).copied().unwrap_or_default();
         let mut domains = self.domains.clone();
         let mut records = self.members.clone();
+        for record in &mut records {
+            if !record.listed && listed.contains(&record.id) {
+                record.listed = true;
+                record.changed = epoch;
+            }
+            record.released = record.left.is_some_and(|left| {
+                record.released || settled.get(&record.id).is_some_and(|&at| at >= left)
+            });
+        }
+        let held = records.iter().filter(|r| !r.released);
+        let oldest = held.map(settled_at).min().unwrap_or_default();
+        let base = self.base.max(oldest.min(self.epoch));
         let mut pruned = self.pruned;
         records.retain(|r| {
-            let Some(left) = r.left.filter(|&left| settled_at(r) >= left) else { return true };
+            let Some(left) = r.left.filter(|&left| left <= base) else { return true };
             pruned = pruned.max(left);
             false
         });
-        let oldest = records.iter().map(settled_at).min().unwrap_or_default();
-        let base = self.base.max(oldest.min(self.epoch));
         let wanted: HashMap<MemberId, &Member> = members.iter().map(|m| (m.id, m)).collect();
         let mut present = HashSet::new();
         for record in records.iter_mut().filter(|r| r.left.is_none()) {
@@ -145,6 +159,7 @@
                 present.insert(record.id);
             } else {
                 record.left = Some(epoch);
+                record.changed = epoch;
             }
         }
         for member in members {
@@ -164,6 +179,9 @@
                 weight: member.weight,
                 joined: epoch,
                 left: None,
+                released: false,
+                listed: listed.contains(&member.id),
+                changed: epoch,
             });
         }
         records.sort_by_key(|r| (r.id, r.joined));
@@ -209,17 +227,20 @@
         changes.into_iter().rev().map(|epoch| self.candidates_at(epoch)).collect()
     }
 
-    /// Whether an ended membership could be removed from the list now.
-    pub fn removable(&self, settled: &HashMap<MemberId, Epoch>) -> bool {
-        self.members
-            .iter()
-            .any(|r| r.left.is_some_and(|l| settled.get(&r.id).is_some_and(|&at| at >= l)))
+    /// Whether an ended membership could be marked as released or removed now.
+    pub fn can_tidy(&self, settled: &HashMap<MemberId, Epoch>) -> bool {
+        let settled_at = |r: &Record| settled.get(&r.id).copied().unwrap_or_default();
+        let held = self.members.iter().filter(|r| !r.released);
+        let base = held.map(settled_at).min().unwrap_or_default();
+        self.members.iter().any(|r| {
+            r.left.is_some_and(|left| left <= base || (!r.released && settled_at(r) >= left))
+        })
     }
 
-    /// The change from an older epoch; `None` if `from` is not older, or so old that a
-    /// member of it has been removed from the list since.
+    /// The change from an older epoch; `None` if `from` is not older, if it is 0 (there is no
+    /// value to apply a change to), or if a member of it has been removed from the list since.
     pub fn delta(&self, from: Epoch) -> Option<AssignmentDelta> {
-        if from >= self.epoch || from < self.pruned {
+        if from >= self.epoch || from < self.pruned || from == Epoch(0) {
             return None;
         }
         Some(AssignmentDelta {
@@ -230,7 +251,7 @@
             proposer: self.proposer,
             nonce: self.nonce,
             domains: self.domains.clone(),
-            joined: self.current().filter(|r| r.joined > from).cloned().collect(),
+            changed: self.current().filter(|r| r.changed > from).cloned().collect(),
             ended: self.members.iter().filter(|r| r.left.is_some()).cloned().collect(),
         })
     }
@@ -240,12 +261,12 @@
         if delta.from != self.epoch {
             return None;
         }
-        let ended: HashSet<(MemberId, Epoch)> =
-            delta.ended.iter().map(|r| (r.id, r.joined)).collect();
+        let replaced: HashSet<(MemberId, Epoch)> =
+            delta.ended.iter().chain(&delta.changed).map(|r| (r.id, r.joined)).collect();
         let mut members: Vec<Record> = self
             .current()
-            .filter(|r| !ended.contains(&(r.id, r.joined)))
-            .chain(&delta.joined)
+            .filter(|r| !replaced.contains(&(r.id, r.joined)))
+            .chain(&delta.changed)
             .cloned()
             .collect();
         members.extend(delta.ended.iter().cloned());
@@ -277,7 +298,11 @@
         self.members
             .iter()
             .filter(|r| r.covers(epoch))
-            .map(|r| Candidate::new(r.id, domain(r), r.weight))
+            .map(|r| {
+                let mut candidate = Candidate::new(r.id, domain(r), r.weight);
+                candidate.released = r.released;
+                candidate
+            })
             .collect()
     }
 }
--- a/crates/membership/src/assignment/proposer.rs
+++ b/crates/membership/src/assignment/proposer.rs
@@ -1,6 +1,7 @@
 //! Proposes epochs by compare-and-swap and adopts newer ones.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use log::info;
@@ -18,6 +19,11 @@
 /// A membership must be unchanged for this long before it is proposed, so that a restart
 /// of several daemons makes few epochs.
 pub const STABLE: Duration = Duration::from_secs(2);
+/// Each further member in the order of proposers waits this much longer, because the first
+/// may be cut off from the store or from many members without the others knowing.
+pub const TURN: Duration = Duration::from_secs(5);
+/// No member waits for more turns than this.
+const LAST_TURN: u32 = 8;
 /// A fleet that changes all the time never is stable; it gets an epoch after this long.
 pub const LONGEST_WAIT: Duration = Duration::from_secs(10);
 /// Ended memberships are removed from the value no more often than this.
@@ -32,11 +38,14 @@
 pub struct Target {
     /// The members of the next epoch.
     pub members: Vec<Member>,
-    /// The member that proposes; `None` while this daemon assumes that it is partitioned.
-    pub proposer: Option<MemberId>,
+    /// This daemon's place in the order of proposers, from 0; `None` if it must not propose,
+    /// because it is stopping or assumes that it is partitioned.
+    pub rank: Option<u32>,
     /// For each process the epoch since which it holds only what is assigned to it; the
     /// highest epoch for processes that have ended.
     pub settled: HashMap<MemberId, Epoch>,
+    /// Processes whose VM the platform's list has shown.
+    pub listed: HashSet<MemberId>,
 }
 
 /// Pairs a call with its reply.
@@ -193,7 +202,7 @@
                 if !self.should_propose(target, now) {
                     return Vec::new();
                 }
-                let first = Assignment::first(&target.members, self.me, nonce);
+                let first = Assignment::first(target, self.me, nonce);
                 return self.put(first, Revision(0), now);
             }
             _ => return self.pause(now),
@@ -201,7 +210,7 @@
         if !self.should_propose(target, now) {
             return Vec::new();
         }
-        let next = base.next(&target.members, &target.settled, self.me, nonce);
+        let next = base.next(target, self.me, nonce);
         self.put(next, expect, now)
     }
 
@@ -276,14 +285,16 @@
     }
 
     fn should_propose(&mut self, target: &Target, now: Instant) -> bool {
-        if target.proposer != Some(self.me) || target.members.is_empty() {
+        let Some(rank) = target.rank.filter(|_| !target.members.is_empty()) else {
             self.wanted = None;
             return false;
-        }
+        };
         if self.matches(&target.members) {
             self.wanted = None;
             let rested = self.tidied.is_none_or(|at| now >= at + TIDY_PERIOD);
-            return rested && self.current.as_ref().is_some_and(|a| a.removable(&target.settled));
+            return rank == 0
+                && rested
+                && self.current.as_ref().is_some_and(|a| a.can_tidy(&target.settled));
         }
         let wanted = self.wanted.get_or_insert_with(|| Wanted {
             members: target.members.clone(),
@@ -294,7 +305,8 @@
             wanted.members.clone_from(&target.members);
             wanted.same_since = now;
         }
-        now >= wanted.same_since + STABLE || now >= wanted.first_seen + LONGEST_WAIT
+        let turn = TURN * rank.min(LAST_TURN);
+        now >= wanted.same_since + STABLE + turn || now >= wanted.first_seen + LONGEST_WAIT + turn
     }
 
     fn matches(&self, members: &[Member]) -> bool {
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -102,6 +102,13 @@
     pub settled: Epoch,
 }
 
+impl Note {
+    /// The first note about a member.
+    fn of(member: Member) -> Note {
+        Note { member, beat: 0, health: Health::Alive, intent: Intent::Running, settled: Epoch(0) }
+    }
+}
+
 /// A change of the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Event {
@@ -164,7 +171,10 @@
     rumors: BTreeMap<SocketAddr, u32>,
     /// Processes that have certainly ended.
     ended: HashMap<MemberId, Instant>,
+    /// Members of the epoch.
     assigned: HashSet<MemberId>,
+    /// Processes that may hold something.
+    unreleased: HashSet<MemberId>,
     events: Vec<Event>,
     partitioned_since: Option<Instant>,
     beat_at: Option<Instant>,
@@ -175,13 +185,7 @@
     /// Knows only itself and addresses to try first.
     pub fn new(me: Member, seeds: Vec<SocketAddr>) -> Members {
         let own = me.id.address;
-        let me = Note {
-            member: me,
-            beat: 0,
-            health: Health::Alive,
-            intent: Intent::Running,
-            settled: Epoch(0),
-        };
+        let me = Note::of(me);
         Members {
             me,
             epoch: Epoch(0),
@@ -193,6 +197,7 @@
             rumors: BTreeMap::new(),
             ended: HashMap::new(),
             assigned: HashSet::new(),
+            unreleased: HashSet::new(),
             events: Vec::new(),
             partitioned_since: None,
             beat_at: None,
@@ -278,15 +283,27 @@
     /// and does not propose an assignment without them.
     pub fn on_assignment(&mut self, assignment: &crate::Assignment, now: Instant) {
         self.assigned = assignment.current().map(|record| record.id).collect();
+        let unreleased = assignment.members.iter().filter(|record| !record.released);
+        self.unreleased = unreleased.map(|record| record.id).collect();
+        for record in assignment.members.iter().filter(|r| r.left.is_some() && !r.released) {
+            // Nobody is searched for that has left, but its VM may still vanish from the list.
+            match self.peers.get(&record.id.address) {
+                None => self.insert_gone(assignment.member(record), now),
+                Some(peer) if peer.note.member.id == record.id && peer.heard.is_none() => {
+                    self.set_health(record.id.address, Health::Gone, now);
+                }
+                Some(_) => {}
+            }
+        }
         for record in assignment.current() {
-            let note = Note {
-                member: assignment.member(record),
-                beat: 0,
-                health: Health::Alive,
-                intent: Intent::Running,
-                settled: Epoch(0),
-            };
-            self.merge(note, now);
+            self.merge(Note::of(assignment.member(record)), now);
+        }
+        for record in assignment.members.iter().filter(|r| r.listed) {
+            if let Some(peer) = self.peers.get_mut(&record.id.address)
+                && peer.note.member.id == record.id
+            {
+                peer.listing.shown_to_others();
+            }
         }
         let listed: HashSet<MemberId> = assignment.members.iter().map(|r| r.id).collect();
         self.ended.retain(|id, at| listed.contains(id) || now < *at + FORGET_AFTER);
@@ -348,6 +365,16 @@
         }
     }
 
+    fn insert_gone(&mut self, member: Member, now: Instant) {
+        let id = member.id;
+        if self.ended.contains_key(&id) || id.address == self.me.member.id.address {
+            return;
+        }
+        self.insert(Note::of(member), now);
+        self.set_health(id.address, Health::Gone, now);
+        self.rumors.remove(&id.address);
+    }
+
     fn insert(&mut self, note: Note, now: Instant) {
         let id = note.member.id;
         if note.member.domain == self.me.member.domain {
--- a/crates/membership/src/members/heartbeat.rs
+++ b/crates/membership/src/members/heartbeat.rs
@@ -210,10 +210,10 @@
                 self.change_health(address, Health::Gone, now);
             }
         }
-        let assigned = &self.assigned;
+        let unreleased = &self.unreleased;
         self.peers.retain(|_, p| {
             p.gone_since.is_none_or(|at| now < at + FORGET_AFTER)
-                || assigned.contains(&p.note.member.id)
+                || unreleased.contains(&p.note.member.id)
         });
     }
 
@@ -239,8 +239,10 @@
     /// Assumes a partition when more than a third of the members were lost within the
     /// window, until fewer are suspect.
     pub(super) fn guard(&mut self, now: Instant) {
+        let assigned = &self.assigned;
         let recent = |p: &super::Peer| {
-            p.gone_since.is_some_and(|at| now < at + LOSS_WINDOW)
+            assigned.contains(&p.note.member.id)
+                && p.gone_since.is_some_and(|at| now < at + LOSS_WINDOW)
                 && p.note.intent == Intent::Running
                 && !p.listing.is_gone()
         };
--- a/crates/membership/src/members/platform.rs
+++ b/crates/membership/src/members/platform.rs
@@ -55,6 +55,17 @@
         self == Listing::Gone
     }
 
+    pub(super) fn was_shown(self) -> bool {
+        self != Listing::NeverShown
+    }
+
+    /// Another daemon has seen the VM in the list.
+    pub(super) fn shown_to_others(&mut self) {
+        if *self == Listing::NeverShown {
+            *self = Listing::Shown(ListedState::Live);
+        }
+    }
+
     /// A member that was heard exists, whatever the list says.
     pub(super) fn heard(&mut self) {
         if let Listing::Absent { .. } = self {
--- a/crates/membership/src/members/target.rs
+++ b/crates/membership/src/members/target.rs
@@ -9,6 +9,7 @@
 use tt_model::Epoch;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::Intent;
 use super::Members;
 use super::REJOIN_AFTER;
 use super::State;
@@ -21,7 +22,8 @@
 use crate::ownership::Candidate;
 
 impl Members {
-    /// The members that the next epoch should have, and who proposes it. A member of the
+    /// The members that the next epoch should have, and this daemon's place in the order
+    /// of proposers. A member of the
     /// current epoch stays unless there is evidence against it, so a daemon that knows
     /// little proposes little. `hold_off` is [`crate::rights::RightsSettings::hold_off`].
     pub fn target(&self, current: Option<&Assignment>, hold_off: Duration, now: Instant) -> Target {
@@ -50,17 +52,25 @@
             }
         }
         members.sort_by_key(|m| m.id);
-        Target { members, proposer: self.proposer(), settled: self.settled(hold_off, now) }
+        let listed = self.peers.values().filter(|p| p.listing.was_shown());
+        Target {
+            members,
+            rank: self.rank(),
+            settled: self.settled(hold_off, now),
+            listed: listed.map(|p| p.note.member.id).collect(),
+        }
     }
 
-    /// The first live member in rendezvous order.
-    fn proposer(&self) -> Option<MemberId> {
+    /// This daemon's place in rendezvous order among the live members.
+    fn rank(&self) -> Option<u32> {
         let key = xxh3_64(b"assignment");
-        self.iter()
-            .filter(|view| view.state == State::Live)
-            .map(|view| Candidate::new(view.member.id, DomainKey(0), view.member.weight))
-            .min_by_key(|candidate| candidate.score(key))
-            .map(|candidate| candidate.id)
+        let score = |m: &Member| Candidate::new(m.id, DomainKey(0), m.weight).score(key);
+        let own = score(self.me());
+        if self.me.intent != Intent::Running {
+            return None;
+        }
+        let before = self.iter().filter(|v| v.state == State::Live && score(v.member) < own);
+        Some(before.count() as u32)
     }
 
     fn is_steady(&self, id: MemberId, now: Instant) -> bool {
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -26,6 +26,8 @@
     pub id: MemberId,
     /// Its failure domain.
     pub domain: DomainKey,
+    /// Whether it certainly holds nothing that was assigned to it.
+    pub released: bool,
     weight: u32,
     hash: u64,
 }
@@ -58,7 +60,8 @@
 impl Candidate {
     /// A candidate with its share of keys relative to others; a weight of 0 counts as 1.
     pub fn new(id: MemberId, domain: DomainKey, weight: u32) -> Candidate {
-        Candidate { id, domain, weight: weight.max(1), hash: hash_address(id.address) }
+        let hash = hash_address(id.address);
+        Candidate { id, domain, released: false, weight: weight.max(1), hash }
     }
 
     /// The rank of this member for `key`: minus the logarithm of a uniform hash, divided by
@@ -75,13 +78,23 @@
 /// The pair for a searcher. The owner comes from the domain of the searcher if it has
 /// members; the successor comes from another domain than the owner if there is one.
 pub fn pair(candidates: &[Candidate], key: SearcherKey, domain: DomainKey) -> Option<Pair> {
+    let [owner, successor] = ranked_pair(candidates, key, domain)?;
+    Some(Pair { owner: owner.id, successor: successor.id })
+}
+
+/// The members of the pair for a searcher.
+pub(crate) fn ranked_pair(
+    candidates: &[Candidate],
+    key: SearcherKey,
+    domain: DomainKey,
+) -> Option<[&Candidate; 2]> {
     let owner = candidates.iter().min_by_key(|c| (c.domain != domain, c.score(key.0)))?;
     let successor = candidates
         .iter()
         .filter(|c| c.id.address != owner.id.address)
         .min_by_key(|c| (c.domain == owner.domain, c.score(key.0)))
         .unwrap_or(owner);
-    Some(Pair { owner: owner.id, successor: successor.id })
+    Some([owner, successor])
 }
 
 /// The pairs of all searchers in the current epoch.
--- a/crates/membership/src/rights/state.rs
+++ b/crates/membership/src/rights/state.rs
@@ -10,7 +10,7 @@
 use crate::ownership::Candidate;
 use crate::ownership::Pair;
 use crate::ownership::SearcherSpec;
-use crate::ownership::pair;
+use crate::ownership::ranked_pair;
 
 /// A promise given to an owner.
 #[derive(Debug, Clone, Copy)]
@@ -120,12 +120,13 @@
         let holders = |half: Half| {
             let mut ids: Vec<MemberId> = history
                 .iter()
-                .filter_map(|members| pair(members, self.spec.key, self.spec.domain))
-                .map(|p| match half {
-                    Half::Upper => p.owner,
-                    Half::Lower => p.successor,
+                .filter_map(|members| ranked_pair(members, self.spec.key, self.spec.domain))
+                .map(|[owner, successor]| match half {
+                    Half::Upper => owner,
+                    Half::Lower => successor,
                 })
-                .filter(|&id| id != me)
+                .filter(|candidate| candidate.id != me && !candidate.released)
+                .map(|candidate| candidate.id)
                 .collect();
             ids.sort_unstable();
             ids.dedup();
