fix: pass on only fresh statements about searchers, wait through handovers

Change: statements older than 2 s are not passed on; an assigned host without slots queues. Also starts the collector of unreferenced parts.

--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use tt_control::Attempt;
 use tt_control::ChangeId;
 use tt_control::ChangeKind;
 use tt_control::ChangeRequest;
@@ -147,16 +148,23 @@
             }
         },
     };
-    let id = match parameter(&request.query, "change") {
-        None => ChangeId::from_uuid(uuid::Uuid::now_v7()),
-        Some(text) => ChangeId::parse(&text),
+    // An id that the operator states may have been submitted before.
+    let (attempt, id) = match parameter(&request.query, "change") {
+        None => (Attempt::First, ChangeId::from_uuid(uuid::Uuid::now_v7())),
+        Some(text) => (Attempt::Repeat, ChangeId::parse(&text)),
     };
     let Some(id) = id else {
         let detail = "change: expected a UUID version 7".to_owned();
         return Answer::error(ResultCode::MalformedRequest, detail);
     };
-    let change =
-        ChangeRequest { change: id.clone(), operator, environment: name.to_owned(), base, kind };
+    let change = ChangeRequest {
+        change: id.clone(),
+        attempt,
+        operator,
+        environment: name.to_owned(),
+        base,
+        kind,
+    };
     let started = Instant::now();
     let outcome = change::run(node, change).await;
     log::info!("config: Change {id} of environment {name}: {}.", outcome.code());
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -21,6 +21,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use tt_control::Collector;
+use tt_control::CollectorSettings;
 use tt_control::ControlPlane;
 use tt_control::ControlSettings;
 use tt_control::Stage;
@@ -76,6 +78,7 @@
     assignments: Mutex<Assignments>,
     rights: Mutex<Rights>,
     drain: Mutex<Drain>,
+    collector: Mutex<Collector>,
     envs: RwLock<BTreeMap<EntryKey, Arc<Env>>>,
     queries: AtomicU64,
 }
@@ -131,6 +134,7 @@
             assignments: Mutex::new(Assignments::new(me.id)),
             rights: Mutex::new(Rights::new(me.id, RightsSettings::default(), now)),
             drain: Mutex::new(Drain::new(drain)),
+            collector: Mutex::new(Collector::new(CollectorSettings::default())),
             envs: RwLock::default(),
             queries: AtomicU64::new(1),
             me,
--- a/crates/daemon/src/node/config.rs
+++ b/crates/daemon/src/node/config.rs
@@ -12,6 +12,7 @@
 use tt_control::ControlPlane;
 use tt_control::PullFailed;
 use tt_control::PullRequest;
+use tt_control::StoreRequest;
 use tt_control::Update;
 use tt_control::Versions;
 use tt_control::catalog::EntryKey;
@@ -56,6 +57,34 @@
         ConfigAge { age: plane.config_age(now), stale: plane.is_stale(now) }
     }
 
+    /// Removes parts that no document needs, if this daemon is the one that does.
+    pub(crate) fn tick_collector(self: &Arc<Self>) {
+        let collects = self.plane().is_collector();
+        let now = Instant::now();
+        let call = {
+            let mut collector = lock(&self.collector);
+            if collects {
+                collector.activate(now);
+                collector.tick(now)
+            } else {
+                collector.deactivate();
+                None
+            }
+        };
+        if let Some(call) = call {
+            tokio::spawn(self.clone().collect(call));
+        }
+    }
+
+    /// Carries one sweep of the collector through.
+    async fn collect(self: Arc<Self>, first: StoreRequest) {
+        let mut next = Some(first);
+        while let Some(StoreRequest { id, call }) = next {
+            let reply = self.store.call(call).await;
+            next = lock(&self.collector).on_reply(id, &reply, Instant::now());
+        }
+    }
+
     /// What this daemon has adopted.
     pub(crate) fn versions(&self) -> Versions {
         self.plane().versions()
--- a/crates/daemon/src/node/membership.rs
+++ b/crates/daemon/src/node/membership.rs
@@ -125,8 +125,8 @@
         hosts
             .iter()
             .filter_map(|host| {
-                let status = host.status();
-                (status.version > 0).then_some(SearcherNote {
+                let status = host.status()?;
+                Some(SearcherNote {
                     address: host.address,
                     leaving: status.leaving,
                     cold: status.cold,
@@ -191,8 +191,11 @@
 
     fn beat(&self, heartbeat: tt_membership::members::Heartbeat) -> Beat {
         let hosts = self.hosts.all();
-        let leaving =
-            hosts.iter().filter(|host| host.status().leaving).map(|host| host.address).collect();
+        let leaving = hosts
+            .iter()
+            .filter(|host| host.status().is_some_and(|status| status.leaving))
+            .map(|host| host.address)
+            .collect();
         Beat {
             heartbeat,
             callers: self.public_address(),
--- a/crates/daemon/src/node/ownership.rs
+++ b/crates/daemon/src/node/ownership.rs
@@ -26,6 +26,7 @@
 use crate::node::Route;
 use crate::node::lock;
 use crate::owner::Right;
+use crate::owner::Standing;
 
 /// Time for an answer to a renewal or a question. A later answer is of little use, because the
 /// promise is measured from before the request.
@@ -141,8 +142,14 @@
         let now = Instant::now();
         let result = change(&mut rights, now);
         for host in &hosts {
-            let allowance = rights.allowance(SearcherKey::of(host.address), now);
-            host.set_right(Right::of(allowance));
+            let key = SearcherKey::of(host.address);
+            let me = self.me.id;
+            let pair = rights.ownership().pair(key);
+            let standing = match pair {
+                Some(pair) if pair.owner == me || pair.successor == me => Standing::Assigned,
+                Some(_) | None => Standing::Unassigned,
+            };
+            host.set_right(Right::of(rights.allowance(key, now), standing));
         }
         result
     }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -60,6 +60,15 @@
     pub(crate) key: u64,
 }
 
+/// Whether a searcher is assigned to this daemon, held or not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// This daemon is its owner or its successor.
+    Assigned,
+    /// Others are.
+    Unassigned,
+}
+
 /// The right of this daemon to use one searcher.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Right {
@@ -71,7 +80,7 @@
 
 impl Right {
     /// The right for what the ownership allows.
-    pub(crate) fn of(allowance: Allowance) -> Right {
+    pub(crate) fn of(allowance: Allowance, standing: Standing) -> Right {
         let Allowance { slots, bounded, until, connections } = allowance;
         let right = match until {
             Some(until) if bounded > 0 => SlotRight::Full {
@@ -80,6 +89,9 @@
                 until: clock::instant_at(until),
             },
             _ if slots > 0 => SlotRight::Half { slots },
+            // A handover takes less than a second; until then sub-queries wait, and their
+            // entries may ask another replica.
+            _ if standing == Standing::Assigned => SlotRight::Half { slots: 0 },
             _ => SlotRight::None,
         };
         Right { slots: right, connections, promise_ms: until }
--- a/crates/daemon/src/owner/host.rs
+++ b/crates/daemon/src/owner/host.rs
@@ -46,6 +46,9 @@
 /// How often the status endpoint is read while the searcher is owned.
 const STATUS_EVERY: Duration = Duration::from_millis(500);
 
+/// Age at which what a searcher said is no longer passed on.
+const STATUS_FRESH: Duration = Duration::from_secs(2);
+
 /// Time until a status poll counts as failed.
 const STATUS_LIMIT: Duration = Duration::from_millis(500);
 
@@ -62,8 +65,6 @@
     pub(crate) leaving: bool,
     pub(crate) cold: bool,
     pub(crate) held: Vec<u64>,
-    /// Rises with every change, so that readers see what is new.
-    pub(crate) version: u64,
 }
 
 /// One searcher.
@@ -85,6 +86,8 @@
     waiting: VecDeque<Started>,
     running: HashMap<Ticket, Run>,
     status: Status,
+    /// When the searcher last said something.
+    heard: Option<Instant>,
     polled: Option<Instant>,
     random: SmallRng,
     mode: Mode,
@@ -146,6 +149,7 @@
             waiting: VecDeque::new(),
             running: HashMap::new(),
             status: Status::default(),
+            heard: None,
             polled: None,
             random: SmallRng::seed_from_u64(u64::from(searcher.address.port())),
             mode: Mode::Serving,
@@ -186,7 +190,6 @@
         let mut state = self.lock();
         if !state.status.leaving {
             state.status.leaving = true;
-            state.status.version += 1;
             state.queue.drain();
         }
         drop(state);
@@ -242,9 +245,13 @@
         self.lock().queue.running()
     }
 
-    /// What is known of the searcher.
-    pub(crate) fn status(&self) -> Status {
-        self.lock().status.clone()
+    /// What the searcher has said lately. A daemon that no longer uses the searcher has
+    /// nothing to say about it.
+    pub(crate) fn status(&self) -> Option<Status> {
+        let state = self.lock();
+        let fresh = state.heard.is_some_and(|heard| heard.elapsed() < STATUS_FRESH);
+        let listed = state.listed == SearcherState::Leaving;
+        (fresh || listed).then(|| state.status.clone())
     }
 
     /// Queues a sub-query; the outcome is reported on its channel.
@@ -389,7 +396,7 @@
             Some(sender) => state.give_back(now, connection, sender),
             None => state.drop_connection(connection),
         }
-        state.note(&reply);
+        state.note(now, &reply);
         reply.service_us = started.elapsed().as_micros() as u64;
         reply.pressure_us = state.queue.pressure(now).expected_wait.as_micros() as u64;
         drop(guard);
@@ -590,14 +597,24 @@
     }
 
     /// Takes in what a reply says about the searcher.
-    fn note(&mut self, reply: &SubReply) {
+    fn note(&mut self, now: Instant, reply: &SubReply) {
+        match reply.outcome() {
+            Outcome::Answered
+            | Outcome::Shed
+            | Outcome::Draining
+            | Outcome::SnapshotGone
+            | Outcome::WrongShard => self.heard = Some(now),
+            Outcome::Failed
+            | Outcome::Unreachable
+            | Outcome::Expired
+            | Outcome::NotOwner
+            | Outcome::Cancelled => {}
+        }
         if !reply.held.is_empty() && reply.held != self.status.held {
             self.status.held.clone_from(&reply.held);
-            self.status.version += 1;
         }
         if reply.outcome() == Outcome::Draining && !self.status.leaving {
             self.status.leaving = true;
-            self.status.version += 1;
             self.queue.drain();
         }
     }
@@ -617,10 +634,8 @@
         if cold && !self.status.cold {
             self.queue.cold_start(now);
         }
-        let next = Status { leaving, cold, held, version: self.status.version };
-        if next != self.status {
-            self.status = Status { version: self.status.version + 1, ..next };
-        }
+        self.status = Status { leaving, cold, held };
+        self.heard = Some(now);
     }
 
     fn is_over(&self) -> bool {
--- a/crates/daemon/src/tasks.rs
+++ b/crates/daemon/src/tasks.rs
@@ -44,6 +44,7 @@
         node.tick_rights();
         node.control(|plane, now| plane.tick(now));
         node.claims.assign(&node);
+        node.tick_collector();
         node.tick_drain();
     }
 }
