--- a/crates/claims/examples/measure.rs
+++ b/crates/claims/examples/measure.rs
@@ -366,7 +366,7 @@
     println!("\n{:>9} {:>7} {:>9} {:>7} {:>7}", "retained", "window", "ms", "reads", "writes");
     for claims in [0, 100, 1_000, 10_000, 100_000] {
         let store = fill(claims);
-        for window in [1, 16] {
+        for window in [1, 4, 16] {
             let copy = {
                 let held = store.0.lock().unwrap_or_else(PoisonError::into_inner);
                 Values { values: held.values.clone(), last: held.last, ..Values::default() }
