feat: bound the ids and results that a partition owner holds in memory

Results of 4 KB at 50 claims a second would take 180 MB within the retention window. Of older results only the digest is held; claims beyond the limit of ids are refused. The fill of the take-over measurement now records results: before, they were refused because their claims were not durable yet.

--- a/crates/claims/examples/measure.rs
+++ b/crates/claims/examples/measure.rs
@@ -269,6 +269,7 @@
     let mut events = vec![PartitionEvent::Timer];
     let mut filled = 0;
     let mut tag = 0;
+    let mut results: Vec<(RequestKey, Step)> = Vec::new();
     loop {
         while let Some(event) = events.pop() {
             for action in partition.handle(event, clock) {
@@ -279,20 +280,23 @@
             }
         }
         if partition.status() == PartitionStatus::Owner && partition.queued() == 0 {
-            if filled >= claims {
+            if filled >= claims && results.is_empty() {
                 return store;
             }
-            for _ in 0..100.min(claims - filled) {
-                let Ok(key) = RequestKey::new("measure", Uuid::now_v7()) else {
-                    continue;
-                };
-                let result = RunResult::Kept(vec![b'r'; 100]);
-                for step in [claim(), Step::Finish { result }] {
-                    tag += 1;
-                    let request = request(key, step);
-                    events.insert(0, PartitionEvent::Request { tag, request });
-                }
+            // Results follow when their claims are durable.
+            let steps = results.drain(..).chain((0..100.min(claims - filled)).filter_map(|_| {
                 filled += 1;
+                let key = RequestKey::new("measure", Uuid::now_v7()).ok()?;
+                Some((key, claim()))
+            }));
+            for (key, step) in steps.collect::<Vec<_>>() {
+                if let Step::Claim { .. } = step {
+                    let result = RunResult::Kept(vec![b'r'; 100]);
+                    results.push((key, Step::Finish { result }));
+                }
+                tag += 1;
+                let request = request(key, step);
+                events.insert(0, PartitionEvent::Request { tag, request });
             }
         } else {
             clock.at = partition.next_timer().unwrap_or(clock.at).max(clock.at);
--- a/crates/claims/src/partition.rs
+++ b/crates/claims/src/partition.rs
@@ -45,6 +45,10 @@
     pub queue_len: usize,
     /// Size of the results that may wait.
     pub queue_bytes: usize,
+    /// Request ids that are retained. Further ones are refused until some are pruned.
+    pub max_ids: usize,
+    /// Size of the results held in memory. Of older ones only the digest is told.
+    pub result_memory: usize,
     /// Largest segment value.
     pub segment_bytes: usize,
     /// Segments read at the same time at take-over.
@@ -66,6 +70,9 @@
             queue_len: 4096,
             // Bounds four partitions to an eighth of the 128 MB that a daemon may use.
             queue_bytes: 4 * 1024 * 1024,
+            // About 30 MB and 278 claims a second for each partition at 15 min of retention.
+            max_ids: 250_000,
+            result_memory: 8 * 1024 * 1024,
             segment_bytes: crate::log::MAX_SEGMENT_BYTES,
             // Four reads of 5 ms use 800 of the two thousand reads a second that the store takes.
             read_window: 4,
@@ -134,6 +141,10 @@
 
 /// The state machine of one ownership of a partition. It takes the log over, records
 /// claims, and retires when another owner has taken the log over or on release.
+///
+/// Replace it by a new one when the assignment names this daemon in a later epoch and it
+/// has retired, or another member was the owner in between. Within the same epoch a
+/// retired one stays: the log belongs to a later token.
 #[derive(Debug)]
 pub struct Partition {
     id: PartitionId,
@@ -255,9 +266,9 @@
         Partition {
             id,
             token,
-            settings,
             phase: Phase::TakeOver(TakeOver::Paused(now.at)),
-            table: Table::default(),
+            table: Table::new(settings.result_memory),
+            settings,
             queue: Queue::default(),
             batch: Queue::default(),
             write: None,
@@ -342,6 +353,10 @@
                 if let Verdict::Reply(reply) = verdict {
                     return self.reply(tag, reply);
                 }
+                let full = self.table.len() >= self.settings.max_ids;
+                if full && !self.table.contains(request.key) {
+                    return self.reply(tag, ClaimReply::Busy);
+                }
             }
             Phase::TakeOver(_) => {}
             Phase::Releasing | Phase::Retired => return self.reply(tag, ClaimReply::NotOwner),
@@ -391,7 +406,7 @@
         for waiting in batch.into_iter().chain(self.queue.take()) {
             self.reply(waiting.tag, ClaimReply::NotOwner);
         }
-        self.table = Table::default();
+        self.table = Table::new(0);
         self.kept.clear();
         self.removals.clear();
     }
--- a/crates/claims/src/partition/owner.rs
+++ b/crates/claims/src/partition/owner.rs
@@ -304,7 +304,7 @@
     }
 
     fn restart_take_over(&mut self, now: Now) {
-        self.table = Table::default();
+        self.table = Table::new(self.settings.result_memory);
         self.kept.clear();
         self.phase = Phase::TakeOver(TakeOver::Paused(now.at + self.settings.retry_pause));
     }
--- a/crates/claims/src/table.rs
+++ b/crates/claims/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use tt_model::ResultCode;
 
@@ -55,14 +56,34 @@
     WithBatch,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Table {
     entries: BTreeMap<RequestKey, Entry>,
     batch: HashMap<RequestKey, Entry>,
     watermark_ms: u64,
+    /// Ids whose results are held, oldest first.
+    results: VecDeque<RequestKey>,
+    result_bytes: usize,
+    result_limit: usize,
 }
 
 impl Table {
+    /// A table that holds at most `result_limit` bytes of results.
+    pub(crate) fn new(result_limit: usize) -> Table {
+        Table {
+            entries: BTreeMap::new(),
+            batch: HashMap::new(),
+            watermark_ms: 0,
+            results: VecDeque::new(),
+            result_bytes: 0,
+            result_limit,
+        }
+    }
+
+    pub(crate) fn contains(&self, key: RequestKey) -> bool {
+        self.entries.contains_key(&key)
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.entries.len()
     }
@@ -78,7 +99,29 @@
             if first.key().time_ms() >= self.watermark_ms {
                 break;
             }
-            first.remove();
+            self.result_bytes -= first.remove().result_bytes();
+        }
+        while self.results.front().is_some_and(|key| key.time_ms() < self.watermark_ms) {
+            self.results.pop_front();
+        }
+    }
+
+    fn insert(&mut self, key: RequestKey, entry: Entry) {
+        let bytes = entry.result_bytes();
+        if bytes > 0 {
+            self.results.push_back(key);
+        }
+        self.result_bytes += bytes;
+        if let Some(old) = self.entries.insert(key, entry) {
+            self.result_bytes -= old.result_bytes();
+        }
+        while self.result_bytes > self.result_limit {
+            let Some(oldest) = self.results.pop_front() else {
+                return;
+            };
+            if let Some(entry) = self.entries.get_mut(&oldest) {
+                self.result_bytes -= entry.omit_result();
+            }
         }
     }
 
@@ -89,7 +132,7 @@
             return;
         }
         if let Some(entry) = apply(self.entries.get(&key), record) {
-            self.entries.insert(key, entry);
+            self.insert(key, entry);
         }
     }
 
@@ -109,7 +152,9 @@
 
     /// The batch is durable.
     pub(crate) fn commit(&mut self) {
-        self.entries.extend(self.batch.drain());
+        for (key, entry) in std::mem::take(&mut self.batch) {
+            self.insert(key, entry);
+        }
     }
 
     /// The batch certainly was not written.
@@ -136,6 +181,28 @@
     }
 }
 
+impl Entry {
+    fn result_bytes(&self) -> usize {
+        match &self.state {
+            State::Done(RunResult::Kept(bytes)) => bytes.len(),
+            State::Done(RunResult::Omitted(_))
+            | State::Claimed
+            | State::Started
+            | State::Aborted(_) => 0,
+        }
+    }
+
+    /// Replaces the result by its digest and returns its former size.
+    fn omit_result(&mut self) -> usize {
+        let State::Done(RunResult::Kept(bytes)) = &self.state else {
+            return 0;
+        };
+        let len = bytes.len();
+        self.state = State::Done(RunResult::Omitted(BodyDigest::of(bytes)));
+        len
+    }
+}
+
 fn refuse(refusal: Refusal) -> Verdict {
     Verdict::Reply(ClaimReply::Refused(refusal))
 }
--- a/crates/claims/tests/partition.rs
+++ b/crates/claims/tests/partition.rs
@@ -230,15 +230,22 @@
 
 /// Records `count` claims with results, 100 at a time.
 fn fill(bench: &mut Bench, from: u64, count: u64) {
-    for i in from..from + count {
-        let id = RequestKey::new("cashier-office", uuid_at(bench.now.unix_ms, i)).unwrap();
-        bench.submit(request(id, 1, 1, claim(Start::Now)));
-        bench.submit(request(id, 1, 1, Step::Finish { result: RunResult::of(&[7; 100]) }));
-        if i % 100 == 99 {
+    for first in (from..from + count).step_by(100) {
+        let time = bench.now.unix_ms;
+        for step in [claim(Start::Now), Step::Finish { result: RunResult::of(&[7; 100]) }] {
+            let tags: Vec<u64> = (first..(first + 100).min(from + count))
+                .map(|i| {
+                    let id = RequestKey::new("cashier-office", uuid_at(time, i)).unwrap();
+                    bench.submit(request(id, 1, 1, step.clone()))
+                })
+                .collect();
             bench.settle();
+            for tag in tags {
+                let reply = bench.answers.remove(&tag);
+                assert!(matches!(reply, Some(ClaimReply::Started | ClaimReply::Recorded)));
+            }
         }
     }
-    bench.settle();
 }
 
 // Guards pruning: ids below the watermark are refused by this owner and by the next one,
@@ -402,3 +409,31 @@
     }
     assert_eq!(next.store.values.len(), 2, "{:?}", next.store.values.keys());
 }
+
+// Guards the daemon's memory: ids and results that are held are bounded.
+#[test]
+fn retained_ids_and_results_are_bounded() {
+    let settings =
+        PartitionSettings { max_ids: 50, result_memory: 1_000, ..PartitionSettings::default() };
+    let now = Bench::owner().now;
+    let mut bench = Bench::start(Default::default(), settings, 1, now);
+    let filled_ms = bench.now.unix_ms;
+    fill(&mut bench, 0, 50);
+    let kept = |bench: &mut Bench, i| {
+        let id = RequestKey::new("cashier-office", uuid_at(filled_ms, i)).unwrap();
+        match bench.call(request(id, 9, 9, Step::LookUp)) {
+            ClaimReply::Refused(Refusal::Done(RunResult::Kept(_))) => "kept",
+            ClaimReply::Refused(Refusal::Done(RunResult::Omitted(_))) => "omitted",
+            _ => "other",
+        }
+    };
+    let mut next = bench.successor();
+    for bench in [&mut bench, &mut next] {
+        assert_eq!((0..50).filter(|i| kept(bench, *i) == "kept").count(), 10);
+        assert_eq!((0..50).filter(|i| kept(bench, *i) == "omitted").count(), 40);
+        assert_eq!(bench.call(request(key(99), 1, 1, claim(Start::Now))), ClaimReply::Busy);
+        bench.advance(Duration::from_secs(16 * 60));
+        let id = RequestKey::new("x", uuid_at(bench.now.unix_ms, 1)).unwrap();
+        assert_eq!(bench.call(request(id, 1, 1, claim(Start::Now))), ClaimReply::Started);
+    }
+}
