--- a/crates/claims/tests/common/world.rs
+++ b/crates/claims/tests/common/world.rs
@@ -101,11 +101,18 @@
     view: (u64, usize),
     partition: Option<(u64, Partition)>,
     claimants: BTreeMap<usize, Claimant>,
-    tags: HashMap<u64, (usize, u64, usize, u32)>,
+    tags: HashMap<u64, Caller>,
     inbox: VecDeque<Input>,
     outbox: VecDeque<Output>,
 }
 
+/// Where the answer to a call goes.
+struct Caller {
+    home: (usize, u64),
+    sub: usize,
+    call: u32,
+}
+
 #[derive(Clone)]
 enum Input {
     Partition(u64, PartitionEvent),
--- a/crates/claims/tests/common/world/run.rs
+++ b/crates/claims/tests/common/world/run.rs
@@ -13,6 +13,7 @@
 use tt_model::StoreCall;
 use tt_model::StoreReply;
 
+use super::Caller;
 use super::Choice;
 use super::Flight;
 use super::Input;
@@ -134,8 +135,7 @@
                 self.fly(delay, Flight::Store { home, serial, call, request });
             }
             Some(Output::Partition(_, PartitionAction::Reply { tag, reply })) => {
-                let Some((daemon, generation, sub, call)) = self.daemons[index].tags.remove(&tag)
-                else {
+                let Some(Caller { home, sub, call }) = self.daemons[index].tags.remove(&tag) else {
                     panic!("call {tag} is answered twice");
                 };
                 let event = if self.rng.random_bool(self.network_faults) {
@@ -144,7 +144,7 @@
                     ClaimantEvent::Reply { call, reply }
                 };
                 let input = Input::Claimant(sub, event);
-                self.deliver((daemon, generation), input);
+                self.deliver(home, input);
             }
             Some(Output::Claimant(sub, ClaimantAction::Call { call, request, .. })) => {
                 let to = self.daemons[index].view.1;
@@ -197,7 +197,7 @@
                     Some((serial, _))
                         if target.up && !self.rng.random_bool(self.network_faults) =>
                     {
-                        target.tags.insert(tag, (home.0, home.1, sub, call));
+                        target.tags.insert(tag, Caller { home, sub, call });
                         let event = PartitionEvent::Request { tag, request };
                         target.inbox.push_back(Input::Partition(*serial, event));
                     }
