fix: send replies between daemons without waiting for acknowledgements

Cause: the listener of the server for other daemons was opened by the daemon, so tonic's tcp_nodelay did not apply, and a reply behind another one waited up to 40 ms. Change: TcpIncoming with nodelay.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -15,6 +15,7 @@
 use tt_daemon::Callers;
 use tt_daemon::Daemon;
 use tt_daemon::Listen;
+use tt_daemon::Policy;
 use tt_daemon::Settings;
 use tt_model::Environment;
 use tt_standin::Platform;
@@ -40,6 +41,8 @@
     pub threads: usize,
     /// Bounds on callers.
     pub callers: Callers,
+    /// How the daemons decide queries.
+    pub policy: Policy,
 }
 
 impl Default for FleetSettings {
@@ -51,6 +54,7 @@
             seed: 1,
             threads: 2,
             callers: Callers { keep_ms: 1_000, ..Callers::default() },
+            policy: Policy::Adaptive,
         }
     }
 }
@@ -230,6 +234,7 @@
             peers: self.daemons.iter().flatten().map(|other| other.daemon.peers()).collect(),
             callers: self.settings.callers,
             threads: self.settings.threads,
+            policy: self.settings.policy,
             log: String::new(),
         };
         let started = runtime.spawn(Daemon::start(settings)).await.map_err(io::Error::other)?;
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -27,8 +27,6 @@
     pub environment: String,
     /// Services with their request rates.
     pub services: Vec<ServiceLoad>,
-    /// Length of the load.
-    pub length: Duration,
     /// Seed of arrival times.
     pub seed: u64,
     /// Where callers first ask which entry to use.
@@ -42,12 +40,21 @@
     pub service: String,
     /// Its class, for the statistics.
     pub class: String,
-    /// Requests a second.
-    pub rate: f64,
+    /// Consecutive rates.
+    pub steps: Vec<RateStep>,
     /// What it sends.
     pub kind: LoadKind,
 }
 
+/// A rate for some time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateStep {
+    /// How long.
+    pub length: Duration,
+    /// Requests a second.
+    pub rate: f64,
+}
+
 /// What a service sends.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LoadKind {
@@ -115,7 +122,7 @@
         let mut random = StdRng::seed_from_u64(self.settings.seed);
         let mut tasks = JoinSet::new();
         for settings in &self.settings.services {
-            let arrivals = arrivals(settings.rate, self.settings.length, &mut random);
+            let arrivals = arrivals(&settings.steps, &mut random);
             let caller = Arc::new(Caller {
                 settings: settings.clone(),
                 environment: self.settings.environment.clone(),
@@ -222,16 +229,22 @@
     code == Some(u64::from(ResultCode::Draining.number()))
 }
 
-/// Arrival times of a Poisson process.
-fn arrivals(rate: f64, length: Duration, random: &mut StdRng) -> Vec<Duration> {
+/// Arrival times of a Poisson process whose rate changes in steps.
+fn arrivals(steps: &[RateStep], random: &mut StdRng) -> Vec<Duration> {
     let mut times = Vec::new();
-    let mut time = 0.0;
-    loop {
-        let uniform: f64 = random.random_range(f64::EPSILON..1.0);
-        time -= uniform.ln() / rate;
-        if time >= length.as_secs_f64() {
-            return times;
+    let mut start = Duration::ZERO;
+    for step in steps {
+        let end = start + step.length;
+        let mut time = start;
+        while step.rate > 0.0 {
+            let uniform: f64 = random.random_range(f64::EPSILON..1.0);
+            time += Duration::from_secs_f64(-uniform.ln() / step.rate);
+            if time >= end {
+                break;
+            }
+            times.push(time);
         }
-        times.push(Duration::from_secs_f64(time));
+        start = end;
     }
+    times
 }
--- a/crates/bench/src/stats.rs
+++ b/crates/bench/src/stats.rs
@@ -40,7 +40,8 @@
     by_class.into_iter().map(|(class, records)| (class, stats(&records))).collect()
 }
 
-fn stats(records: &[&Record]) -> ClassStats {
+/// Statistics of all records.
+pub fn stats(records: &[&Record]) -> ClassStats {
     let mut latencies = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, 3)
         .expect("the bounds and 3 significant digits are supported");
     let mut stats = ClassStats { queries: records.len() as u64, ..ClassStats::default() };
--- /dev/null
+++ b/crates/bench/src/submit.rs
@@ -0,0 +1,101 @@
+//! Brings the document of a fleet into force.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use tt_daemon::Policy;
+
+use crate::client::Ask;
+use crate::client::ClientError;
+use crate::client::Http;
+use crate::fleet::Fleet;
+
+/// Time for the daemons to agree on owners after their start.
+const SETTLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Status polls run twice a second and their results are exchanged as often.
+const STATUS_TIME: Duration = Duration::from_millis(1_500);
+
+/// Why a fleet is not ready for a load.
+#[derive(Debug, Display, Error)]
+pub enum SubmitError {
+    /// No daemon answers.
+    #[display("{_0}")]
+    Client(#[error(not(source))] ClientError),
+    /// A daemon refused the document.
+    #[display("refused: {_0}")]
+    Refused(#[error(not(source))] Value),
+    /// The daemons did not agree.
+    #[display("the daemons did not agree on the owners of the searchers")]
+    Unsettled,
+}
+
+/// What became of the two changes that bring a document into force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Submitted {
+    /// The trial.
+    pub tried: Value,
+    /// The promotion.
+    pub promoted: Value,
+}
+
+/// Tries and promotes the document of a fleet.
+pub async fn bring_into_force(fleet: &Fleet) -> Result<Submitted, SubmitError> {
+    let http = Http::new();
+    let operators = fleet.operators(0).ok_or(SubmitError::Unsettled)?;
+    let name = &fleet.environment.name;
+    let document = fleet.document.clone().into_bytes();
+    let path = format!("/v1/env/{name}/trial?operator=bench");
+    let tried = accepted(&http, Ask::post(operators, path, document)).await?;
+    let digest = fleet.environment.digest.as_str();
+    let path = format!("/v1/env/{name}/promote?operator=bench&digest={digest}");
+    let promoted = accepted(&http, Ask::post(operators, path, Vec::new())).await?;
+    Ok(Submitted { tried, promoted })
+}
+
+/// Waits until the daemons agree on the owners of all searchers and know their snapshots.
+pub async fn settle(fleet: &Fleet, policy: Policy) -> Result<(), SubmitError> {
+    let http = Http::new();
+    let operators: Vec<SocketAddr> =
+        (0..fleet.len()).filter_map(|index| fleet.operators(index)).collect();
+    let searchers = fleet.environment.searchers.len() as u64;
+    let settled = Fleet::wait_for(SETTLE_LIMIT, async || {
+        let mut full = 0;
+        let mut epochs = 0;
+        for &address in &operators {
+            let members = members(&http, address).await;
+            full += members["searchers_full"].as_u64().unwrap_or(0);
+            epochs += u64::from(members["epoch"].as_u64().unwrap_or(0) > 0);
+        }
+        match policy {
+            Policy::Adaptive => full >= searchers,
+            Policy::Baseline => epochs == operators.len() as u64,
+        }
+    })
+    .await;
+    if !settled {
+        return Err(SubmitError::Unsettled);
+    }
+    sleep(STATUS_TIME).await;
+    Ok(())
+}
+
+/// The member table of a daemon; null if it does not answer.
+pub async fn members(http: &Http, operators: SocketAddr) -> Value {
+    let ask = Ask::get(operators, "/v1/members".to_owned());
+    match http.send(ask).await {
+        Ok(answer) => serde_json::from_slice(&answer.body).unwrap_or_default(),
+        Err(_) => Value::Null,
+    }
+}
+
+async fn accepted(http: &Http, ask: Ask) -> Result<Value, SubmitError> {
+    let answer = http.send(ask).await.map_err(SubmitError::Client)?;
+    let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    if answer.status == 200 { Ok(body) } else { Err(SubmitError::Refused(body)) }
+}
--- a/crates/ctl/src/commands/bench.rs
+++ b/crates/ctl/src/commands/bench.rs
@@ -1,10 +1,124 @@
 //! `tillerctl bench`.
 
+use std::path::PathBuf;
+
+use serde_json::json;
+
+use tt_bench::RunReport;
+use tt_bench::markdown;
+use tt_bench::plot;
+use tt_bench::run;
+use tt_bench::scenario;
+use tt_bench::scenario::Scenario;
+use tt_daemon::Policy;
+use tt_model::ResultCode;
+
 use crate::arguments::Arguments;
+use crate::commands::block_on;
+use crate::commands::read;
 use crate::output::Failure;
+use crate::output::Format;
+
+const HELP: &str = "\
+Usage: tillerctl bench list
+       tillerctl bench run NAME|FILE [--policy adaptive|baseline|both] [--seed N]
+                                     [--report FOLDER] [--json]
+
+Runs a measurement scenario with real daemons and stand-ins on loopback in one process. The
+load is open: requests are sent at their times, whatever the answers take. With `both` (the
+default) the scenario runs under both policies, one after the other, with the same seed.
+
+  --report FOLDER  write NAME.md and NAME.svg there
+";
 
 /// Runs measurement scenarios.
 pub(crate) fn bench(arguments: &mut Arguments) -> Result<(), Failure> {
-    let _ = arguments;
-    Err(Failure::usage("there is no scenario yet".to_owned()))
+    let action = arguments.command()?;
+    if arguments.help() {
+        print!("{HELP}");
+        return Ok(());
+    }
+    match action.as_deref() {
+        Some("list") => list(arguments),
+        Some("run") => run_scenario(arguments),
+        Some(other) => Err(Failure::usage(format!("there is no action `{other}`"))),
+        None => Err(Failure::usage("expected `list` or `run`".to_owned())),
+    }
+}
+
+fn list(arguments: &mut Arguments) -> Result<(), Failure> {
+    arguments.end()?;
+    let scenarios = scenario::list();
+    match arguments.format() {
+        Format::Json => {
+            let list: Vec<_> = scenarios
+                .iter()
+                .map(|scenario| json!({ "name": scenario.name, "about": scenario.about }))
+                .collect();
+            println!("{}", json!(list));
+        }
+        Format::Text => {
+            for scenario in scenarios {
+                let seconds = scenario.length().as_secs();
+                println!("{:<16} {seconds:>3} s  {}", scenario.name, scenario.about);
+            }
+        }
+    }
+    Ok(())
+}
+
+fn run_scenario(arguments: &mut Arguments) -> Result<(), Failure> {
+    let policy: String = arguments.option("--policy")?.unwrap_or_else(|| "both".to_owned());
+    let policies: &[Policy] = match policy.as_str() {
+        "adaptive" => &[Policy::Adaptive],
+        "baseline" => &[Policy::Baseline],
+        "both" => &[Policy::Adaptive, Policy::Baseline],
+        other => return Err(Failure::usage(format!("there is no policy `{other}`"))),
+    };
+    let seed: u64 = arguments.option("--seed")?.unwrap_or(1);
+    let folder: Option<PathBuf> = arguments.option("--report")?;
+    let name = arguments.word("the name of a scenario or the path of one")?;
+    arguments.end()?;
+    let scenario = load(&name)?;
+    let mut runs = Vec::new();
+    for &policy in policies {
+        let report = block_on(run(&scenario, policy, seed))?;
+        runs.push(report.map_err(|error| internal(&error))?);
+    }
+    match arguments.format() {
+        Format::Json => println!("{}", json!(runs)),
+        Format::Text => print!("{}", markdown(&scenario, &runs)),
+    }
+    if let Some(folder) = folder {
+        write(&folder, &scenario, &runs)?;
+    }
+    Ok(())
+}
+
+fn load(name: &str) -> Result<Scenario, Failure> {
+    if let Some(scenario) = scenario::find(name) {
+        return Ok(scenario);
+    }
+    if !name.ends_with(".jsonc") {
+        return Err(Failure::usage(format!("there is no scenario `{name}`")));
+    }
+    let text = read(name.as_ref())?;
+    scenario::parse(&text).map_err(|error| {
+        Failure::new(
+            ResultCode::SettingsInvalid,
+            format!("{name}:{}:{}: {error}", error.line(), error.column()),
+        )
+    })
+}
+
+fn write(folder: &std::path::Path, scenario: &Scenario, runs: &[RunReport]) -> Result<(), Failure> {
+    std::fs::create_dir_all(folder).map_err(|error| internal(&error))?;
+    let table = folder.join(format!("{}.md", scenario.name));
+    std::fs::write(table, markdown(scenario, runs)).map_err(|error| internal(&error))?;
+    let image = folder.join(format!("{}.svg", scenario.name));
+    plot(&image, scenario, runs).map_err(|error| internal(error.as_ref()))
+}
+
+fn internal(error: &dyn std::error::Error) -> Failure {
+    Failure::new(ResultCode::Internal, error.to_string())
 }
--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -16,7 +16,13 @@
 use tt_bench::Load;
 use tt_bench::LoadKind;
 use tt_bench::LoadSettings;
+use tt_bench::RateStep;
 use tt_bench::ServiceLoad;
+use tt_bench::SubmitError;
+use tt_bench::Submitted;
+use tt_bench::bring_into_force;
+use tt_bench::settle;
+use tt_daemon::Policy;
 use tt_model::Environment;
 use tt_model::ResultCode;
 use tt_standin::Profile;
@@ -37,6 +43,9 @@
 /// Part of its contract that each service offers.
 const OFFERED: f64 = 0.35;
 
+/// Requests a second that must run at most once.
+const ONCE_RATE: f64 = 2.0;
+
 /// Revisions seen at the daemons.
 #[derive(Debug, Default)]
 struct Revisions {
@@ -54,10 +63,11 @@
     progress(&format!("Starting {} daemons and the stand-ins.", settings.daemons));
     let mut fleet = start(settings).await?;
     let name = fleet.environment.name.clone();
-    let operators = fleet.operators(0).ok_or_else(|| internal("no daemon runs"))?;
-
-    let (tried, promoted) = bring_into_force(&http, &fleet, operators, &name, &progress).await?;
-    settle(&http, &fleet).await?;
+    let failed = |error: SubmitError| internal(&error.to_string());
+    let Submitted { tried, promoted } = bring_into_force(&fleet).await.map_err(failed)?;
+    progress(&format!("Document in trial: {}", in_force(&tried)));
+    progress(&format!("Document promoted: {}", in_force(&promoted)));
+    settle(&fleet, Policy::Adaptive).await.map_err(failed)?;
 
     progress(&format!("Sending queries for {} s.", settings.seconds));
     let start = Instant::now();
@@ -121,72 +131,30 @@
     Fleet::start(fleet).await.map_err(|error| internal(&error.to_string()))
 }
 
-/// Tries and promotes the document of the site.
-async fn bring_into_force(
-    http: &Http,
-    fleet: &Fleet,
-    operators: SocketAddr,
-    name: &str,
-    progress: &dyn Fn(&str),
-) -> Result<(Value, Value), Failure> {
-    let document = fleet.document.clone().into_bytes();
-    let path = format!("/v1/env/{name}/trial?operator=demo");
-    let tried = json(http, Ask::post(operators, path, document)).await?;
-    progress(&format!("Document in trial: {}", in_force(&tried)));
-    let digest = fleet.environment.digest.as_str();
-    let path = format!("/v1/env/{name}/promote?operator=demo&digest={digest}");
-    let promoted = json(http, Ask::post(operators, path, Vec::new())).await?;
-    progress(&format!("Document promoted: {}", in_force(&promoted)));
-    Ok((tried, promoted))
-}
-
-/// Waits until the daemons agree on the owners of all searchers and know their snapshots.
-async fn settle(http: &Http, fleet: &Fleet) -> Result<(), Failure> {
-    let http = http.clone();
-    let addresses: Vec<SocketAddr> =
-        (0..fleet.len()).filter_map(|index| fleet.operators(index)).collect();
-    let searchers = fleet.environment.searchers.len() as u64;
-    let settled = Fleet::wait_for(Duration::from_secs(20), async || {
-        let mut full = 0;
-        for &address in &addresses {
-            let ask = Ask::get(address, "/v1/members".to_owned());
-            let members = json(&http, ask).await.unwrap_or_default();
-            full += members["searchers_full"].as_u64().unwrap_or(0);
-        }
-        full >= searchers
-    })
-    .await;
-    if !settled {
-        return Err(internal("the daemons did not agree on the owners of the searchers"));
-    }
-    // Status polls run twice a second, and their results are exchanged as often.
-    sleep(Duration::from_millis(1_500)).await;
-    Ok(())
-}
-
 fn load(settings: DemoSettings, fleet: &Fleet) -> LoadSettings {
     let environment = &fleet.environment;
     let once = settings.site.once_service();
+    let length = Duration::from_secs(settings.seconds);
+    let steps = |rate| vec![RateStep { length, rate }];
     let mut services: Vec<ServiceLoad> = environment
         .services
         .values()
         .map(|service| ServiceLoad {
             service: service.name.clone(),
             class: environment.classes[service.class].name.clone(),
-            rate: service.contract.rate * OFFERED,
+            steps: steps(service.contract.rate * OFFERED),
             kind: LoadKind::Search,
         })
         .collect();
     services.push(ServiceLoad {
         service: once.to_owned(),
         class: "at-most-once".to_owned(),
-        rate: 2.0,
+        steps: steps(ONCE_RATE),
         kind: LoadKind::Once { shard: once.to_owned() },
     });
     LoadSettings {
         environment: environment.name.clone(),
         services,
-        length: Duration::from_secs(settings.seconds),
         seed: settings.seed,
         seeds: fleet.all_callers(),
     }
--- a/crates/daemon/src/env.rs
+++ b/crates/daemon/src/env.rs
@@ -22,6 +22,8 @@
 use tt_routing::Router;
 use tt_routing::Settings;
 
+use crate::settings::Policy;
+
 /// Routers of one document. Queries spread over them, so that threads seldom wait for a lock;
 /// each router learns about searchers from its own queries.
 const ROUTERS: usize = 4;
@@ -41,11 +43,23 @@
 
 impl Env {
     /// The state for a document that is new to this daemon.
-    pub(crate) fn new(stage: Stage, revision: Revision, environment: Arc<Environment>) -> Env {
+    pub(crate) fn new(
+        stage: Stage,
+        revision: Revision,
+        environment: Arc<Environment>,
+        policy: Policy,
+    ) -> Env {
         let now = Instant::now();
+        let settings = Settings {
+            policy: match policy {
+                Policy::Adaptive => tt_routing::Policy::Adaptive,
+                Policy::Baseline => tt_routing::Policy::Baseline,
+            },
+            ..Settings::default()
+        };
         let routers = (0..ROUTERS)
             .map(|_| {
-                let router = Router::new(environment.clone(), Settings::default(), random(), now);
+                let router = Router::new(environment.clone(), settings.clone(), random(), now);
                 Mutex::new(router)
             })
             .collect();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,5 +24,6 @@
 pub use daemon::StartError;
 pub use settings::Callers;
 pub use settings::Listen;
+pub use settings::Policy;
 pub use settings::Settings;
 pub use settings::SettingsError;
--- a/crates/daemon/src/node/config.rs
+++ b/crates/daemon/src/node/config.rs
@@ -164,7 +164,7 @@
             let env = match envs.get(&key) {
                 Some(env) if env.revision >= revision => env.clone(),
                 Some(env) => Arc::new(env.successor(revision, document)),
-                None => Arc::new(Env::new(key.stage, revision, document)),
+                None => Arc::new(Env::new(key.stage, revision, document, self.settings.policy)),
             };
             next.insert(key, env);
         }
@@ -197,7 +197,8 @@
                 connections: searcher.connections,
             })
             .collect();
-        self.hosts.update(searchers.values().map(|(searcher, _)| *searcher));
+        let policy = self.settings.policy;
+        self.hosts.update(searchers.values().map(|(searcher, _)| *searcher), policy);
         self.change_rights(|rights, now| rights.set_searchers(&specs, now));
     }
 
--- a/crates/daemon/src/node/ownership.rs
+++ b/crates/daemon/src/node/ownership.rs
@@ -27,6 +27,7 @@
 use crate::node::lock;
 use crate::owner::Right;
 use crate::owner::Standing;
+use crate::settings::Policy;
 
 /// Time for an answer to a renewal or a question. A later answer is of little use, because the
 /// promise is measured from before the request.
@@ -36,6 +37,9 @@
     /// Where sub-queries for the searcher at `address` are sent: to its owner, or to the
     /// successor while the owner does not answer.
     pub(crate) fn route(&self, address: SocketAddr) -> Route {
+        if self.settings.policy == Policy::Baseline {
+            return Route::Local;
+        }
         let pair = lock(&self.rights).ownership().pair(SearcherKey::of(address));
         let Some(pair) = pair else {
             return Route::Nobody;
@@ -142,6 +146,11 @@
         let now = Instant::now();
         let result = change(&mut rights, now);
         for host in &hosts {
+            if self.settings.policy == Policy::Baseline {
+                let daemons = rights.ownership().candidates().len() as u32;
+                host.set_right(Right::static_share(host.slots, host.connections, daemons));
+                continue;
+            }
             let key = SearcherKey::of(host.address);
             let me = self.me.id;
             let pair = rights.ownership().pair(key);
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 
+use tt_limits::SlotPolicy;
 use tt_limits::SlotRight;
 use tt_limits::Ticket;
 use tt_membership::Allowance;
@@ -27,6 +28,7 @@
 use tt_rpc::SubReply;
 
 use crate::clock;
+use crate::settings::Policy;
 
 pub(crate) use host::Host;
 
@@ -79,6 +81,16 @@
 }
 
 impl Right {
+    /// The right of one of `daemons` daemons that share a searcher statically.
+    pub(crate) fn static_share(slots: u32, connections: u32, daemons: u32) -> Right {
+        let shares = SlotPolicy::StaticShare { daemons };
+        Right {
+            slots: shares.right(SlotRight::None, slots),
+            connections: (connections / daemons.max(1)).max(1),
+            promise_ms: None,
+        }
+    }
+
     /// The right for what the ownership allows.
     pub(crate) fn of(allowance: Allowance, standing: Standing) -> Right {
         let Allowance { slots, bounded, until, connections } = allowance;
@@ -123,7 +135,7 @@
 
     /// Takes in the searchers of the documents in force. Hosts of searchers that are in none
     /// of them drain.
-    pub(crate) fn update<'a, I>(&self, searchers: I)
+    pub(crate) fn update<'a, I>(&self, searchers: I, policy: Policy)
     where
         I: Iterator<Item = &'a Searcher>,
     {
@@ -134,7 +146,7 @@
                 .remove(&searcher.address)
                 .or_else(|| found.get(&searcher.address).cloned())
                 .filter(|host| host.fits(searcher))
-                .unwrap_or_else(|| Host::start(searcher));
+                .unwrap_or_else(|| Host::start(searcher, policy));
             host.set_state(searcher.state);
             found.insert(searcher.address, host);
         }
--- a/crates/daemon/src/owner/host.rs
+++ b/crates/daemon/src/owner/host.rs
@@ -22,6 +22,7 @@
 use tt_limits::ConnectionId;
 use tt_limits::ConnectionSettings;
 use tt_limits::Connections;
+use tt_limits::QueuePolicy;
 use tt_limits::QueueSettings;
 use tt_limits::RejectReason;
 use tt_limits::RunOutcome;
@@ -42,6 +43,7 @@
 use crate::owner::client::Bound;
 use crate::owner::client::Exchange;
 use crate::owner::client::Sender;
+use crate::settings::Policy;
 
 /// How often the status endpoint is read while the searcher is owned.
 const STATUS_EVERY: Duration = Duration::from_millis(500);
@@ -138,12 +140,19 @@
 
 impl Host {
     /// Starts the host of a searcher. It uses nothing before [`Host::set_right`].
-    pub(crate) fn start(searcher: &Searcher) -> Arc<Host> {
+    pub(crate) fn start(searcher: &Searcher, policy: Policy) -> Arc<Host> {
         let now = Instant::now();
+        let queue = QueueSettings {
+            policy: match policy {
+                Policy::Adaptive => QueuePolicy::Fair,
+                Policy::Baseline => QueuePolicy::Fifo,
+            },
+            ..QueueSettings::default()
+        };
         let settings =
             ConnectionSettings { connect: searcher.connect, ..ConnectionSettings::default() };
         let state = State {
-            queue: SlotQueue::new(now, QueueSettings::default()),
+            queue: SlotQueue::new(now, queue),
             connections: Connections::new(settings),
             open: HashMap::new(),
             waiting: VecDeque::new(),
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -13,11 +13,11 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio_stream::Stream;
-use tokio_stream::wrappers::TcpListenerStream;
 use tokio_stream::wrappers::UnboundedReceiverStream;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
+use tonic::transport::server::TcpIncoming;
 
 use tt_rpc::CancelReply;
 use tt_rpc::CancelRequest;
@@ -43,15 +43,17 @@
 /// Starts the server on `listener`.
 pub(crate) fn start(node: Arc<Node>, listener: TcpListener) -> io::Result<Server> {
     let address = listener.local_addr()?;
+    // Without it a reply waits up to 40 ms for the acknowledgement of the one before; the
+    // server's own setting does not apply to a listener that it did not open.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let (stop, stopped) = oneshot::channel();
     let service = TierServer::new(Service { node })
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
     let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .http2_keepalive_interval(Some(Duration::from_secs(5)))
         .add_service(service)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async {
+        .serve_with_incoming_shutdown(incoming, async {
             // A dropped sender also means that the daemon stops.
             let _ = stopped.await;
         });
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -23,6 +23,7 @@
 use crate::query::request::QueryBody;
 use crate::query::request::Refused;
 use crate::query::request::Resolved;
+use crate::settings::Policy;
 
 pub(crate) use run::Query;
 
@@ -74,11 +75,14 @@
         deadline: started + resolved.time,
         wait: std::time::Duration::ZERO,
     };
-    let permit = env
-        .admission()
-        .admit(started, &arrival)
-        .map_err(|code| Refused::new(code, String::new()))?;
-    let permit = Admission { env: env.clone(), permit: Some(permit) };
+    let permit = match node.settings.policy {
+        Policy::Adaptive => {
+            let admitted = env.admission().admit(started, &arrival);
+            Some(admitted.map_err(|code| Refused::new(code, String::new()))?)
+        }
+        Policy::Baseline => None,
+    };
+    let permit = Admission { env: env.clone(), permit };
     Ok(Admitted { env, body, resolved, permit, started })
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -32,11 +32,27 @@
     /// Worker threads.
     #[serde(default = "four")]
     pub threads: usize,
+    /// How queries are decided. All daemons of a tier have the same.
+    #[serde(default)]
+    pub policy: Policy,
     /// Log filter, like `info` or `info,tt_daemon::owner=debug`.
     #[serde(default = "info")]
     pub log: String,
 }
 
+/// How queries are decided.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Policy {
+    /// Owners, fair queues, hedges, replicas by latency.
+    #[default]
+    Adaptive,
+    /// For comparison in measurements only: every daemon has a static share of each searcher,
+    /// replicas in turn, a fixed timeout, one retry, no hedges, queues in order of arrival.
+    /// The limits of searchers do not hold under this policy.
+    Baseline,
+}
+
 /// Listening addresses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
