perf: hedge doubtful probes at once and second hedges at the better replica

A probe of a searcher that is ejected or known to be slow is now hedged after a tick, and a second hedge goes back to the fast replica.

--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -37,7 +37,9 @@
     pub fn earn(&mut self, count: usize, now: Instant) {
         self.restore(now);
         let earned = count as f64 * self.settings.share * self.factor;
-        self.tokens = (self.tokens + earned).min(self.settings.capacity);
+        // A query that is larger than the bucket may still spend what it earned.
+        let ceiling = self.settings.capacity.max(2.0 * earned);
+        self.tokens = (self.tokens + earned).min(ceiling).max(self.tokens);
     }
 
     /// Takes one token if the bucket, scaled down under overload, holds one.
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -41,6 +41,7 @@
 use crate::plan::Shards;
 use crate::settings::Policy;
 use crate::settings::Settings;
+use crate::view::Choice;
 use crate::view::Intent;
 use crate::view::Probe;
 use crate::view::Trouble;
@@ -109,6 +110,8 @@
     waiting: u8,
     attempts: u8,
     hedges: u8,
+    // Whether the first attempt is a probe.
+    probe: Probe,
     progress: Progress<T>,
 }
 
@@ -383,20 +386,20 @@
             Mode::AtMostOnce => 0,
         };
         for shard in plan.shards {
-            let searcher = match ctx.settings.policy {
-                Policy::Baseline => ctx.view.choose_in_turn(shard, plan.snapshot, |_| true),
+            let choice = match ctx.settings.policy {
+                Policy::Baseline => ctx
+                    .view
+                    .choose_in_turn(shard, plan.snapshot, |_| true)
+                    .map(|searcher| Choice { searcher, probe: Probe::No }),
                 Policy::Adaptive => {
                     let intent = if probes > 0 { Intent::Probing } else { Intent::Primary };
-                    let choice =
-                        ctx.view.choose(shard, plan.snapshot, intent, |_| true, ctx.now, ctx.rng);
-                    choice.map(|choice| {
-                        probes -= usize::from(choice.probe == Probe::Yes);
-                        choice.searcher
-                    })
+                    ctx.view.choose(shard, plan.snapshot, intent, |_| true, ctx.now, ctx.rng)
                 }
             };
+            let probe = choice.map_or(Probe::No, |choice| choice.probe);
+            probes -= usize::from(probe != Probe::No);
             let part = self.parts.len() as u32;
-            let progress = match searcher {
+            let progress = match choice {
                 Some(_) => Progress::Open,
                 None => Progress::Uncovered(ctx.view.why_unserved(shard)),
             };
@@ -407,9 +410,10 @@
                 waiting: 0,
                 attempts: 0,
                 hedges: 0,
+                probe,
                 progress,
             });
-            if let Some(searcher) = searcher {
+            if let Some(Choice { searcher, .. }) = choice {
                 self.open += 1;
                 self.add_sub(part, searcher, ctx);
             }
--- a/crates/routing/src/query/attempt.rs
+++ b/crates/routing/src/query/attempt.rs
@@ -18,6 +18,7 @@
 use crate::event::Reason;
 use crate::settings::Policy;
 use crate::view::Intent;
+use crate::view::Probe;
 
 // With an empty budget only sub-queries slower than this part of all are hedged, so that
 // what is earned goes to the worst stragglers.
@@ -72,11 +73,8 @@
             return;
         }
         let untried = self.choose(part, ctx, |subs| subs.clone().next().is_none());
-        // Once every replica has an attempt, a second one goes to another than the newest.
         let choice = match untried {
-            None if self.parts[part as usize].hedges > 0 => self.choose(part, ctx, |subs| {
-                subs.clone().all(|sub| sub.state == SubState::Waiting && sub.searcher != slow)
-            }),
+            None if self.parts[part as usize].hedges > 0 => self.hedge_again(part, slow, ctx),
             choice => choice,
         };
         let Some(searcher) = choice else {
@@ -94,6 +92,27 @@
         self.send(part, searcher, Kind::Hedge, ctx);
     }
 
+    /// Chooses a replica for a second hedge once every replica has an attempt: another one
+    /// than `newest`, unless that is much slower.
+    fn hedge_again<R>(
+        &self,
+        part: u32,
+        newest: SearcherId,
+        ctx: &mut Context<'_, T, R>,
+    ) -> Option<SearcherId>
+    where
+        R: Rng,
+    {
+        let other = self.choose(part, ctx, |subs| {
+            subs.clone().all(|sub| sub.state == SubState::Waiting && sub.searcher != newest)
+        })?;
+        if !ctx.view.is_slower(other, newest) {
+            return Some(other);
+        }
+        self.choose(part, ctx, |subs| subs.clone().any(|sub| sub.searcher == newest))
+            .or(Some(other))
+    }
+
     /// Sends another sub-query for a part that has none in flight, or gives the part up.
     pub(super) fn retry<R>(&mut self, part: u32, ctx: &mut Context<'_, T, R>)
     where
@@ -231,8 +250,11 @@
     where
         R: Rng,
     {
-        let shard = self.parts[part as usize].shard;
-        let delay = ctx.view.hedge_delay(shard, quantile).unwrap_or_else(|| {
+        let at = &self.parts[part as usize];
+        if at.probe == Probe::Doubtful && at.attempts == 1 {
+            return 0;
+        }
+        let delay = ctx.view.hedge_delay(at.shard, quantile).unwrap_or_else(|| {
             Duration::from_micros(u64::from(self.finish_at)).mul_f64(ctx.settings.blind_share)
         });
         micros(delay.max(ctx.settings.min_hedge))
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -20,6 +20,7 @@
 use tt_model::Snapshot;
 use tt_model::VmId;
 
+pub(crate) use self::choose::Choice;
 pub use self::choose::Holds;
 pub(crate) use self::choose::Intent;
 pub(crate) use self::choose::Probe;
--- a/crates/routing/src/view/choose.rs
+++ b/crates/routing/src/view/choose.rs
@@ -12,6 +12,9 @@
 use super::searcher::Entry;
 use crate::event::Reason;
 
+// The estimates of equal replicas differ by less than this factor.
+const SLOWER: f32 = 2.0;
+
 /// Whether a searcher holds a snapshot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Holds {
@@ -57,8 +60,11 @@
 /// Whether a choice is a probe.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Probe {
-    Yes,
     No,
+    /// Of a replica that had no work for a while.
+    Idle,
+    /// Of a replica that is ejected or known to be slow. The query should not depend on it.
+    Doubtful,
 }
 
 // Preference among replicas; a lower one is used only if no better one is there.
@@ -106,8 +112,7 @@
                 fastest_without = fastest_without.min(median.unwrap_or(0.0));
             }
         }
-        // The estimates of equal replicas differ by less than a factor of two.
-        let others_slow = fastest_without.is_infinite() || fastest_without > 2.0 * fastest;
+        let others_slow = fastest_without.is_infinite() || fastest_without > SLOWER * fastest;
         if best == Served::Slow && others_slow {
             return Served::Fast;
         }
@@ -146,10 +151,11 @@
                 continue;
             }
             if intent == Intent::Probing && self.probe_due(entry, now) {
+                let probe = self.probe_kind(replica, shard);
                 if let Some(ejection) = &mut self.entries[replica].ejection {
                     ejection.probe = now + ejection.pause;
                 }
-                return Some(Choice { searcher: replica, probe: Probe::Yes });
+                return Some(Choice { searcher: replica, probe });
             }
             let rank = if entry.ejection.is_some() {
                 Rank::Ejected
@@ -255,6 +261,14 @@
         self.entries[searcher].latency.quantile(0.99).is_some_and(|limit| waited > limit)
     }
 
+    /// Whether `a` is known to be much slower than `b`.
+    pub(crate) fn is_slower(&self, a: SearcherId, b: SearcherId) -> bool {
+        match (self.entries[a].latency.median_us(), self.entries[b].latency.median_us()) {
+            (Some(a), Some(b)) => a > SLOWER * b,
+            _ => false,
+        }
+    }
+
     fn probe_due(&self, entry: &Entry, now: Instant) -> bool {
         match &entry.ejection {
             Some(ejection) => now >= ejection.probe,
@@ -265,6 +279,14 @@
         }
     }
 
+    fn probe_kind(&self, searcher: SearcherId, shard: ShardId) -> Probe {
+        let slower = |&other: &SearcherId| self.is_slower(searcher, other);
+        if self.entries[searcher].ejection.is_some() || self.replicas(shard).iter().any(slower) {
+            return Probe::Doubtful;
+        }
+        Probe::Idle
+    }
+
     fn held_back<R>(&self, entry: &Entry, now: Instant, rng: &mut R) -> bool
     where
         R: Rng,
--- a/crates/routing/tests/view.rs
+++ b/crates/routing/tests/view.rs
@@ -13,6 +13,7 @@
 use tt_routing::BudgetSettings;
 use tt_routing::HealthSettings;
 use tt_routing::Hint;
+use tt_routing::Kind;
 use tt_routing::Latency;
 use tt_routing::Load;
 use tt_routing::Mode;
@@ -126,6 +127,18 @@
     assert_eq!(bench.router.view().state(A, bench.now), State::Warming);
 }
 
+#[test]
+fn a_probe_of_an_ejected_searcher_is_hedged_at_once() {
+    // Guards against a caller who waits for a searcher that is known to be bad.
+    let mut bench = bench(2);
+    fail(&mut bench, A, 4);
+    bench.now += Duration::from_secs(1);
+    let query = bench.start(COVERAGE, Mode::Idempotent).expect("a plan");
+    assert_eq!(bench.sent_one(Kind::Primary).searcher, A);
+    bench.pass(query, 1);
+    assert_eq!(bench.sent_one(Kind::Hedge).searcher, B);
+}
+
 #[test]
 fn at_most_half_of_the_replicas_and_never_the_last_one_is_ejected() {
     // Guards against health checks that take a whole shard away.
@@ -184,7 +197,7 @@
     bench.start(COVERAGE, Mode::Idempotent).expect("a plan");
     let lost = bench.sent().into_iter().find(|sub| sub.searcher.0 % 2 == 1).expect("any");
     bench.reply(lost, Verdict::OwnerUnreachable);
-    assert_eq!(bench.sent_one(tt_routing::Kind::Retry).searcher.0 % 2, 0);
+    assert_eq!(bench.sent_one(Kind::Retry).searcher.0 % 2, 0);
     bench.start(COVERAGE, Mode::Idempotent).expect("a plan");
     assert!(bench.sent().iter().all(|sub| sub.searcher.0 % 2 == 0));
     bench.now += Duration::from_secs(1);
@@ -243,6 +256,23 @@
     }
 }
 
+fn fill(budget: &mut Budget, now: Instant) {
+    for _ in 0..100 {
+        budget.earn(100, now);
+    }
+}
+
+#[test]
+fn a_query_larger_than_the_bucket_may_spend_what_it_earned() {
+    // Guards against a wide query whose stragglers are never hedged: the bucket is smaller
+    // than a twentieth of 870.
+    let now = Instant::now();
+    let mut budget = Budget::new(BudgetSettings::default(), now);
+    while budget.spend(now) {}
+    budget.earn(870, now);
+    assert_eq!((0..100).filter(|_| budget.spend(now)).count(), 43);
+}
+
 #[test]
 fn the_budget_is_a_twentieth_and_vanishes_under_overload() {
     // Guards against a retry storm: hedges that add load to an overloaded tier.
@@ -255,7 +285,7 @@
         spent += u32::from(budget.spend(now));
     }
     assert!((49..=51).contains(&spent), "{spent}");
-    budget.earn(10_000, now);
+    fill(&mut budget, now);
     for _ in 0..32 {
         budget.report(Load::Overloaded, now);
     }
@@ -265,10 +295,10 @@
     }
     assert!(!budget.spend(now), "the budget is not restored at once");
     now += Duration::from_secs(2);
-    budget.earn(10_000, now);
+    fill(&mut budget, now);
     let half = std::iter::from_fn(|| budget.spend(now).then_some(())).count();
     assert!((8..=16).contains(&half), "{half}");
     now += Duration::from_secs(5);
-    budget.earn(10_000, now);
+    fill(&mut budget, now);
     assert!(budget.level() > 0.9);
 }
