feat: hedge at another owner, ignore early cancellations as evidence

A hung owner daemon delays every sub-query that it holds, so a hedge rather goes to a replica of another owner. A caller that cancelled within milliseconds counted against searchers without samples and could eject them.

--- a/crates/routing/src/query/attempt.rs
+++ b/crates/routing/src/query/attempt.rs
@@ -72,7 +72,8 @@
             self.set_timer(part, due);
             return;
         }
-        let untried = self.choose(part, ctx, |subs| subs.clone().next().is_none());
+        let intent = Intent::Hedge(ctx.view.owner(slow));
+        let untried = self.choose(part, intent, ctx, |subs| subs.clone().next().is_none());
         let choice = match untried {
             None if self.parts[part as usize].hedges > 0 => self.hedge_again(part, slow, ctx),
             choice => choice,
@@ -103,13 +104,13 @@
     where
         R: Rng,
     {
-        let other = self.choose(part, ctx, |subs| {
+        let other = self.choose(part, Intent::Retry, ctx, |subs| {
             subs.clone().all(|sub| sub.state == SubState::Waiting && sub.searcher != newest)
         })?;
         if !ctx.view.is_slower(other, newest) {
             return Some(other);
         }
-        self.choose(part, ctx, |subs| subs.clone().any(|sub| sub.searcher == newest))
+        self.choose(part, Intent::Retry, ctx, |subs| subs.clone().any(|sub| sub.searcher == newest))
             .or(Some(other))
     }
 
@@ -130,13 +131,13 @@
         if may_have_run && self.parts[part as usize].attempts >= ctx.settings.max_attempts {
             return self.give_up(part, ctx);
         }
-        let untried = self.choose(part, ctx, |subs| subs.clone().next().is_none());
+        let untried = self.choose(part, Intent::Retry, ctx, |subs| subs.clone().next().is_none());
         // A failed call says little about the next one, so a failed replica may be asked
         // again; one that stated that it did not run the sub-query is not.
         let choice = match untried {
-            None if may_have_run => {
-                self.choose(part, ctx, |subs| subs.clone().all(|s| s.state == SubState::Failed))
-            }
+            None if may_have_run => self.choose(part, Intent::Retry, ctx, |subs| {
+                subs.clone().all(|s| s.state == SubState::Failed)
+            }),
             choice => choice,
         };
         let now = self.offset(ctx.now);
@@ -197,7 +198,13 @@
     }
 
     /// Chooses a replica whose earlier attempts for the part `allow` accepts.
-    fn choose<F, R>(&self, part: u32, ctx: &mut Context<'_, T, R>, allow: F) -> Option<SearcherId>
+    fn choose<F, R>(
+        &self,
+        part: u32,
+        intent: Intent,
+        ctx: &mut Context<'_, T, R>,
+        allow: F,
+    ) -> Option<SearcherId>
     where
         F: Fn(&Attempts<'_>) -> bool,
         R: Rng,
@@ -205,7 +212,7 @@
         let at = &self.parts[part as usize];
         let allow = |searcher| allow(&self.attempts(at.last, searcher));
         ctx.view
-            .choose(at.shard, self.snapshot, Intent::Further, allow, ctx.now, ctx.rng)
+            .choose(at.shard, self.snapshot, intent, allow, ctx.now, ctx.rng)
             .map(|choice| choice.searcher)
     }
 
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -31,6 +31,10 @@
 use crate::budget::Load;
 use crate::settings::HealthSettings;
 
+// Taken as the latency of a searcher without samples when it does not answer. Without it, a
+// caller that cancels early would count against searchers that had no time to answer.
+const UNSAMPLED_US: f32 = 50_000.0;
+
 /// The state of a searcher as this entry sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -197,6 +201,11 @@
         self.entries[searcher].held.as_deref()
     }
 
+    /// The daemon that owns a searcher, if known.
+    pub fn owner(&self, searcher: SearcherId) -> Option<VmId> {
+        self.entries[searcher].owner
+    }
+
     /// Sub-queries of this entry in flight to a searcher.
     pub fn in_flight(&self, searcher: SearcherId) -> u32 {
         self.entries[searcher].in_flight
@@ -325,7 +334,8 @@
     /// Takes in that a sub-query got no answer within `waited`.
     pub(crate) fn unanswered(&mut self, searcher: SearcherId, waited: Duration, now: Instant) {
         let entry = &mut self.entries[searcher];
-        let slow = entry.latency.median_us().is_none_or(|us| waited.as_micros() as f32 > 2.0 * us);
+        let usual = entry.latency.median_us().unwrap_or(UNSAMPLED_US);
+        let slow = waited.as_micros() as f32 > 2.0 * usual;
         entry.latency.record_at_least(waited);
         if slow {
             self.miss(searcher, now);
--- a/crates/routing/src/view/choose.rs
+++ b/crates/routing/src/view/choose.rs
@@ -7,6 +7,7 @@
 use tt_model::SearcherId;
 use tt_model::ShardId;
 use tt_model::Snapshot;
+use tt_model::VmId;
 
 use super::View;
 use super::searcher::Entry;
@@ -33,8 +34,11 @@
     Primary,
     /// The first sub-query to a shard; may be sent to a replica that is due for a probe.
     Probing,
-    /// A sub-query beside or after an earlier one; not sent to an overloaded replica.
-    Further,
+    /// A sub-query after earlier ones; not sent to an overloaded replica.
+    Retry,
+    /// A sub-query beside an earlier one; as a retry, but rather at another owner than that
+    /// of the late one, because the owner may be what is late.
+    Hedge(Option<VmId>),
 }
 
 /// How well a shard can be served at a snapshot.
@@ -71,7 +75,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
     Good,
-    // Overloaded, warming, of an unreachable owner, or of unknown snapshots.
+    // Overloaded, warming, of an unreachable or late owner, or of unknown snapshots.
     Second,
     Ejected,
 }
@@ -147,9 +151,12 @@
                 continue;
             }
             let overloaded = entry.is_overloaded(now, self.settings.pressure_hold);
-            if overloaded && intent == Intent::Further {
-                continue;
-            }
+            let same_owner = match intent {
+                Intent::Primary | Intent::Probing => false,
+                Intent::Retry | Intent::Hedge(_) if overloaded => continue,
+                Intent::Retry | Intent::Hedge(None) => false,
+                Intent::Hedge(owner) => entry.owner == owner,
+            };
             if intent == Intent::Probing && self.probe_due(entry, now) {
                 let probe = self.probe_kind(replica, shard);
                 if let Some(ejection) = &mut self.entries[replica].ejection {
@@ -161,6 +168,7 @@
                 Rank::Ejected
             } else if overloaded
                 || holds == Holds::Unknown
+                || same_owner
                 || self.owner_down(entry, now)
                 || self.held_back(entry, now, rng)
             {
--- a/crates/routing/tests/query.rs
+++ b/crates/routing/tests/query.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use tt_model::ResultCode;
+use tt_model::SearcherId;
 use tt_model::Snapshot;
+use tt_model::VmId;
 use tt_routing::Action;
 use tt_routing::BudgetSettings;
 use tt_routing::Gap;
@@ -18,6 +20,7 @@
 use tt_routing::Reason;
 use tt_routing::Reply;
 use tt_routing::Settings;
+use tt_routing::State;
 use tt_routing::SubQuery;
 use tt_routing::Verdict;
 
@@ -221,6 +224,66 @@
     assert_eq!(bench.router.counters().duplicates, 1);
 }
 
+#[test]
+fn a_restart_is_paid_for_what_may_have_run() {
+    // Guards against restarts that add load without limit when a snapshot is withdrawn.
+    for (mut bench, expected) in [(poor(3, 1), 0), (self::bench(3, 1), 3)] {
+        start(&mut bench, Mode::Idempotent);
+        let sent = bench.sent();
+        bench.answer(sent[0]);
+        for searcher in ["s0-r0", "s1-r0", "s2-r0"] {
+            bench.hold(searcher, &[2]);
+        }
+        let before = bench.router.budget().level();
+        bench.reply(sent[1], Verdict::SnapshotGone);
+        assert_eq!(bench.sent().len(), expected);
+        // One was answered and one is still in flight.
+        let spent = (before - bench.router.budget().level()) * 32.0;
+        assert_eq!(spent.round(), if expected == 0 { 0.0 } else { 2.0 });
+    }
+    // A restart in which nothing has run adds no load.
+    let mut bench = poor(1, 1);
+    start(&mut bench, Mode::Idempotent);
+    let sub = bench.sent_one(Kind::Primary);
+    bench.hold("s0-r0", &[2]);
+    bench.reply(sub, Verdict::SnapshotGone);
+    bench.sent_one(Kind::Restart);
+}
+
+#[test]
+fn a_hedge_goes_to_another_owner() {
+    // Guards against a hedge behind the same hung owner daemon.
+    let mut bench = bench(1, 4);
+    bench.train(120, 10);
+    for searcher in 0..4 {
+        bench.router.set_owner(SearcherId(searcher), VmId(searcher / 3));
+    }
+    for _ in 0..8 {
+        let query = start(&mut bench, Mode::Idempotent);
+        let late = bench.sent_one(Kind::Primary);
+        bench.pass(query, 12);
+        let hedge = bench.sent_one(Kind::Hedge);
+        assert_ne!(hedge.searcher.0 / 3, late.searcher.0 / 3);
+        bench.answer(hedge);
+        bench.out.clear();
+    }
+}
+
+#[test]
+fn early_cancellations_are_no_evidence_against_searchers() {
+    // Guards against healthy searchers ejected because callers went away.
+    let mut bench = bench(1, 2);
+    for _ in 0..20 {
+        let query = start(&mut bench, Mode::Idempotent);
+        bench.now += Duration::from_millis(20);
+        bench.router.cancel(query, bench.now, &mut bench.out);
+    }
+    for searcher in 0..2 {
+        let state = bench.router.view().state(SearcherId(searcher), bench.now);
+        assert_eq!(state, State::Ready);
+    }
+}
+
 #[test]
 fn a_restart_changes_the_shard_set_with_the_snapshot() {
     // Guards against a restart across a split that asks the parent, or both generations.
