--- a/crates/routing/tests/query.rs
+++ b/crates/routing/tests/query.rs
@@ -354,8 +354,10 @@
         for &sub in &bench.sent()[1..] {
             bench.answer(sub);
         }
-        while bench.router.in_flight() > 0 {
-            bench.pass(query, 1);
+        for _ in 0..400 {
+            if bench.router.in_flight() > 0 {
+                bench.pass(query, 1);
+            }
         }
         let took = bench.now - started;
         assert!(took >= Duration::from_millis(ms - 30) && took <= Duration::from_millis(ms));
