--- /dev/null
+++ b/crates/routing/examples/stragglers.rs
@@ -0,0 +1,275 @@
+//! Simulates one entry, its searchers and their queues in virtual time, and prints latency,
+//! coverage and extra load of both policies. No sockets: the figures show the decisions, not
+//! the daemon.
+//!
+//! `cargo run --release -p tt-routing --example stragglers`
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+use tt_model::Environment;
+use tt_model::Key;
+use tt_model::SearcherId;
+use tt_model::ServiceId;
+use tt_model::Snapshot;
+use tt_routing::Action;
+use tt_routing::Mode;
+use tt_routing::Policy;
+use tt_routing::Pressure;
+use tt_routing::QueryKey;
+use tt_routing::Reply;
+use tt_routing::Request;
+use tt_routing::Router;
+use tt_routing::Settings;
+use tt_routing::Shards;
+use tt_routing::SubKey;
+use tt_routing::SubQuery;
+use tt_routing::Verdict;
+
+const SHARDS: usize = 52;
+const REPLICAS: usize = 2;
+const SLOTS: usize = 2;
+const QUERIES: usize = 20_000;
+// Latency estimates settle during these.
+const WARM_UP: usize = 1_000;
+const ONE_WAY_US: u64 = 1_000;
+const DEADLINE: Duration = Duration::from_secs(1);
+
+/// What is wrong with the searchers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// One reply in 100 takes ten times longer.
+    Stragglers,
+    /// As above, and one searcher takes ten times longer throughout.
+    SlowSearcher,
+    /// As above, but that searcher never answers.
+    HungSearcher,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Ran { sub: usize },
+    Reply { sub: usize },
+    Wake { index: u32, generation: u64 },
+}
+
+struct Simulation {
+    router: Router<u64, StdRng>,
+    rng: StdRng,
+    fault: Fault,
+    start: Instant,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    subs: Vec<SubQuery>,
+    places: HashMap<SubKey, usize>,
+    cancelled: HashSet<SubKey>,
+    busy: Vec<usize>,
+    queues: Vec<VecDeque<usize>>,
+    executed: usize,
+    latencies: Vec<Duration>,
+    covered: usize,
+}
+
+fn main() {
+    println!("{SHARDS} shards, {REPLICAS} replicas, service time 8 to 12 ms, {QUERIES} queries");
+    println!("fault         rate/s  policy      p50    p99   p999 ms  coverage  extra load");
+    for fault in [Fault::Stragglers, Fault::SlowSearcher, Fault::HungSearcher] {
+        for rate in [5.0, 20.0, 60.0] {
+            for policy in [Policy::Baseline, Policy::Adaptive] {
+                Simulation::new(fault, policy).run(rate, policy);
+            }
+        }
+    }
+}
+
+impl Simulation {
+    fn new(fault: Fault, policy: Policy) -> Simulation {
+        let environment = environment();
+        let start = Instant::now();
+        let settings = Settings { policy, ..Settings::default() };
+        let rng = StdRng::seed_from_u64(1);
+        let mut router = Router::new(Arc::clone(&environment), settings, rng, start);
+        for searcher in environment.searchers.keys() {
+            router.set_held(searcher, &[Snapshot(1)]);
+        }
+        Simulation {
+            router,
+            rng: StdRng::seed_from_u64(3),
+            fault,
+            start,
+            events: BinaryHeap::new(),
+            subs: Vec::new(),
+            places: HashMap::new(),
+            cancelled: HashSet::new(),
+            busy: vec![0; environment.searchers.len()],
+            queues: vec![VecDeque::new(); environment.searchers.len()],
+            executed: 0,
+            latencies: Vec::new(),
+            covered: 0,
+        }
+    }
+
+    fn run(mut self, rate: f64, policy: Policy) {
+        self.events.push(Reverse((0, Event::Arrive)));
+        let mut arrived = 0;
+        let mut out = Vec::new();
+        while let Some(Reverse((at, event))) = self.events.pop() {
+            let now = self.start + Duration::from_micros(at);
+            match event {
+                Event::Arrive if arrived == QUERIES => continue,
+                Event::Arrive => {
+                    arrived += 1;
+                    let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+                    self.events.push(Reverse((at + (gap * 1e6) as u64, Event::Arrive)));
+                    let request = Request {
+                        service: ServiceId(0),
+                        shards: Shards::All,
+                        mode: Mode::Idempotent,
+                        deadline: now + DEADLINE,
+                    };
+                    self.router.start(request, now, &mut out).expect("a plan");
+                }
+                Event::Ran { sub } => {
+                    let searcher = self.subs[sub].searcher;
+                    self.busy[searcher.index()] -= 1;
+                    if !self.cancelled.contains(&self.subs[sub].key) {
+                        self.events.push(Reverse((at + ONE_WAY_US, Event::Reply { sub })));
+                    }
+                    self.serve(searcher, at);
+                }
+                Event::Reply { sub } => {
+                    let sub = self.subs[sub];
+                    let place = sub.searcher.index();
+                    let queued = self.queues[place].len() as u32;
+                    let pressure = Some(Pressure { queued, busy: self.busy[place] as u32 });
+                    let verdict = Verdict::Answered { snapshot: sub.snapshot, body: 0 };
+                    let reply = Reply { verdict, held: &[], pressure };
+                    self.router.reply(sub.key, reply, now, &mut out);
+                }
+                Event::Wake { index, generation } => {
+                    self.router.wake(QueryKey { index, generation }, now, &mut out);
+                }
+            }
+            for action in out.drain(..) {
+                self.act(action, at, arrived);
+            }
+        }
+        self.print(rate, policy);
+    }
+
+    fn act(&mut self, action: Action<u64>, at: u64, arrived: usize) {
+        match action {
+            Action::Send(sub) => {
+                self.places.insert(sub.key, self.subs.len());
+                self.queues[sub.searcher.index()].push_back(self.subs.len());
+                self.subs.push(sub);
+                self.serve(sub.searcher, at);
+            }
+            Action::Cancel { key, searcher } => {
+                self.cancelled.insert(key);
+                // Closing the connection to a hung searcher frees its slot.
+                if self.fault == Fault::HungSearcher && searcher == SearcherId(0) {
+                    let sub = self.places[&key];
+                    let queue = &mut self.queues[0];
+                    match queue.iter().position(|&other| other == sub) {
+                        Some(place) => drop(queue.remove(place)),
+                        None => self.busy[0] -= 1,
+                    }
+                    self.serve(searcher, at);
+                }
+            }
+            Action::WakeAt { query, at } => {
+                let at = (at - self.start).as_micros() as u64;
+                let event = Event::Wake { index: query.index, generation: query.generation };
+                self.events.push(Reverse((at, event)));
+            }
+            Action::Finish(answer) if arrived > WARM_UP => {
+                self.latencies.push(answer.elapsed);
+                self.covered += answer.covered.len();
+            }
+            Action::Finish(_) => {}
+        }
+    }
+
+    /// Starts what the free slots of a searcher allow.
+    fn serve(&mut self, searcher: SearcherId, at: u64) {
+        let place = searcher.index();
+        while self.busy[place] < SLOTS {
+            let Some(sub) = self.queues[place].pop_front() else { return };
+            if self.cancelled.contains(&self.subs[sub].key) {
+                continue;
+            }
+            self.busy[place] += 1;
+            self.executed += 1;
+            let mut us = self.rng.random_range(8_000..12_000);
+            if self.rng.random_range(0..100) == 0 {
+                us *= 10;
+            }
+            match (self.fault, searcher) {
+                (Fault::SlowSearcher, SearcherId(0)) => us *= 10,
+                (Fault::HungSearcher, SearcherId(0)) => continue,
+                _ => {}
+            }
+            self.events.push(Reverse((at + ONE_WAY_US + us, Event::Ran { sub })));
+        }
+    }
+
+    fn print(mut self, rate: f64, policy: Policy) {
+        self.latencies.sort_unstable();
+        let quantile = |q: f64| {
+            let place = ((self.latencies.len() - 1) as f64 * q) as usize;
+            self.latencies[place].as_secs_f64() * 1e3
+        };
+        let coverage = self.covered as f64 / (self.latencies.len() * SHARDS) as f64;
+        let extra = self.executed as f64 / self.router.counters().primaries as f64 - 1.0;
+        println!(
+            "{:12}  {rate:6}  {:8}  {:5.1}  {:5.1}  {:8.1}  {:7.3}%  {:9.2}%",
+            format!("{:?}", self.fault),
+            format!("{policy:?}"),
+            quantile(0.5),
+            quantile(0.99),
+            quantile(0.999),
+            100.0 * coverage,
+            100.0 * extra,
+        );
+    }
+}
+
+fn environment() -> Arc<Environment> {
+    let searchers: Vec<String> = (0..SHARDS * REPLICAS)
+        .map(|i| {
+            format!(
+                r#"{{"name":"r{i}","address":"127.0.0.1:{}","domain":"here","slots":{SLOTS},
+                    "connections":25}}"#,
+                1_024 + i
+            )
+        })
+        .collect();
+    let shards: Vec<String> = (0..SHARDS)
+        .map(|i| {
+            let first = i * REPLICAS;
+            let replicas: Vec<String> =
+                (first..first + REPLICAS).map(|r| format!("\"r{r}\"")).collect();
+            format!(r#"{{"name":"s{i}","replicas":[{}]}}"#, replicas.join(","))
+        })
+        .collect();
+    let text = format!(
+        r#"{{"environment":"sim","domains":["here"],
+            "classes":[{{"name":"c","prefer":"coverage","deadline_ms":1000}}],
+            "services":[{{"name":"s","class":"c","shards":["*"],
+                "contract":{{"rate":1,"burst":1,"concurrency":1}}}}],
+            "searchers":[{}],"shards":[{}]}}"#,
+        searchers.join(","),
+        shards.join(",")
+    );
+    Arc::new(Environment::parse(&text).unwrap_or_else(|faults| panic!("{faults}")))
+}
