--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -66,13 +66,12 @@
 
     /// Takes in what one reply says about load.
     pub fn report(&mut self, load: Load, now: Instant) {
-        self.restore(now);
         let sample = match load {
             Load::Normal => 0.0,
             Load::Overloaded => 1.0,
         };
         self.overload += (sample - self.overload) * REPORT_WEIGHT;
-        self.factor = self.factor.min(self.target());
+        self.restore(now);
     }
 
     /// How full the bucket is, from 0 to 1, after scaling down under overload.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -66,6 +66,15 @@
         }
     }
 
+    /// The router with keys of generations from `first` on. A daemon with a router for each
+    /// thread gives each a range of its own, so that no key fits two of them. To be called
+    /// before the first query.
+    pub fn with_generations_from(mut self, first: u64) -> Self {
+        self.first_generation = first;
+        self.queries = GenArena::starting_at(first);
+        self
+    }
+
     /// A router for a newer document. It takes over the evidence and the budget; queries
     /// in flight stay with this router until they finish, and their keys never equal keys
     /// of the successor.
