--- a/crates/routing/src/query/attempt.rs
+++ b/crates/routing/src/query/attempt.rs
@@ -132,15 +132,23 @@
             return self.give_up(part, ctx);
         }
         let untried = self.choose(part, Intent::Retry, ctx, |subs| subs.clone().next().is_none());
-        // A failed call says little about the next one, so a failed replica may be asked
-        // again; one that stated that it did not run the sub-query is not.
+        let now = self.offset(ctx.now);
+        // A failed call says little about the next one, so a failed replica may be asked once
+        // more; one that stated that it did not run the sub-query is not.
         let choice = match untried {
-            None if may_have_run => self.choose(part, Intent::Retry, ctx, |subs| {
-                subs.clone().all(|s| s.state == SubState::Failed)
-            }),
+            None if may_have_run => {
+                let failed = self.choose(part, Intent::Retry, ctx, |subs| {
+                    subs.clone().all(|s| s.state == SubState::Failed) && subs.clone().count() == 1
+                });
+                // At once, it would most likely meet the same fault.
+                let ready = self.chain(part).next().map_or(0, |newest| newest.sent + RECHECK_US);
+                if failed.is_some() && now < ready {
+                    return self.set_timer(part, ready);
+                }
+                failed
+            }
             choice => choice,
         };
-        let now = self.offset(ctx.now);
         let Some(searcher) = choice else {
             // A replica that is overloaded now may be asked later.
             if self.is_overload_only(part, ctx) {
--- a/crates/routing/tests/query.rs
+++ b/crates/routing/tests/query.rs
@@ -140,6 +140,22 @@
     assert_eq!(answer(&mut bench), (Outcome::Complete, 1, vec![]));
 }
 
+#[test]
+fn a_failed_replica_without_alternative_is_asked_once_more_after_a_pause() {
+    // Guards against a burst of retries at a lost searcher, and against a shard given up
+    // for one broken connection.
+    let mut bench = bench(1, 1);
+    let query = start(&mut bench, Mode::Idempotent);
+    let sub = bench.sent_one(Kind::Primary);
+    bench.reply(sub, Verdict::Failed);
+    assert_eq!(bench.sent(), []);
+    bench.pass(query, 5);
+    let retry = bench.sent_one(Kind::Retry);
+    bench.reply(retry, Verdict::Failed);
+    assert_eq!(bench.sent(), []);
+    assert_eq!(answer(&mut bench), (Outcome::NoAnswer, 0, vec![Reason::Failed]));
+}
+
 #[test]
 fn a_failed_sub_query_waits_for_budget_until_the_deadline() {
     // Guards against a shard given up early, and against a retry without budget.
