--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -37,7 +37,9 @@
     pub fn earn(&mut self, count: usize, now: Instant) {
         self.restore(now);
         let earned = count as f64 * self.settings.share * self.factor;
-        self.tokens = (self.tokens + earned).min(self.settings.capacity);
+        // A query that is larger than the bucket may still spend what it earned.
+        let ceiling = self.settings.capacity.max(2.0 * earned);
+        self.tokens = (self.tokens + earned).min(ceiling).max(self.tokens);
     }
 
     /// Takes one token if the bucket, scaled down under overload, holds one.
@@ -64,13 +66,12 @@
 
     /// Takes in what one reply says about load.
     pub fn report(&mut self, load: Load, now: Instant) {
-        self.restore(now);
         let sample = match load {
             Load::Normal => 0.0,
             Load::Overloaded => 1.0,
         };
         self.overload += (sample - self.overload) * REPORT_WEIGHT;
-        self.factor = self.factor.min(self.target());
+        self.restore(now);
     }
 
     /// How full the bucket is, from 0 to 1, after scaling down under overload.
--- a/crates/routing/src/query/attempt.rs
+++ b/crates/routing/src/query/attempt.rs
@@ -18,6 +18,7 @@
 use crate::event::Reason;
 use crate::settings::Policy;
 use crate::view::Intent;
+use crate::view::Probe;
 
 // With an empty budget only sub-queries slower than this part of all are hedged, so that
 // what is earned goes to the worst stragglers.
@@ -71,12 +72,10 @@
             self.set_timer(part, due);
             return;
         }
-        let untried = self.choose(part, ctx, |subs| subs.clone().next().is_none());
-        // Once every replica has an attempt, a second one goes to another than the newest.
+        let intent = Intent::Hedge(ctx.view.owner(slow));
+        let untried = self.choose(part, intent, ctx, |subs| subs.clone().next().is_none());
         let choice = match untried {
-            None if self.parts[part as usize].hedges > 0 => self.choose(part, ctx, |subs| {
-                subs.clone().all(|sub| sub.state == SubState::Waiting && sub.searcher != slow)
-            }),
+            None if self.parts[part as usize].hedges > 0 => self.hedge_again(part, slow, ctx),
             choice => choice,
         };
         let Some(searcher) = choice else {
@@ -94,6 +93,27 @@
         self.send(part, searcher, Kind::Hedge, ctx);
     }
 
+    /// Chooses a replica for a second hedge once every replica has an attempt: another one
+    /// than `newest`, unless that is much slower.
+    fn hedge_again<R>(
+        &self,
+        part: u32,
+        newest: SearcherId,
+        ctx: &mut Context<'_, T, R>,
+    ) -> Option<SearcherId>
+    where
+        R: Rng,
+    {
+        let other = self.choose(part, Intent::Retry, ctx, |subs| {
+            subs.clone().all(|sub| sub.state == SubState::Waiting && sub.searcher != newest)
+        })?;
+        if !ctx.view.is_slower(other, newest) {
+            return Some(other);
+        }
+        self.choose(part, Intent::Retry, ctx, |subs| subs.clone().any(|sub| sub.searcher == newest))
+            .or(Some(other))
+    }
+
     /// Sends another sub-query for a part that has none in flight, or gives the part up.
     pub(super) fn retry<R>(&mut self, part: u32, ctx: &mut Context<'_, T, R>)
     where
@@ -111,16 +131,24 @@
         if may_have_run && self.parts[part as usize].attempts >= ctx.settings.max_attempts {
             return self.give_up(part, ctx);
         }
-        let untried = self.choose(part, ctx, |subs| subs.clone().next().is_none());
-        // A failed call says little about the next one, so a failed replica may be asked
-        // again; one that stated that it did not run the sub-query is not.
+        let untried = self.choose(part, Intent::Retry, ctx, |subs| subs.clone().next().is_none());
+        let now = self.offset(ctx.now);
+        // A failed call says little about the next one, so a failed replica may be asked once
+        // more; one that stated that it did not run the sub-query is not.
         let choice = match untried {
             None if may_have_run => {
-                self.choose(part, ctx, |subs| subs.clone().all(|s| s.state == SubState::Failed))
+                let failed = self.choose(part, Intent::Retry, ctx, |subs| {
+                    subs.clone().all(|s| s.state == SubState::Failed) && subs.clone().count() == 1
+                });
+                // At once, it would most likely meet the same fault.
+                let ready = self.chain(part).next().map_or(0, |newest| newest.sent + RECHECK_US);
+                if failed.is_some() && now < ready {
+                    return self.set_timer(part, ready);
+                }
+                failed
             }
             choice => choice,
         };
-        let now = self.offset(ctx.now);
         let Some(searcher) = choice else {
             // A replica that is overloaded now may be asked later.
             if self.is_overload_only(part, ctx) {
@@ -178,7 +206,13 @@
     }
 
     /// Chooses a replica whose earlier attempts for the part `allow` accepts.
-    fn choose<F, R>(&self, part: u32, ctx: &mut Context<'_, T, R>, allow: F) -> Option<SearcherId>
+    fn choose<F, R>(
+        &self,
+        part: u32,
+        intent: Intent,
+        ctx: &mut Context<'_, T, R>,
+        allow: F,
+    ) -> Option<SearcherId>
     where
         F: Fn(&Attempts<'_>) -> bool,
         R: Rng,
@@ -186,7 +220,7 @@
         let at = &self.parts[part as usize];
         let allow = |searcher| allow(&self.attempts(at.last, searcher));
         ctx.view
-            .choose(at.shard, self.snapshot, Intent::Further, allow, ctx.now, ctx.rng)
+            .choose(at.shard, self.snapshot, intent, allow, ctx.now, ctx.rng)
             .map(|choice| choice.searcher)
     }
 
@@ -231,8 +265,11 @@
     where
         R: Rng,
     {
-        let shard = self.parts[part as usize].shard;
-        let delay = ctx.view.hedge_delay(shard, quantile).unwrap_or_else(|| {
+        let at = &self.parts[part as usize];
+        if at.probe == Probe::Doubtful && at.attempts == 1 {
+            return 0;
+        }
+        let delay = ctx.view.hedge_delay(at.shard, quantile).unwrap_or_else(|| {
             Duration::from_micros(u64::from(self.finish_at)).mul_f64(ctx.settings.blind_share)
         });
         micros(delay.max(ctx.settings.min_hedge))
--- a/crates/routing/src/view/choose.rs
+++ b/crates/routing/src/view/choose.rs
@@ -7,11 +7,15 @@
 use tt_model::SearcherId;
 use tt_model::ShardId;
 use tt_model::Snapshot;
+use tt_model::VmId;
 
 use super::View;
 use super::searcher::Entry;
 use crate::event::Reason;
 
+// The estimates of equal replicas differ by less than this factor.
+const SLOWER: f32 = 2.0;
+
 /// Whether a searcher holds a snapshot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Holds {
@@ -30,8 +34,11 @@
     Primary,
     /// The first sub-query to a shard; may be sent to a replica that is due for a probe.
     Probing,
-    /// A sub-query beside or after an earlier one; not sent to an overloaded replica.
-    Further,
+    /// A sub-query after earlier ones; not sent to an overloaded replica.
+    Retry,
+    /// A sub-query beside an earlier one; as a retry, but rather at another owner than that
+    /// of the late one, because the owner may be what is late.
+    Hedge(Option<VmId>),
 }
 
 /// How well a shard can be served at a snapshot.
@@ -57,15 +64,18 @@
 /// Whether a choice is a probe.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Probe {
-    Yes,
     No,
+    /// Of a replica that had no work for a while.
+    Idle,
+    /// Of a replica that is ejected or known to be slow. The query should not depend on it.
+    Doubtful,
 }
 
 // Preference among replicas; a lower one is used only if no better one is there.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
     Good,
-    // Overloaded, warming, of an unreachable owner, or of unknown snapshots.
+    // Overloaded, warming, of an unreachable or late owner, or of unknown snapshots.
     Second,
     Ejected,
 }
@@ -106,8 +116,7 @@
                 fastest_without = fastest_without.min(median.unwrap_or(0.0));
             }
         }
-        // The estimates of equal replicas differ by less than a factor of two.
-        let others_slow = fastest_without.is_infinite() || fastest_without > 2.0 * fastest;
+        let others_slow = fastest_without.is_infinite() || fastest_without > SLOWER * fastest;
         if best == Served::Slow && others_slow {
             return Served::Fast;
         }
@@ -142,19 +151,24 @@
                 continue;
             }
             let overloaded = entry.is_overloaded(now, self.settings.pressure_hold);
-            if overloaded && intent == Intent::Further {
-                continue;
-            }
+            let same_owner = match intent {
+                Intent::Primary | Intent::Probing => false,
+                Intent::Retry | Intent::Hedge(_) if overloaded => continue,
+                Intent::Retry | Intent::Hedge(None) => false,
+                Intent::Hedge(owner) => entry.owner == owner,
+            };
             if intent == Intent::Probing && self.probe_due(entry, now) {
+                let probe = self.probe_kind(replica, shard);
                 if let Some(ejection) = &mut self.entries[replica].ejection {
                     ejection.probe = now + ejection.pause;
                 }
-                return Some(Choice { searcher: replica, probe: Probe::Yes });
+                return Some(Choice { searcher: replica, probe });
             }
             let rank = if entry.ejection.is_some() {
                 Rank::Ejected
             } else if overloaded
                 || holds == Holds::Unknown
+                || same_owner
                 || self.owner_down(entry, now)
                 || self.held_back(entry, now, rng)
             {
@@ -255,6 +269,14 @@
         self.entries[searcher].latency.quantile(0.99).is_some_and(|limit| waited > limit)
     }
 
+    /// Whether `a` is known to be much slower than `b`.
+    pub(crate) fn is_slower(&self, a: SearcherId, b: SearcherId) -> bool {
+        match (self.entries[a].latency.median_us(), self.entries[b].latency.median_us()) {
+            (Some(a), Some(b)) => a > SLOWER * b,
+            _ => false,
+        }
+    }
+
     fn probe_due(&self, entry: &Entry, now: Instant) -> bool {
         match &entry.ejection {
             Some(ejection) => now >= ejection.probe,
@@ -265,6 +287,14 @@
         }
     }
 
+    fn probe_kind(&self, searcher: SearcherId, shard: ShardId) -> Probe {
+        let slower = |&other: &SearcherId| self.is_slower(searcher, other);
+        if self.entries[searcher].ejection.is_some() || self.replicas(shard).iter().any(slower) {
+            return Probe::Doubtful;
+        }
+        Probe::Idle
+    }
+
     fn held_back<R>(&self, entry: &Entry, now: Instant, rng: &mut R) -> bool
     where
         R: Rng,
