perf: keep queues in sorted deques and split the limits example

Every push and start allocated and freed tree nodes. All lists of a queue are bounded by its capacity and filled mostly in order, so sorted deques replace the trees.

--- /dev/null
+++ b/crates/limits/examples/limits/cost.rs
@@ -0,0 +1,117 @@
+//! Cost of single decisions.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use tt_limits::Acquired;
+use tt_limits::Admission;
+use tt_limits::AdmissionSettings;
+use tt_limits::Arrival;
+use tt_limits::ConnectionAction;
+use tt_limits::ConnectionSettings;
+use tt_limits::Connections;
+use tt_limits::MemberView;
+use tt_limits::QueueSettings;
+use tt_limits::RunOutcome;
+use tt_limits::SlotAction;
+use tt_limits::SlotQueue;
+use tt_limits::SlotRight;
+use tt_limits::SubQuery;
+use tt_model::Key;
+use tt_model::ServiceId;
+
+use crate::workload::DEADLINE;
+use crate::workload::SERVICES;
+use crate::workload::SLOTS;
+use crate::workload::contracts;
+use crate::workload::environment;
+
+pub(crate) fn print() {
+    println!("decision cost, mean of many rounds   ns per decision");
+    let now = Instant::now();
+    let rates = contracts();
+    let alone = MemberView::Certain(Vec::new());
+    let mut admission =
+        Admission::new(now, AdmissionSettings::default(), &environment(&[1e9; SERVICES]), alone);
+    let arrival = Arrival { service: ServiceId(7), deadline: now + DEADLINE, wait: Duration::ZERO };
+    report("admit and release", 1_000_000, |round| {
+        let now = now + Duration::from_nanos(round);
+        let permit = admission.admit(now, &arrival).expect("within the contract");
+        admission.release(black_box(permit));
+    });
+    let tight = environment(&[1e-3; SERVICES]);
+    let alone = MemberView::Certain(Vec::new());
+    let mut admission = Admission::new(now, AdmissionSettings::default(), &tight, alone);
+    for _ in 0..5 {
+        let permit = admission.admit(now, &arrival).expect("the burst");
+        admission.release(permit);
+    }
+    report("reject at admission (rate)", 1_000_000, |round| {
+        let now = now + Duration::from_nanos(round);
+        black_box(admission.admit(now, &arrival)).expect_err("above the rate");
+    });
+
+    for backlog in [0, 50, 200] {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut connections = Connections::new(ConnectionSettings::default());
+        connections.set_limit(now, 13, &mut rng);
+        connections.set_need(SLOTS);
+        let mut time = now;
+        while connections.idle() < 3 {
+            time += Duration::from_millis(1);
+            if let Some(ConnectionAction::Open(id)) = connections.next_action(time, &mut rng) {
+                connections.opened(time, id);
+            }
+        }
+        let mut queue = SlotQueue::new(now, QueueSettings::default());
+        queue.set_right(SlotRight::promised(SLOTS, now + Duration::from_secs(3600)));
+        let sub = |service: u64, now: Instant| SubQuery {
+            service: ServiceId::from_index((service % SERVICES as u64) as usize),
+            share: rates[(service % SERVICES as u64) as usize],
+            urgency: 0,
+            deadline: now + Duration::from_secs(600),
+        };
+        for service in 0..backlog {
+            queue.push(now, sub(service, now), service).expect("room");
+        }
+        let name = format!("push, start, connect, finish (backlog {backlog})");
+        report(&name, 1_000_000, |round| {
+            let now = now + Duration::from_nanos(round);
+            queue.push(now, sub(round, now), round).expect("room");
+            let Some(SlotAction::Start { ticket, .. }) = queue.next_action(now) else {
+                panic!("a slot is free");
+            };
+            let Acquired::Reuse(id) = connections.acquire() else { panic!("one is idle") };
+            black_box(connections.next_action(now, &mut rng));
+            connections.released(now, id);
+            queue.finish(now + Duration::from_millis(10), ticket, RunOutcome::Answered);
+        });
+    }
+
+    let mut queue = SlotQueue::new(now, QueueSettings::default());
+    queue.set_right(SlotRight::Half { slots: SLOTS });
+    let sub = SubQuery { service: ServiceId(7), share: 1.0, urgency: 0, deadline: now + DEADLINE };
+    while queue.push(now, sub, 0).is_ok() {}
+    report("reject at the queue (expected wait)", 1_000_000, |_| {
+        black_box(queue.push(now, sub, 0)).expect_err("too long a wait");
+    });
+    println!();
+}
+
+fn report<F>(name: &str, rounds: u64, mut decide: F)
+where
+    F: FnMut(u64),
+{
+    for round in 0..rounds / 10 {
+        decide(round);
+    }
+    let start = std::time::Instant::now();
+    for round in rounds / 10..rounds / 10 + rounds {
+        decide(round);
+    }
+    println!("{name:<46} {:>6.0}", start.elapsed().as_nanos() as f64 / rounds as f64);
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -11,7 +11,7 @@
 //! Data flow at the owner: [`SlotQueue::push`], then [`SlotQueue::next_action`] until it
 //! returns `None`, again after every event and at [`SlotQueue::wake_at`]. Each started
 //! sub-query takes a connection by [`Connections::acquire`] and ends with
-//! [`SlotQueue::finish`] and [`Connections::release`].
+//! [`SlotQueue::finish`] and [`Connections::released`].
 
 mod admission;
 mod connections;
--- a/crates/limits/src/slots.rs
+++ b/crates/limits/src/slots.rs
@@ -2,17 +2,17 @@
 
 mod entries;
 mod estimate;
+mod interface;
 mod order;
 mod right;
+mod sorted;
 
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use tt_model::ResultCode;
 use tt_model::ServiceId;
 
 use crate::slots::entries::Entries;
@@ -24,167 +24,23 @@
 use crate::slots::order::Position;
 use crate::slots::order::Rank;
 use crate::slots::order::Usage;
+use crate::slots::sorted::SortedMap;
 use crate::slowstart::SlowStart;
-use crate::slowstart::SlowStartSettings;
 
 pub use entries::SlotKind;
 pub use entries::Ticket;
+pub use interface::CancelOutcome;
+pub use interface::Pressure;
+pub use interface::QueuePolicy;
+pub use interface::QueueSettings;
+pub use interface::RejectReason;
+pub use interface::Rejected;
+pub use interface::RunOutcome;
+pub use interface::SlotAction;
+pub use interface::SubQuery;
 pub use right::SlotPolicy;
 pub use right::SlotRight;
 
-/// The order of a queue.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum QueuePolicy {
-    /// Weighted fair queueing over services and early rejection.
-    Fair,
-    /// First in, first out, without early rejection: the baseline for measurements.
-    Fifo,
-}
-
-/// Settings of a [`SlotQueue`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QueueSettings {
-    /// The order of the queue.
-    pub policy: QueuePolicy,
-    /// The most sub-queries that wait.
-    pub capacity: usize,
-    /// Expected slot time before the first observation.
-    pub service_time: Duration,
-    /// Time before the end of a promise at which sub-queries above the half end. Covers
-    /// the difference between this VM's clock and the searcher's.
-    pub clock_margin: Duration,
-    /// Steps after a cold start.
-    pub slow_start: SlowStartSettings,
-}
-
-impl Default for QueueSettings {
-    fn default() -> Self {
-        QueueSettings {
-            policy: QueuePolicy::Fair,
-            capacity: 256,
-            service_time: Duration::from_millis(10),
-            clock_margin: Duration::from_millis(50),
-            slow_start: SlowStartSettings::default(),
-        }
-    }
-}
-
-/// What the queue needs to know of a sub-query.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct SubQuery {
-    /// The service that asks.
-    pub service: ServiceId,
-    /// The service's share from its contract.
-    pub share: f64,
-    /// The urgency of its class.
-    pub urgency: u8,
-    /// When the answer must be there.
-    pub deadline: Instant,
-}
-
-/// Why a sub-query was not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum RejectReason {
-    /// Its deadline passed before a slot was free.
-    DeadlinePassed,
-    /// It cannot finish before its deadline, by the expected wait and slot time.
-    WaitTooLong,
-    /// The queue is full and its service has the most queued work for its share.
-    QueueFull,
-    /// The searcher is leaving.
-    SearcherLeaving,
-    /// This daemon may not use the searcher.
-    NoRight,
-}
-
-impl RejectReason {
-    /// The result code for a caller if no replica is left.
-    pub fn code(self) -> ResultCode {
-        match self {
-            RejectReason::DeadlinePassed => ResultCode::DeadlinePassed,
-            RejectReason::WaitTooLong | RejectReason::QueueFull => ResultCode::Overloaded,
-            RejectReason::SearcherLeaving | RejectReason::NoRight => ResultCode::NoReplica,
-        }
-    }
-}
-
-/// A sub-query that was refused by [`SlotQueue::push`].
-#[derive(Debug, PartialEq, Eq)]
-pub struct Rejected<T> {
-    /// The caller's item.
-    pub item: T,
-    /// Why it was refused.
-    pub reason: RejectReason,
-}
-
-/// A step to take for the caller of [`SlotQueue::next_action`].
-#[derive(Debug, PartialEq, Eq)]
-pub enum SlotAction<T> {
-    /// Send the sub-query; report its end by [`SlotQueue::finish`].
-    Start {
-        /// The sub-query.
-        ticket: Ticket,
-        /// The caller's item.
-        item: T,
-        /// The absolute deadline to send to the searcher.
-        deadline: Instant,
-        /// The part of the allowance that it uses.
-        slot: SlotKind,
-    },
-    /// Report to the entry that the queued sub-query was not run and will not be.
-    Reject {
-        /// The sub-query; its ticket is stale now.
-        ticket: Ticket,
-        /// The caller's item.
-        item: T,
-        /// Why it was not run.
-        reason: RejectReason,
-    },
-    /// Cancel the running sub-query, whose deadline has passed, by closing its connection,
-    /// and report its end. It holds its slot until then.
-    Cancel {
-        /// The sub-query.
-        ticket: Ticket,
-    },
-}
-
-/// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RunOutcome {
-    /// The searcher replied.
-    Answered,
-    /// The searcher stated that it did not run the sub-query, or it was never sent.
-    NotRun,
-    /// It failed, was cancelled or timed out.
-    Failed,
-}
-
-/// The effect of [`SlotQueue::cancel`].
-#[derive(Debug, PartialEq, Eq)]
-pub enum CancelOutcome<T> {
-    /// It was queued and has been removed; it was not run.
-    Dequeued(T),
-    /// It is running. Close its connection and report its end, which frees the slot.
-    Running,
-    /// It ended before.
-    Unknown,
-}
-
-/// How busy a searcher is, for routing and for overload detection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Pressure {
-    /// Sub-queries that wait.
-    pub queued: u32,
-    /// Sub-queries that hold a slot.
-    pub running: u32,
-    /// Slots that may be used now.
-    pub allowed: u32,
-    /// Expected slot time of a sub-query.
-    pub service_time: Duration,
-    /// Expected wait of a sub-query behind everything queued.
-    pub expected_wait: Duration,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Serving,
@@ -213,7 +69,7 @@
     entries: Entries<T>,
     order: FairOrder,
     /// Deadlines of queued and of running sub-queries whose end was not yet asked for.
-    deadlines: BTreeSet<(Instant, Ticket)>,
+    deadlines: SortedMap<(Instant, Ticket), ()>,
     rejected: VecDeque<(Ticket, RejectReason)>,
     half_running: u32,
     promised_running: u32,
@@ -232,7 +88,7 @@
             slow_start: None,
             entries: Entries::new(),
             order: FairOrder::new(),
-            deadlines: BTreeSet::new(),
+            deadlines: SortedMap::new(),
             rejected: VecDeque::new(),
             half_running: 0,
             promised_running: 0,
@@ -251,7 +107,7 @@
         self.sequence += 1;
         self.entries.set(ticket, Entry::Queued(Queued { item, position, deadline: sub.deadline }));
         self.order.push(position, ticket);
-        self.deadlines.insert((sub.deadline, ticket));
+        self.deadlines.insert((sub.deadline, ticket), ());
         Ok(ticket)
     }
 
@@ -263,11 +119,11 @@
                 return Some(action);
             }
         }
-        while let Some(&(deadline, ticket)) = self.deadlines.first() {
+        while let Some(&((deadline, ticket), ())) = self.deadlines.first() {
             if deadline > now {
                 break;
             }
-            self.deadlines.pop_first();
+            self.deadlines.remove(&(deadline, ticket));
             match self.entries.get(ticket) {
                 Some(Entry::Queued(_)) => return self.reject(ticket, RejectReason::DeadlinePassed),
                 Some(Entry::Running(_)) => return Some(SlotAction::Cancel { ticket }),
@@ -351,7 +207,7 @@
     /// The next time at which [`SlotQueue::next_action`] has something to do without a
     /// further event.
     pub fn wake_at(&self) -> Option<Instant> {
-        self.deadlines.first().map(|&(deadline, _)| deadline)
+        self.deadlines.first().map(|&((deadline, _), ())| deadline)
     }
 
     /// Slots that may be used at `now`.
@@ -441,7 +297,7 @@
         let deadline = free.until.map_or(queue_deadline, |until| until.min(queue_deadline));
         if deadline != queue_deadline {
             self.deadlines.remove(&(queue_deadline, ticket));
-            self.deadlines.insert((deadline, ticket));
+            self.deadlines.insert((deadline, ticket), ());
         }
         match free.kind {
             SlotKind::Half => self.half_running += 1,
--- a/crates/limits/src/slots/order.rs
+++ b/crates/limits/src/slots/order.rs
@@ -10,8 +10,6 @@
 mod tests;
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -21,6 +19,7 @@
 
 use crate::slots::entries::Ticket;
 use crate::slots::estimate::Estimate;
+use crate::slots::sorted::SortedMap;
 
 /// Shares are clamped to this range so that virtual time stays within 64 bits.
 const MIN_SHARE: f64 = 1e-3;
@@ -72,7 +71,7 @@
     service: ServiceId,
     share: f64,
     tag: u64,
-    queue: BTreeMap<Rank, Ticket>,
+    queue: SortedMap<Rank, Ticket>,
     running: u32,
     estimate: Estimate,
     pace: Pace,
@@ -105,8 +104,8 @@
     flows: Vec<Flow>,
     free: Vec<FlowKey>,
     by_service: HashMap<ServiceId, FlowKey>,
-    within: BTreeSet<(Rank, FlowKey)>,
-    ahead: BTreeSet<(u64, Rank, FlowKey)>,
+    within: SortedMap<Rank, FlowKey>,
+    ahead: SortedMap<(u64, Rank), FlowKey>,
     virtual_time: u64,
     /// Sum of the shares of backlogged flows.
     weight: f64,
@@ -119,8 +118,8 @@
             flows: Vec::new(),
             free: Vec::new(),
             by_service: HashMap::new(),
-            within: BTreeSet::new(),
-            ahead: BTreeSet::new(),
+            within: SortedMap::new(),
+            ahead: SortedMap::new(),
             virtual_time: FIRST_TIME,
             weight: 0.0,
             queued: 0,
@@ -151,7 +150,7 @@
             service,
             share,
             tag: 0,
-            queue: BTreeMap::new(),
+            queue: SortedMap::new(),
             running: 0,
             estimate: service_time,
             pace: Pace::default(),
@@ -187,9 +186,9 @@
     pub(crate) fn first(&self) -> Option<Ticket> {
         let key = match self.within.first() {
             Some((_, key)) => key,
-            None => self.ahead.first().map(|(_, _, key)| key)?,
+            None => self.ahead.first().map(|(_, key)| key)?,
         };
-        self.flows[key.0 as usize].queue.first_key_value().map(|(_, ticket)| *ticket)
+        self.flows[key.0 as usize].queue.first().map(|(_, ticket)| *ticket)
     }
 
     /// Takes a sub-query out of the queue without a start.
@@ -247,10 +246,7 @@
         }
         let slot_time = service_time.seconds() / f64::from(slots.max(1));
         let flow = &self.flows[position.flow.0 as usize];
-        // Entries behind the new one are few, because most deadlines are later than those
-        // already queued.
-        let behind = flow.queue.range(position.rank..).count();
-        let ahead = (flow.queue.len() - behind) as u64;
+        let ahead = flow.queue.count_before(&position.rank) as u64;
         let all = self.queued as f64 * slot_time;
         let tag = flow.tag.saturating_add(ahead * cost(flow.estimate.mean(), flow.share));
         // In its share, behind its own work and one sub-query of each flow in its share.
@@ -268,14 +264,14 @@
         let own = &self.flows[newcomer.0 as usize];
         let mut worst = (own.queue.len() + 1) as f64 / own.share;
         let mut victim = None;
-        let backlogged =
-            self.within.iter().map(|place| place.1).chain(self.ahead.iter().map(|place| place.2));
-        for key in backlogged {
+        let within = self.within.iter().map(|(_, key)| *key);
+        let ahead = self.ahead.iter().map(|(_, key)| *key);
+        for key in within.chain(ahead) {
             let flow = &self.flows[key.0 as usize];
             let backlog = flow.queue.len() as f64 / flow.share;
             if key != newcomer && backlog > worst {
                 worst = backlog;
-                victim = flow.queue.last_key_value().map(|(_, ticket)| *ticket);
+                victim = flow.queue.last().map(|(_, ticket)| *ticket);
             }
         }
         victim
@@ -283,7 +279,7 @@
 
     fn advance(&mut self, to: u64) {
         self.virtual_time = to;
-        while let Some(&(tag, _, key)) = self.ahead.first() {
+        while let Some(&((tag, _), key)) = self.ahead.first() {
             if tag > to {
                 break;
             }
@@ -293,10 +289,10 @@
 
     fn reposition(&mut self, key: FlowKey) {
         let flow = &mut self.flows[key.0 as usize];
-        let place = match flow.queue.first_key_value() {
+        let place = match flow.queue.first() {
             None => Place::Idle,
-            Some((&rank, _)) if flow.tag <= self.virtual_time => Place::Within(rank),
-            Some((&rank, _)) => Place::Ahead(flow.tag, rank),
+            Some(&(rank, _)) if flow.tag <= self.virtual_time => Place::Within(rank),
+            Some(&(rank, _)) => Place::Ahead(flow.tag, rank),
         };
         if place == flow.place {
             return;
@@ -304,10 +300,10 @@
         match flow.place {
             Place::Idle => {}
             Place::Within(rank) => {
-                self.within.remove(&(rank, key));
+                self.within.remove(&rank);
             }
             Place::Ahead(tag, rank) => {
-                self.ahead.remove(&(tag, rank, key));
+                self.ahead.remove(&(tag, rank));
             }
         }
         flow.place = place;
@@ -318,10 +314,10 @@
             }
             Place::Idle => {}
             Place::Within(rank) => {
-                self.within.insert((rank, key));
+                self.within.insert(rank, key);
             }
             Place::Ahead(tag, rank) => {
-                self.ahead.insert((tag, rank, key));
+                self.ahead.insert((tag, rank), key);
             }
         }
     }
