--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -5,7 +5,8 @@
 //!   bucket and a concurrency limit, and sizes this entry's part of them by the usage
 //!   that the other entries report.
 //! * [`SlotQueue`] runs at the owner of a searcher. It orders sub-queries by weighted
-//!   fair queueing and starts no more than the ownership right allows.
+//!   fair queueing and starts no more than the ownership right allows, fewer after the
+//!   searcher's cold start and none while it is leaving.
 //! * [`Connections`] runs beside it and decides when to open, reuse and close.
 //!
 //! Data flow at the owner: [`SlotQueue::push`], then [`SlotQueue::next_action`] until it
--- a/crates/limits/src/slots/interface.rs
+++ b/crates/limits/src/slots/interface.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use tokio::time::Instant;
 
 use tt_model::ResultCode;
@@ -62,17 +63,22 @@
 }
 
 /// Why a sub-query was not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RejectReason {
     /// Its deadline passed before a slot was free.
+    #[display("its deadline passed")]
     DeadlinePassed,
     /// It cannot finish before its deadline, by the expected wait and slot time.
+    #[display("the expected wait is too long")]
     WaitTooLong,
     /// The queue is full and its service has the most queued work for its share.
+    #[display("the queue is full")]
     QueueFull,
     /// The searcher is leaving.
+    #[display("the searcher is leaving")]
     SearcherLeaving,
     /// This daemon may not use the searcher.
+    #[display("this daemon has no right to the searcher")]
     NoRight,
 }
 
