--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -5,13 +5,14 @@
 //!   bucket and a concurrency limit, and sizes this entry's part of them by the usage
 //!   that the other entries report.
 //! * [`SlotQueue`] runs at the owner of a searcher. It orders sub-queries by weighted
-//!   fair queueing and starts no more than the ownership right allows.
+//!   fair queueing and starts no more than the ownership right allows, fewer after the
+//!   searcher's cold start and none while it is leaving.
 //! * [`Connections`] runs beside it and decides when to open, reuse and close.
 //!
 //! Data flow at the owner: [`SlotQueue::push`], then [`SlotQueue::next_action`] until it
 //! returns `None`, again after every event and at [`SlotQueue::wake_at`]. Each started
 //! sub-query takes a connection by [`Connections::acquire`] and ends with
-//! [`SlotQueue::finish`] and [`Connections::release`].
+//! [`SlotQueue::finish`] and [`Connections::released`].
 
 mod admission;
 mod connections;
