perf: locate fields of a document only when there is a fault

Checking a document built a second syntax tree to locate faults, even without any. The tree is now built for the first fault. Faults and their positions are unchanged.

--- a/crates/model/src/document/check.rs
+++ b/crates/model/src/document/check.rs
@@ -37,7 +37,7 @@
 
 /// Checks `raw` and builds the environment from it.
 pub(crate) fn check(text: &str, raw: &raw::Document) -> Result<Environment, Faults> {
-    let mut checker = Checker { locator: Locator::new(text), faults: Vec::new() };
+    let mut checker = Checker { text, locator: None, faults: Vec::new() };
     let environment = checker.environment(text, raw);
     if checker.faults.is_empty() {
         return Ok(environment);
@@ -47,7 +47,9 @@
 }
 
 struct Checker<'a> {
-    locator: Locator<'a>,
+    text: &'a str,
+    /// Made for the first fault: it parses the text again, which takes as long as all checks.
+    locator: Option<Locator<'a>>,
     faults: Vec<Fault>,
 }
 
@@ -375,7 +377,8 @@
     }
 
     fn fault(&mut self, path: &[Step], message: String) {
-        let position = self.locator.find(path);
+        let locator = self.locator.get_or_insert_with(|| Locator::new(self.text));
+        let position = locator.find(path);
         let mut field = String::new();
         for step in path {
             match step {
