feat: measure dissemination and take late answers to pulls

A peer that was slower than the pull timeout was asked for the same parts again and again; its late answers are now taken. Watchers no longer poll in addition to their watch.

--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -294,6 +294,11 @@
         now: Instant,
     ) -> Vec<Action> {
         let Some(pull) = self.pull.take_if(|pull| pull.id == id) else {
+            // An answer after the timeout is as good as one before it. Without this, a peer that
+            // is slower than the timeout would be asked for the same parts for ever.
+            if let Ok(update) = answer {
+                self.take_update(update, Via::Pull);
+            }
             return self.proceed(now);
         };
         match answer {
--- a/crates/control/src/plane/fetch.rs
+++ b/crates/control/src/plane/fetch.rs
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Reads the catalog although this daemon does not watch it: often when no peer is heard,
+    /// Reads the catalog if this daemon does not watch it: often when no peer is heard,
     /// and rarely otherwise.
     fn poll_catalog(&mut self, now: Instant) {
         let isolated = now >= self.isolated_at() && now >= self.isolated_poll_at;
@@ -134,8 +134,8 @@
             self.slow_polls += 1;
             self.slow_poll_at = now + self.slow_poll_delay();
         }
-        let read = isolated || (slow && !self.is_watcher());
-        if read && !self.outstanding(&Purpose::ReadCatalog) {
+        // A watch that fails is itself repeated.
+        if (isolated || slow) && !self.is_watcher() && !self.outstanding(&Purpose::ReadCatalog) {
             let call = StoreCall::Get { key: CATALOG_KEY.to_owned() };
             self.store_request(Purpose::ReadCatalog, call);
         }
--- a/crates/control/tests/plane.rs
+++ b/crates/control/tests/plane.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use tt_control::ASSIGNMENT_KEY;
 use tt_control::Change;
 use tt_control::ChangeRequest;
 use tt_control::ChangeSettings;
@@ -11,6 +12,7 @@
 use tt_control::Outcome;
 use tt_control::Stage;
 use tt_control::StoreRequest;
+use tt_model::Epoch;
 use tt_model::Revision;
 use tt_model::StoreCall;
 
@@ -234,11 +236,17 @@
     cluster.store_state = StoreState::LosesReplies;
     cluster.break_watches();
     cluster.run_for(Duration::from_secs(30));
-    let before = cluster.store.calls;
-    cluster.run_for(Duration::from_secs(60));
-    let calls = cluster.store.calls - before;
+    let mut calls = 0;
+    let mut most = 0;
+    for _ in 0..600 {
+        let before = cluster.store.calls;
+        cluster.run_for(Duration::from_millis(100));
+        most = most.max(cluster.store.calls - before);
+        calls += cluster.store.calls - before;
+    }
     // 8 daemons with two watches each, every 3.5 to 6 s.
     assert!((150..280).contains(&calls), "{calls} calls in a minute");
+    assert!(most <= 5, "{most} of 16 calls in 100 ms");
 }
 
 /// Guards against a baseline that is not comparable.
@@ -260,3 +268,42 @@
     let revision = accept(&mut cluster, 1, &text);
     converges(&mut cluster, revision, Duration::from_secs(10));
 }
+
+/// Guards against an assignment that spreads only through the store, or that falls back.
+#[test]
+fn an_assignment_spreads_like_the_catalog_and_its_epoch_only_rises() {
+    let mut cluster = cluster_with(Layout { members: 20, domains: 2, ..Layout::default() });
+    let put = |expect, epoch| StoreCall::Put {
+        key: ASSIGNMENT_KEY.to_owned(),
+        expect,
+        value: format!("{{\"epoch\": {epoch}}}").into_bytes(),
+    };
+    let has_epoch = |cluster: &Cluster| {
+        cluster.nodes.iter().all(|node| node.plane.versions().epoch == Epoch(3))
+    };
+    cluster.operator_call(&put(Revision(0), 3));
+    let until = cluster.now + Duration::from_millis(50);
+    assert!(cluster.run_until(until, has_epoch));
+
+    let revision = cluster.store.values[ASSIGNMENT_KEY].0;
+    cluster.operator_call(&put(revision, 2));
+    cluster.run_for(Duration::from_secs(5));
+    assert!(has_epoch(&cluster));
+
+    cluster.store_state = StoreState::Down;
+    cluster.break_watches();
+    cluster.restart(5);
+    let until = cluster.now + Duration::from_secs(5);
+    assert!(cluster.run_until(until, has_epoch));
+}
+
+/// Guards against a peer that is slower than the timeout and is asked for the same for ever.
+#[test]
+fn an_answer_to_a_pull_is_taken_after_its_timeout() {
+    let mut cluster = cluster_with(Layout { members: 2, domains: 1, ..Layout::default() });
+    cluster.store_state = StoreState::Down;
+    cluster.break_watches();
+    cluster.layout.in_domain = Duration::from_millis(800);
+    cluster.restart(0);
+    converges(&mut cluster, Revision(1), Duration::from_secs(5));
+}
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -37,7 +37,7 @@
 const HEARTBEAT_BYTES: usize = 64;
 
 /// Daemons, delays and faults.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub struct Layout {
     pub members: usize,
     pub domains: usize,
@@ -137,6 +137,9 @@
     pub side: u32,
     pub messages: u64,
     pub bytes: u64,
+    /// Messages and bytes of pushes and pulls, included above.
+    pub updates: u64,
+    pub update_bytes: u64,
     pub cpu: Duration,
     /// Hops from the store of the newest update.
     pub hops: u32,
@@ -210,6 +213,8 @@
                 side: 0,
                 messages: 0,
                 bytes: 0,
+                updates: 0,
+                update_bytes: 0,
                 cpu: Duration::ZERO,
                 hops: 0,
                 adopted_at: now,
@@ -343,8 +348,11 @@
                     0 => {
                         self.store.call(call);
                     }
-                    1 => self.arrive_later(call.clone()),
-                    _ => {}
+                    1 => {
+                        self.store.calls += 1;
+                        self.arrive_later(call.clone());
+                    }
+                    _ => self.store.calls += 1,
                 }
                 StoreReply::Lost
             }
@@ -534,6 +542,10 @@
         };
         self.nodes[from].messages += 1;
         self.nodes[from].bytes += bytes as u64;
+        if !matches!(message, Message::Heartbeat(_) | Message::HeartbeatAnswer(_)) {
+            self.nodes[from].updates += 1;
+            self.nodes[from].update_bytes += bytes as u64;
+        }
         let (source, target) = (&self.nodes[from], &self.nodes[to]);
         let is_cut = source.side != target.side || !target.is_up;
         let region = |node: &Node| node.domain % self.layout.regions;
