--- a/crates/control/tests/fuzz.rs
+++ b/crates/control/tests/fuzz.rs
@@ -118,6 +118,7 @@
             3 => Just(StoreState::Up),
             1 => Just(StoreState::Down),
             2 => Just(StoreState::LosesReplies),
+            3 => Just(StoreState::Flaky),
             1 => Just(StoreState::StaleReads),
             1 => Just(StoreState::Slow(Duration::from_millis(700))),
         ];
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -83,6 +83,8 @@
     Down,
     /// No reply arrives; a write takes effect at once, later or not at all.
     LosesReplies,
+    /// Half of all calls fail or lose their replies.
+    Flaky,
     /// Daemons that read the catalog get the value before the last one.
     StaleReads,
     /// Each call takes this long.
@@ -332,8 +334,16 @@
     }
 
     fn reply(&mut self, call: &StoreCall) -> StoreReply {
-        match self.store_state {
-            StoreState::Up | StoreState::Slow(_) | StoreState::StaleReads => {
+        let state = match self.store_state {
+            StoreState::Flaky => match self.rng.random_range(0..6) {
+                0 => StoreState::Down,
+                1 | 2 => StoreState::LosesReplies,
+                _ => StoreState::Up,
+            },
+            state => state,
+        };
+        match state {
+            StoreState::Up | StoreState::Flaky | StoreState::Slow(_) | StoreState::StaleReads => {
                 if let StoreCall::Put { key, .. } = call
                     && key == "catalog"
                 {
