--- a/crates/control/tests/change.rs
+++ b/crates/control/tests/change.rs
@@ -138,24 +138,28 @@
     assert_eq!(desk.catalog().revision, Revision(1));
 }
 
-/// Guards against a swap that a paused process sends from a stale read, and against the
-/// "not changed" of a change whose swap is on its way.
+/// Guards against "not changed" for a change whose first swap is still on its way, whether its
+/// repetitions are lost as well or refused.
 #[test]
 fn a_lost_swap_that_arrives_late_makes_not_changed_impossible() {
-    let mut desk = desk_with(&["a"]);
-    let mut late: Option<StoreCall> = None;
-    let mut faults = |_: &str, call: &StoreCall| {
-        if is_swap(call) {
-            late = Some(call.clone());
-            return CallFault::LostCall;
-        }
-        CallFault::None
-    };
-    let outcome = desk.run(trial("a", "alice", 1, &document("a", 3, 2)), &mut faults);
-    assert_eq!(outcome, Outcome::Unknown { change: change_id(2) });
-    desk.store.call(&late.unwrap());
-    let found = status(&desk.catalog(), "a", &change_id(2));
-    assert!(matches!(found, ChangeStatus::Accepted { .. }), "{found:?}");
+    for fault in [CallFault::LostCall, CallFault::Unavailable] {
+        let mut desk = desk_with(&["a"]);
+        let mut late: Option<StoreCall> = None;
+        let mut faults = |_: &str, call: &StoreCall| {
+            if !is_swap(call) {
+                return CallFault::None;
+            }
+            match late.replace(call.clone()) {
+                None => CallFault::LostCall,
+                Some(_) => fault,
+            }
+        };
+        let outcome = desk.run(trial("a", "alice", 1, &document("a", 3, 2)), &mut faults);
+        assert_eq!(outcome, Outcome::Unknown { change: change_id(2) }, "{fault:?}");
+        desk.store.call(&late.unwrap());
+        let found = status(&desk.catalog(), "a", &change_id(2));
+        assert!(matches!(found, ChangeStatus::Accepted { .. }), "{found:?}");
+    }
 }
 
 /// Guards against a lost swap that is judged "conflict" after its record left the history.
