--- a/crates/membership/src/assignment.rs
+++ b/crates/membership/src/assignment.rs
@@ -227,13 +227,15 @@
         changes.into_iter().rev().map(|epoch| self.candidates_at(epoch)).collect()
     }
 
-    /// Whether an ended membership could be marked as released or removed now.
-    pub fn can_tidy(&self, settled: &HashMap<MemberId, Epoch>) -> bool {
-        let settled_at = |r: &Record| settled.get(&r.id).copied().unwrap_or_default();
+    /// Whether a value without a change of members would be of use: it marks a VM as listed
+    /// or an ended membership as released, or removes one.
+    pub fn can_tidy(&self, target: &Target) -> bool {
+        let settled_at = |r: &Record| target.settled.get(&r.id).copied().unwrap_or_default();
         let held = self.members.iter().filter(|r| !r.released);
         let base = held.map(settled_at).min().unwrap_or_default();
-        self.members.iter().any(|r| {
-            r.left.is_some_and(|left| left <= base || (!r.released && settled_at(r) >= left))
+        self.members.iter().any(|r| match r.left {
+            Some(left) => left <= base || (!r.released && settled_at(r) >= left),
+            None => !r.listed && target.listed.contains(&r.id),
         })
     }
 
--- a/crates/membership/src/assignment/proposer.rs
+++ b/crates/membership/src/assignment/proposer.rs
@@ -294,7 +294,7 @@
             let rested = self.tidied.is_none_or(|at| now >= at + TIDY_PERIOD);
             return rank == 0
                 && rested
-                && self.current.as_ref().is_some_and(|a| a.can_tidy(&target.settled));
+                && self.current.as_ref().is_some_and(|a| a.can_tidy(target));
         }
         let wanted = self.wanted.get_or_insert_with(|| Wanted {
             members: target.members.clone(),
--- a/crates/membership/src/members/platform.rs
+++ b/crates/membership/src/members/platform.rs
@@ -12,6 +12,10 @@
 /// A VM counts as gone when the list has not shown it for this long. A single read without
 /// it may come from a copy that is older than the VM.
 pub const ABSENT_FOR: Duration = Duration::from_secs(30);
+/// The same for a VM that no daemon is known to have seen in the list, and that this daemon
+/// has not heard either. This happens after all daemons that saw it have been replaced. The
+/// list would have shown it by now if it existed.
+pub const UNSEEN_FOR: Duration = Duration::from_secs(300);
 /// The number of reads without the VM in that time.
 const ABSENT_READS: u32 = 3;
 
@@ -38,6 +42,10 @@
 pub(super) enum Listing {
     #[default]
     NeverShown,
+    Unseen {
+        since: Instant,
+        reads: u32,
+    },
     Shown(ListedState),
     Absent {
         since: Instant,
@@ -56,34 +64,39 @@
     }
 
     pub(super) fn was_shown(self) -> bool {
-        self != Listing::NeverShown
+        match self {
+            Listing::NeverShown | Listing::Unseen { .. } => false,
+            Listing::Shown(_) | Listing::Absent { .. } | Listing::Gone => true,
+        }
     }
 
     /// Another daemon has seen the VM in the list.
     pub(super) fn shown_to_others(&mut self) {
-        if *self == Listing::NeverShown {
-            *self = Listing::Shown(ListedState::Live);
+        match *self {
+            Listing::NeverShown => *self = Listing::Shown(ListedState::Live),
+            Listing::Unseen { since, reads } => *self = Listing::Absent { since, reads },
+            Listing::Shown(_) | Listing::Absent { .. } | Listing::Gone => {}
         }
     }
 
     /// A member that was heard exists, whatever the list says.
     pub(super) fn heard(&mut self) {
-        if let Listing::Absent { .. } = self {
-            *self = Listing::Shown(ListedState::Live);
+        match self {
+            Listing::Absent { .. } => *self = Listing::Shown(ListedState::Live),
+            Listing::Unseen { .. } => *self = Listing::NeverShown,
+            Listing::NeverShown | Listing::Shown(_) | Listing::Gone => {}
         }
     }
 
     fn absent(self, now: Instant) -> Listing {
+        let long = |since: Instant, limit, reads| now >= since + limit && reads >= ABSENT_READS;
         match self {
-            Listing::NeverShown => Listing::NeverShown,
+            Listing::NeverShown => Listing::Unseen { since: now, reads: 1 },
+            Listing::Unseen { since, reads } if long(since, UNSEEN_FOR, reads + 1) => Listing::Gone,
+            Listing::Unseen { since, reads } => Listing::Unseen { since, reads: reads + 1 },
             Listing::Shown(_) => Listing::Absent { since: now, reads: 1 },
-            Listing::Absent { since, reads } => {
-                if now >= since + ABSENT_FOR && reads + 1 >= ABSENT_READS {
-                    Listing::Gone
-                } else {
-                    Listing::Absent { since, reads: reads + 1 }
-                }
-            }
+            Listing::Absent { since, reads } if long(since, ABSENT_FOR, reads + 1) => Listing::Gone,
+            Listing::Absent { since, reads } => Listing::Absent { since, reads: reads + 1 },
             Listing::Gone => Listing::Gone,
         }
     }
