--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -168,6 +168,8 @@
     near: Vec<SocketAddr>,
     far: Vec<SocketAddr>,
     seeds: Vec<SocketAddr>,
+    /// Whether the platform's list has shown this daemon.
+    own_listed: bool,
     rumors: BTreeMap<SocketAddr, u32>,
     /// Processes that have certainly ended.
     ended: HashMap<MemberId, Instant>,
@@ -194,6 +196,7 @@
             near: Vec::new(),
             far: Vec::new(),
             seeds: seeds.into_iter().filter(|seed| *seed != own).collect(),
+            own_listed: false,
             rumors: BTreeMap::new(),
             ended: HashMap::new(),
             assigned: HashSet::new(),
--- a/crates/membership/src/members/heartbeat.rs
+++ b/crates/membership/src/members/heartbeat.rs
@@ -239,27 +239,26 @@
     /// Assumes a partition when more than a third of the members were lost within the
     /// window, until fewer are suspect.
     pub(super) fn guard(&mut self, now: Instant) {
-        let assigned = &self.assigned;
-        let recent = |p: &super::Peer| {
-            assigned.contains(&p.note.member.id)
-                && p.gone_since.is_some_and(|at| now < at + LOSS_WINDOW)
-                && p.note.intent == Intent::Running
-                && !p.listing.is_gone()
-        };
-        let suspects = self
-            .peers
-            .values()
-            .filter(|p| p.note.health == Health::Suspect && !p.listing.is_gone())
-            .count();
-        let gone = self.peers.values().filter(|p| recent(p)).count();
-        let all = self.len() + gone;
-        let lost = (suspects + gone) * 3 > all;
+        let (mut all, mut lost) = (1, 0);
+        for peer in self.peers.values() {
+            // Members that are known by hearsay only may have ended long ago.
+            let known = self.assigned.contains(&peer.note.member.id) || peer.heard.is_some();
+            if !known || peer.note.intent != Intent::Running || peer.listing.is_gone() {
+                continue;
+            }
+            let recent = peer.gone_since.is_none_or(|at| now < at + LOSS_WINDOW);
+            if recent {
+                all += 1;
+                lost += usize::from(peer.note.health != Health::Alive);
+            }
+        }
+        let cut_off = lost * 3 > all;
         match self.partitioned_since {
-            None if lost => {
-                warn!("member: {suspects} of {all} are suspect, assuming a partition");
+            None if cut_off => {
+                warn!("member: {lost} of {all} were lost, assuming a partition");
                 self.partitioned_since = Some(now);
             }
-            Some(_) if !lost => {
+            Some(_) if !cut_off => {
                 warn!("member: no longer assuming a partition");
                 self.partitioned_since = None;
             }
--- a/crates/membership/src/members/platform.rs
+++ b/crates/membership/src/members/platform.rs
@@ -108,6 +108,7 @@
         let own = self.me.member.id.address;
         let listed: HashMap<SocketAddr, ListedState> =
             list.iter().map(|vm| (vm.address, vm.state)).collect();
+        self.own_listed |= listed.contains_key(&own);
         for &address in listed.keys() {
             if address != own && !self.seeds.contains(&address) {
                 self.seeds.push(address);
--- a/crates/membership/src/members/target.rs
+++ b/crates/membership/src/members/target.rs
@@ -52,12 +52,13 @@
             }
         }
         members.sort_by_key(|m| m.id);
-        let listed = self.peers.values().filter(|p| p.listing.was_shown());
+        let shown = self.peers.values().filter(|p| p.listing.was_shown());
+        let listed = shown.map(|p| p.note.member.id).chain(self.own_listed.then(|| self.me().id));
         Target {
             members,
             rank: self.rank(),
             settled: self.settled(hold_off, now),
-            listed: listed.map(|p| p.note.member.id).collect(),
+            listed: listed.collect(),
         }
     }
 
