fix: answer callers without waiting for acknowledgements, tell routers the owners

Cause: sockets of the HTTP servers had Nagle's algorithm on; routers were not told which daemon owns a searcher, so a hedge could go to the owner that was late. A non-idempotent request that was refused before its claim was told not run even when it was a repeat. Change: TCP_NODELAY on the listeners, set_owner on every change, one router for each document, refusals of repeats answer unknown.

--- a/crates/daemon/src/env.rs
+++ b/crates/daemon/src/env.rs
@@ -16,17 +16,20 @@
 use tt_limits::UsageReport;
 use tt_model::Environment;
 use tt_model::Revision;
+use tt_model::Searcher;
 use tt_model::SearcherId;
 use tt_model::Snapshot;
+use tt_model::VmId;
 use tt_routing::Hint;
 use tt_routing::Router;
 use tt_routing::Settings;
 
 use crate::settings::Policy;
 
-/// Routers of one document. Queries spread over them, so that threads seldom wait for a lock;
-/// each router learns about searchers from its own queries.
-const ROUTERS: usize = 4;
+/// Routers of one document. More of them would let threads wait less for the lock, but each
+/// learns about searchers only from its own queries, and at today's load a router that learns
+/// slowly costs more than the lock.
+const ROUTERS: usize = 1;
 
 /// A router with results as the JSON text of the searcher.
 pub(crate) type EntryRouter = Router<Bytes, SmallRng>;
@@ -109,6 +112,21 @@
         }
     }
 
+    /// Takes in which daemons own the searchers.
+    pub(crate) fn set_owners<F>(&self, owner: F)
+    where
+        F: Fn(&Searcher) -> Option<VmId>,
+    {
+        for (id, searcher) in self.environment.searchers.iter() {
+            let Some(owner) = owner(searcher) else {
+                continue;
+            };
+            for router in &self.routers {
+                lock(router).set_owner(id, owner);
+            }
+        }
+    }
+
     /// Queries in flight.
     pub(crate) fn in_flight(&self) -> usize {
         self.routers.iter().map(|router| lock(router).in_flight()).sum()
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::sync::oneshot;
 use xitca_web::App;
 use xitca_web::WebContext;
@@ -69,6 +70,9 @@
 /// Starts a server for one side of the node.
 pub(crate) fn start(node: Arc<Node>, side: Side, address: SocketAddr) -> io::Result<Listener> {
     let listener = TcpListener::bind(address)?;
+    // Accepted sockets inherit this. Without it the end of a large answer waits up to 40 ms for
+    // the acknowledgement of its start.
+    SockRef::from(&listener).set_tcp_nodelay(true)?;
     let address = listener.local_addr()?;
     let threads = match side {
         Side::Callers => node.settings.threads,
--- a/crates/daemon/src/node/config.rs
+++ b/crates/daemon/src/node/config.rs
@@ -200,6 +200,7 @@
         let policy = self.settings.policy;
         self.hosts.update(searchers.values().map(|(searcher, _)| *searcher), policy);
         self.change_rights(|rights, now| rights.set_searchers(&specs, now));
+        self.update_owners();
     }
 
     /// Puts a newer assignment into force.
@@ -210,6 +211,7 @@
         let now = Instant::now();
         self.members().on_assignment(assignment, now);
         self.change_rights(|rights, now| rights.set_assignment(assignment, now));
+        self.update_owners();
         self.claims.assign(self);
     }
 }
--- a/crates/daemon/src/node/membership.rs
+++ b/crates/daemon/src/node/membership.rs
@@ -353,6 +353,7 @@
                 Step::Adopted(assignment) => {
                     self.members().on_assignment(&assignment, Instant::now());
                     self.change_rights(|rights, now| rights.set_assignment(&assignment, now));
+                    self.update_owners();
                     self.claims.assign(self);
                     // The control plane spreads it to the daemons that do not watch.
                     if let Ok(value) = serde_json::to_vec(&assignment) {
@@ -377,8 +378,8 @@
     }
 }
 
-/// The key of a member in usage reports.
-fn vm_id(address: SocketAddr) -> VmId {
+/// The key of a member in reports and routers.
+pub(super) fn vm_id(address: SocketAddr) -> VmId {
     VmId(tt_membership::SearcherKey::of(address).0 as u32)
 }
 
--- a/crates/daemon/src/node/ownership.rs
+++ b/crates/daemon/src/node/ownership.rs
@@ -1,5 +1,6 @@
 //! Ownership of searchers: promises, releases, and the rights of hosts.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,12 +20,15 @@
 use tt_membership::rights::Renew;
 use tt_membership::rights::RenewAnswer;
 use tt_model::Epoch;
+use tt_model::VmId;
 use tt_rpc::Kind;
 
 use crate::clock;
 use crate::node::Node;
 use crate::node::Route;
 use crate::node::lock;
+use crate::node::membership::vm_id;
+use crate::owner::Host;
 use crate::owner::Right;
 use crate::owner::Standing;
 use crate::settings::Policy;
@@ -66,6 +70,21 @@
         }
     }
 
+    /// Tells the routers which daemons own the searchers.
+    pub(crate) fn update_owners(&self) {
+        let owners: HashMap<SocketAddr, VmId> = {
+            let rights = lock(&self.rights);
+            let owner = |host: &Arc<Host>| {
+                let pair = rights.ownership().pair(SearcherKey::of(host.address))?;
+                Some((host.address, vm_id(pair.owner.address)))
+            };
+            self.hosts.all().iter().filter_map(owner).collect()
+        };
+        for env in self.envs() {
+            env.set_owners(|searcher| owners.get(&searcher.address).copied());
+        }
+    }
+
     /// The assignment epoch in force here.
     pub(crate) fn epoch(&self) -> Epoch {
         lock(&self.rights).epoch()
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -10,6 +10,8 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+use tt_claims::Attempt;
+use tt_claims::local_refusal;
 use tt_limits::Arrival;
 use tt_limits::Permit;
 use tt_model::ResultCode;
@@ -22,6 +24,7 @@
 use crate::query::answer::Outline;
 use crate::query::request::QueryBody;
 use crate::query::request::Refused;
+use crate::query::request::RequestMode;
 use crate::query::request::Resolved;
 use crate::settings::Policy;
 
@@ -64,6 +67,19 @@
 
 fn admit(node: &Node, body: &[u8], started: Instant) -> Result<Admitted, Refused> {
     let body = QueryBody::parse(body)?;
+    let attempt = Attempt(body.attempt);
+    let mode = body.mode;
+    admit_parsed(node, body, started).map_err(|refused| match mode {
+        RequestMode::Idempotent => refused,
+        RequestMode::AtMostOnce => {
+            // Refused here and now, but an earlier sending of the id may have run.
+            let code = local_refusal(attempt, refused.code).code();
+            Refused { code, ..refused }
+        }
+    })
+}
+
+fn admit_parsed(node: &Node, body: QueryBody, started: Instant) -> Result<Admitted, Refused> {
     node.accepts_queries().map_err(|(code, detail)| Refused::new(code, detail))?;
     let Some(env) = node.env(&body.environment, body.stage) else {
         let detail = format!("environment `{}`, stage {}", body.environment, body.stage);
