--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -29,6 +29,7 @@
 use self::searcher::Entry;
 use self::searcher::Health;
 use crate::budget::Load;
+use crate::latency::Latency;
 use crate::settings::HealthSettings;
 
 // Taken as the latency of a searcher without samples when it does not answer. Without it, a
@@ -96,6 +97,8 @@
     refusals: Vec<Refusal>,
     owners_down: Vec<OwnerDown>,
     turns: Arena<ShardId, u32>,
+    // Of all searchers, for those with too few samples of their own.
+    pooled: Latency,
 }
 
 #[derive(Debug, Clone)]
@@ -148,6 +151,7 @@
             refusals: Vec::new(),
             owners_down: Vec::new(),
             turns,
+            pooled: Latency::default(),
         }
     }
 
@@ -155,6 +159,7 @@
     /// name and address.
     pub fn successor(&self, environment: Arc<Environment>) -> Self {
         let mut view = View::new(environment, self.settings.clone());
+        view.pooled = self.pooled.clone();
         let old: HashMap<&str, SearcherId> =
             self.environment.searchers.iter().map(|(id, s)| (s.name.as_str(), id)).collect();
         let environment = Arc::clone(&view.environment);
@@ -315,6 +320,7 @@
     pub(crate) fn answered(&mut self, searcher: SearcherId, latency: Duration, now: Instant) {
         let entry = &mut self.entries[searcher];
         entry.latency.record(latency);
+        self.pooled.record(latency);
         entry.heard = Some(now);
         entry.misses = 0;
         entry.shed_until = None;
--- a/crates/routing/src/view/choose.rs
+++ b/crates/routing/src/view/choose.rs
@@ -253,8 +253,9 @@
     }
 
     /// The delay after which a sub-query to `shard` is a straggler: the lowest of the
-    /// replicas' latency quantiles, because a hedge goes to the better replica. `None`
-    /// with too few samples.
+    /// replicas' latency quantiles, because a hedge goes to the better replica. Replicas
+    /// with too few samples are taken to be like the searchers of all shards; `None` if these
+    /// have too few as well.
     pub(crate) fn hedge_delay(&self, shard: ShardId, q: f64) -> Option<Duration> {
         self.replicas(shard)
             .iter()
@@ -262,6 +263,7 @@
             .filter(|entry| !entry.health.is_leaving() && entry.ejection.is_none())
             .filter_map(|entry| entry.latency.quantile(q))
             .min()
+            .or_else(|| self.pooled.quantile(q))
     }
 
     /// Whether `waited` is longer than nearly all answers of a searcher took.
