internal: test the ramp after a restart, the time of a slow start step and late turns

Three faults injected by hand were found by no test: a ramp that is not reset when the searcher closes its connections, a slow start step without its least time, and a start for a sub-query that cannot finish any more.

--- a/crates/limits/tests/connections.rs
+++ b/crates/limits/tests/connections.rs
@@ -102,6 +102,23 @@
     assert_ne!(times(1), times(2));
 }
 
+/// Guards against a burst of attempts at a searcher that has just restarted.
+#[test]
+fn the_ramp_starts_anew_when_the_searcher_closes_connections() {
+    for seed in 0..20 {
+        let mut searcher = Searcher::new(13, 8, seed);
+        searcher.run(200);
+        for _ in 0..9 {
+            let id = searcher.take();
+            searcher.connections.closed(searcher.now, id, &mut searcher.rng);
+        }
+        searcher.open_times.clear();
+        searcher.run(200);
+        assert_eq!(searcher.open_times.len(), 9);
+        assert!(searcher.open_times[1] - searcher.open_times[0] >= ms(6), "waits for the first");
+    }
+}
+
 /// Guards against sub-queries that wait for a connect although an idle connection exists.
 #[test]
 fn reuses_idle_connections_and_reports_the_wait_for_one() {
--- a/crates/limits/tests/slots.rs
+++ b/crates/limits/tests/slots.rs
@@ -331,6 +331,21 @@
     assert_eq!(refused.reason, RejectReason::DeadlinePassed);
 }
 
+/// Guards against slots that are wasted on sub-queries which cannot finish in time any more.
+#[test]
+fn a_sub_query_with_too_little_time_left_is_rejected_at_its_turn() {
+    let now = Instant::now();
+    let mut queue = queue(now, SlotRight::Half { slots: 2 });
+    for item in 1..=2 {
+        queue.push(now, sub(now, 0, ms(400)), item).unwrap();
+    }
+    let running = started(&mut queue, now);
+    queue.push(now, sub(now, 0, ms(50)), 3).unwrap();
+    let now = now + ms(45);
+    queue.finish(now, running[0], RunOutcome::NotRun);
+    assert_eq!(rejected(&mut queue, now), [RejectReason::WaitTooLong]);
+}
+
 /// Guards against new work at a searcher that is leaving, and against a graceful stop that
 /// cuts running work off.
 #[test]
@@ -370,6 +385,12 @@
             let ticket = started(&mut queue, time)[0];
             queue.finish(time, ticket, RunOutcome::Answered);
         }
+        // More successes at the same time make no further step.
+        for item in 0..8 {
+            queue.push(time, sub(time, 0, ms(400)), item).unwrap();
+            let ticket = started(&mut queue, time)[0];
+            queue.finish(time, ticket, RunOutcome::Answered);
+        }
     }
     assert_eq!(steps, [1, 2, 3, 4]);
 }
