--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -264,8 +264,15 @@
             let time = profile.sample(age, &mut inner.random);
             (Busy(self.clone()), time)
         };
-        sleep(time).await;
+        let left =
+            deadline.map(|deadline| Duration::from_millis(deadline.saturating_sub(unix_ms())));
+        let in_time = left.is_none_or(|left| time <= left);
+        sleep(left.map_or(time, |left| time.min(left))).await;
         drop(guard);
+        if !in_time {
+            // It ran until its deadline, so nothing is said about its effect.
+            return Answer::Reply(reply(StatusCode::GATEWAY_TIMEOUT, Bytes::new()));
+        }
         let held: Vec<u64> = self.lock().snapshots.iter().copied().collect();
         // The hit names what it was found in, so that a check can tell answers apart.
         let text = json!({
