--- a/crates/claims/src/claimant.rs
+++ b/crates/claims/src/claimant.rs
@@ -179,6 +179,8 @@
 enum Phase {
     /// `Claimed` is asked for.
     Claiming,
+    /// Another submission of the request is running. Its result may come before the deadline.
+    Awaiting,
     /// `Claimed` is durable; the daemon prepares.
     Preparing,
     /// `Started` is asked for.
@@ -259,6 +261,7 @@
                 Phase::Claiming | Phase::Preparing | Phase::Starting => {
                     self.give_up(not_run_code(Some(code)), now);
                 }
+                Phase::Awaiting => self.phase = Phase::Finished,
                 Phase::Sent | Phase::Recording { .. } | Phase::Finished => {}
             },
             ClaimantEvent::Ran(outcome) => {
@@ -280,7 +283,9 @@
             CallState::Due(at) => Some(at),
         };
         let phase = match self.phase {
-            Phase::Claiming | Phase::Preparing | Phase::Starting => Some(self.send_until()),
+            Phase::Claiming | Phase::Awaiting | Phase::Preparing | Phase::Starting => {
+                Some(self.send_until())
+            }
             Phase::Sent => Some(self.submission.deadline + self.settings.finish_time),
             Phase::Recording { until, .. } => Some(until),
             Phase::Finished => None,
@@ -315,16 +320,23 @@
                 self.call_state = CallState::Due(now.at + self.settings.retry_pause);
             }
             (Phase::Recording { .. }, reply) => self.on_recording_reply(reply, now),
-            (Phase::Claiming, ClaimReply::Claimed) => {
+            (Phase::Claiming | Phase::Awaiting, ClaimReply::Refused(Refusal::InProgress)) => {
+                self.phase = Phase::Awaiting;
+                if let AnswerState::Open(answer) = &mut self.answer {
+                    *answer = Answer::Unknown(ResultCode::InProgress);
+                }
+                self.call_state = CallState::Due(now.at + self.settings.retry_pause);
+            }
+            (Phase::Claiming | Phase::Awaiting, ClaimReply::Claimed) => {
                 self.grant = Grant::Known;
                 self.phase = Phase::Preparing;
                 self.out.push(ClaimantAction::Prepare);
             }
-            (Phase::Claiming | Phase::Starting, ClaimReply::Started) => {
+            (Phase::Claiming | Phase::Awaiting | Phase::Starting, ClaimReply::Started) => {
                 self.grant = Grant::Known;
                 self.on_started(now);
             }
-            (Phase::Claiming | Phase::Starting, ClaimReply::Refused(refusal)) => {
+            (Phase::Claiming | Phase::Awaiting | Phase::Starting, ClaimReply::Refused(refusal)) => {
                 self.phase = Phase::Finished;
                 self.answer(self.refused(refusal));
             }
@@ -340,6 +352,11 @@
             (Phase::Claiming | Phase::Starting, _) => {
                 self.give_up(ResultCode::StoreUnavailable, now);
             }
+            // The owner may be gone or overloaded for a moment; the answer is open until the
+            // deadline.
+            (Phase::Awaiting, _) => {
+                self.call_state = CallState::Due(now.at + self.settings.retry_pause);
+            }
             (Phase::Preparing | Phase::Sent | Phase::Finished, _) => {}
         }
     }
@@ -468,7 +485,11 @@
                 log::warn!("claims: outcome of {} is not recorded", self.submission.key.id);
                 self.phase = Phase::Finished;
             }
-            Phase::Sent | Phase::Recording { .. } | Phase::Finished => {}
+            // The last call may still be granted; nothing will be sent under it.
+            Phase::Awaiting if now.at >= self.send_until() => {
+                self.record(Step::Abort { code: ResultCode::DeadlinePassed }, now);
+            }
+            Phase::Awaiting | Phase::Sent | Phase::Recording { .. } | Phase::Finished => {}
         }
         let due = now.at >= self.submission.deadline || matches!(self.phase, Phase::Finished);
         if due && let AnswerState::Open(answer) = &self.answer {
@@ -483,7 +504,7 @@
             CallState::Open { until } | CallState::Due(until) => until,
         };
         let step = match &self.phase {
-            Phase::Claiming => Step::Claim {
+            Phase::Claiming | Phase::Awaiting => Step::Claim {
                 start: self.submission.start,
                 deadline_unix_ms: self.submission.deadline_unix_ms,
             },
