feat: ask another peer sooner when a pull has no answer

With 10% loss a lost pull cost a second. The timeout starts at 300 ms and doubles with failures; an adoption ends the backoff that earlier failures left.

--- a/crates/control/src/plane/fetch.rs
+++ b/crates/control/src/plane/fetch.rs
@@ -67,6 +67,9 @@
         };
         self.actions.push(Action::Adopted { revision });
         self.store_from = None;
+        // Failures before this say nothing about the next revision.
+        self.pull_backoff.reset();
+        self.pull_at = now;
         let own = self.versions();
         self.ahead.retain(|_, theirs| theirs.catalog > own.catalog || theirs.epoch > own.epoch);
         if base.0 == 0 && revision.0 > 1 {
@@ -169,7 +172,9 @@
         };
         self.last_pull += 1;
         let id = PullId(self.last_pull);
-        self.pull = Some(PullInFlight { id, to, deadline: now + self.settings.pull_timeout });
+        // Longer after failures, for the case that the peers are slow and nothing was lost.
+        let timeout = self.settings.pull_timeout * (1 << self.pull_backoff.failures().min(3));
+        self.pull = Some(PullInFlight { id, to, deadline: now + timeout });
         let mut known = self.versions();
         known.catalog = self.replica.known();
         let parts: Vec<Digest> =
--- a/crates/control/src/plane/settings.rs
+++ b/crates/control/src/plane/settings.rs
@@ -17,8 +17,9 @@
     pub domain: String,
     /// Seed of jitter and of the choice of peers; should differ between daemons.
     pub seed: u64,
-    /// A pull without an answer counts as failed after this time. A megabyte takes less at
-    /// the delays between regions, and a longer time delays the repair of a lost message.
+    /// Another peer is asked when a pull has no answer after this time, which doubles up to
+    /// eight times with each failure. Five round trips between distant regions; a longer time
+    /// delays the repair of a lost message.
     pub pull_timeout: Duration,
     /// Parts asked for in one pull.
     pub pull_parts: usize,
@@ -50,7 +51,7 @@
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             domain: String::new(),
             seed: 0,
-            pull_timeout: Duration::from_secs(1),
+            pull_timeout: Duration::from_millis(300),
             pull_parts: 64,
             answer_bytes: 1024 * 1024,
             push_bytes: 128 * 1024,
