fix: do not wait seconds for an answer to a pull after lost ones

Doubling the pull timeout up to eight times left daemons behind for over 10 s at a message loss of 30%; it now at most doubles once. The test of lost pushes runs three seeds.

--- a/crates/control/src/plane/fetch.rs
+++ b/crates/control/src/plane/fetch.rs
@@ -172,8 +172,10 @@
         };
         self.last_pull += 1;
         let id = PullId(self.last_pull);
-        // Longer after failures, for the case that the peers are slow and nothing was lost.
-        let timeout = self.settings.pull_timeout * (1 << self.pull_backoff.failures().min(3));
+        // Longer after several failures, which lost messages rarely explain: the peers are slow.
+        // Not much longer: an answer after the timeout is still taken.
+        let is_slow = self.pull_backoff.failures() > 2;
+        let timeout = self.settings.pull_timeout * if is_slow { 2 } else { 1 };
         self.pull = Some(PullInFlight { id, to, deadline: now + timeout });
         let mut known = self.versions();
         known.catalog = self.replica.known();
--- a/crates/control/src/plane/settings.rs
+++ b/crates/control/src/plane/settings.rs
@@ -17,9 +17,9 @@
     pub domain: String,
     /// Seed of jitter and of the choice of peers; should differ between daemons.
     pub seed: u64,
-    /// Another peer is asked when a pull has no answer after this time, which doubles up to
-    /// eight times with each failure. Five round trips between distant regions; a longer time
-    /// delays the repair of a lost message.
+    /// Another peer is asked when a pull has no answer after this time, or after twice the time
+    /// once three pulls in a row have failed. Five round trips between distant regions; a
+    /// longer time delays the repair of a lost message.
     pub pull_timeout: Duration,
     /// Parts asked for in one pull.
     pub pull_parts: usize,
--- a/crates/control/tests/plane.rs
+++ b/crates/control/tests/plane.rs
@@ -88,11 +88,13 @@
 /// Guards against a daemon that stays behind when pushes are lost.
 #[test]
 fn lost_pushes_are_repaired_by_pulls() {
-    let layout = Layout { members: 60, domains: 3, loss: 0.3, ..Layout::default() };
-    let mut cluster = cluster_with(layout);
-    for base in 1..6 {
-        let revision = accept(&mut cluster, base, &document("a", 3, base as u32 + 1));
-        converges(&mut cluster, revision, Duration::from_secs(10));
+    for seed in 1..4 {
+        let layout = Layout { members: 60, domains: 3, loss: 0.3, seed, ..Layout::default() };
+        let mut cluster = cluster_with(layout);
+        for base in 1..6 {
+            let revision = accept(&mut cluster, base, &document("a", 3, base as u32 + 1));
+            converges(&mut cluster, revision, Duration::from_secs(10));
+        }
     }
 }
 
