--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -76,6 +76,9 @@
 impl std::error::Error for PullFailed {}
 
 /// The control state of one daemon.
+///
+/// Each event returns the actions that follow from it. After each, [`ControlPlane::tick`] has
+/// to be called at [`ControlPlane::wake_at`], unless another event comes first.
 #[derive(Debug)]
 pub struct ControlPlane {
     settings: ControlSettings,
@@ -87,6 +90,8 @@
     /// Members of the own domain in the order of the push tree.
     order: Vec<SocketAddr>,
     position: Option<usize>,
+    /// The member that removes unreferenced parts.
+    collector: Option<SocketAddr>,
     catalog_watch: Watch,
     assignment_watch: Watch,
     calls: BTreeMap<CallId, Purpose>,
@@ -161,6 +166,7 @@
             members: Vec::new(),
             order: Vec::new(),
             position: None,
+            collector: None,
             catalog_watch: Watch::new(CATALOG_KEY, seed),
             assignment_watch: Watch::new(ASSIGNMENT_KEY, seed),
             calls: BTreeMap::new(),
@@ -235,7 +241,7 @@
 
     /// Whether this daemon is the one that removes unreferenced parts.
     pub fn is_collector(&self) -> bool {
-        dissemination::collector(&self.members) == Some(self.settings.address)
+        self.collector == Some(self.settings.address)
     }
 
     /// Takes the live members. The own daemon is included whether listed or not.
@@ -248,6 +254,7 @@
         if members != self.members {
             let had = self.members.len();
             self.members = members;
+            self.collector = dissemination::collector(&self.members);
             self.order = dissemination::domain_order(&self.settings.domain, &self.members);
             let own = self.settings.address;
             self.position = self.order.iter().position(|address| *address == own);
--- a/crates/control/tests/plane.rs
+++ b/crates/control/tests/plane.rs
@@ -271,6 +271,17 @@
     converges(&mut cluster, revision, Duration::from_secs(10));
 }
 
+/// Guards against no collector, or one for each domain.
+#[test]
+fn exactly_one_daemon_is_the_collector_and_two_of_each_domain_watch() {
+    let cluster = cluster_with(Layout { members: 30, domains: 3, ..Layout::default() });
+    let count = |is: fn(&tt_control::ControlPlane) -> bool| {
+        cluster.nodes.iter().filter(|node| is(&node.plane)).count()
+    };
+    assert_eq!(count(tt_control::ControlPlane::is_collector), 1);
+    assert_eq!(count(tt_control::ControlPlane::is_watcher), 6);
+}
+
 /// Guards against an assignment that spreads only through the store, or that falls back.
 #[test]
 fn an_assignment_spreads_like_the_catalog_and_its_epoch_only_rises() {
