--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! An operator's request becomes a [`Change`], which cuts the document into [`parts`] and
 //! swaps the [`Catalog`] in the store. Every daemon holds a [`ControlPlane`]: its
-//! [`Replica`] adopts whole catalog revisions, its [`dissemination`] decides whether this
-//! daemon watches the store and to whom it pushes, and its [`Collector`] removes parts that
-//! no catalog entry references.
+//! [`Replica`] adopts whole catalog revisions, and its [`dissemination`] decides whether this
+//! daemon watches the store and to whom it pushes. The daemon for which
+//! [`ControlPlane::is_collector`] holds also drives a [`Collector`], which removes parts that
+//! no catalog entry references. [`InForce`] finds on how many daemons a revision is in force.
 //!
 //! Nothing here does I/O: events and the current time go in, [`Action`]s and
 //! [`StoreRequest`]s come out.
