--- a/crates/control/src/plane/fetch.rs
+++ b/crates/control/src/plane/fetch.rs
@@ -67,6 +67,9 @@
         };
         self.actions.push(Action::Adopted { revision });
         self.store_from = None;
+        // Failures before this say nothing about the next revision.
+        self.pull_backoff.reset();
+        self.pull_at = now;
         let own = self.versions();
         self.ahead.retain(|_, theirs| theirs.catalog > own.catalog || theirs.epoch > own.epoch);
         if base.0 == 0 && revision.0 > 1 {
@@ -169,7 +172,11 @@
         };
         self.last_pull += 1;
         let id = PullId(self.last_pull);
-        self.pull = Some(PullInFlight { id, to, deadline: now + self.settings.pull_timeout });
+        // Longer after several failures, which lost messages rarely explain: the peers are slow.
+        // Not much longer: an answer after the timeout is still taken.
+        let is_slow = self.pull_backoff.failures() > 2;
+        let timeout = self.settings.pull_timeout * if is_slow { 2 } else { 1 };
+        self.pull = Some(PullInFlight { id, to, deadline: now + timeout });
         let mut known = self.versions();
         known.catalog = self.replica.known();
         let parts: Vec<Digest> =
--- a/crates/control/tests/plane.rs
+++ b/crates/control/tests/plane.rs
@@ -88,11 +88,13 @@
 /// Guards against a daemon that stays behind when pushes are lost.
 #[test]
 fn lost_pushes_are_repaired_by_pulls() {
-    let layout = Layout { members: 60, domains: 3, loss: 0.3, ..Layout::default() };
-    let mut cluster = cluster_with(layout);
-    for base in 1..6 {
-        let revision = accept(&mut cluster, base, &document("a", 3, base as u32 + 1));
-        converges(&mut cluster, revision, Duration::from_secs(10));
+    for seed in 1..4 {
+        let layout = Layout { members: 60, domains: 3, loss: 0.3, seed, ..Layout::default() };
+        let mut cluster = cluster_with(layout);
+        for base in 1..6 {
+            let revision = accept(&mut cluster, base, &document("a", 3, base as u32 + 1));
+            converges(&mut cluster, revision, Duration::from_secs(10));
+        }
     }
 }
 
@@ -269,6 +271,17 @@
     converges(&mut cluster, revision, Duration::from_secs(10));
 }
 
+/// Guards against no collector, or one for each domain.
+#[test]
+fn exactly_one_daemon_is_the_collector_and_two_of_each_domain_watch() {
+    let cluster = cluster_with(Layout { members: 30, domains: 3, ..Layout::default() });
+    let count = |is: fn(&tt_control::ControlPlane) -> bool| {
+        cluster.nodes.iter().filter(|node| is(&node.plane)).count()
+    };
+    assert_eq!(count(tt_control::ControlPlane::is_collector), 1);
+    assert_eq!(count(tt_control::ControlPlane::is_watcher), 6);
+}
+
 /// Guards against an assignment that spreads only through the store, or that falls back.
 #[test]
 fn an_assignment_spreads_like_the_catalog_and_its_epoch_only_rises() {
