--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -12,6 +12,7 @@
 mod target;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -41,8 +42,16 @@
 pub const GONE_AFTER: Duration = Duration::from_secs(10);
 /// Losses within this time count as one event for the partition guard.
 const LOSS_WINDOW: Duration = Duration::from_secs(10);
-/// A single lost message must not make a member suspect.
+/// Failures in a row before a member is suspect. A single lost message must not do it.
 const SUSPECT_FAILURES: u32 = 3;
+/// On a network that loses many messages more failures are needed, so that a member that
+/// is well becomes suspect in at most one of this many series of failures.
+const FALSE_SUSPICIONS: f64 = 10_000.0;
+/// Upper bound, so that a failure is noticed at any loss.
+const MOST_FAILURES: u32 = 8;
+/// Weight of one call in the failure rate. A member that fails adds so little that the
+/// failures needed do not change.
+const RATE_WEIGHT: f64 = 0.02;
 /// Time between the first and the last of these failures, so that a burst of failed calls
 /// within one short pause of the member does not make it suspect.
 const FAILURE_SPAN: Duration = Duration::from_secs(2);
@@ -163,14 +172,19 @@
     me: Note,
     epoch: Epoch,
     catalog: Revision,
-    peers: HashMap<SocketAddr, Peer>,
+    peers: BTreeMap<SocketAddr, Peer>,
+    /// Peers that did not answer or whose health is in doubt.
+    troubled: BTreeSet<SocketAddr>,
+    /// The share of calls that fail although the member is well.
+    failure_rate: f64,
     /// Addresses of peers that are not gone, for random choice.
     near: Vec<SocketAddr>,
     far: Vec<SocketAddr>,
     seeds: Vec<SocketAddr>,
     /// Whether the platform's list has shown this daemon.
     own_listed: bool,
-    rumors: BTreeMap<SocketAddr, u32>,
+    rumors: BTreeMap<SocketAddr, digest::Rumor>,
+    rumored: u64,
     /// Processes that have certainly ended.
     ended: HashMap<MemberId, Instant>,
     /// Members of the epoch.
@@ -192,12 +206,15 @@
             me,
             epoch: Epoch(0),
             catalog: Revision(0),
-            peers: HashMap::new(),
+            peers: BTreeMap::new(),
+            troubled: BTreeSet::new(),
+            failure_rate: 0.0,
             near: Vec::new(),
             far: Vec::new(),
             seeds: seeds.into_iter().filter(|seed| *seed != own).collect(),
             own_listed: false,
             rumors: BTreeMap::new(),
+            rumored: 0,
             ended: HashMap::new(),
             assigned: HashSet::new(),
             unreleased: HashSet::new(),
@@ -277,9 +294,12 @@
 
     /// Takes the table of another daemon.
     pub fn on_snapshot(&mut self, notes: Vec<Note>, now: Instant) {
+        // Nothing in it is news to the other daemons.
+        let news = self.rumors.clone();
         for note in notes {
             self.merge(note, now);
         }
+        self.rumors = news;
     }
 
     /// Takes the members of an epoch, so that a daemon that has just started knows them
@@ -298,9 +318,11 @@
                 Some(_) => {}
             }
         }
+        let news = self.rumors.clone();
         for record in assignment.current() {
             self.merge(Note::of(assignment.member(record)), now);
         }
+        self.rumors = news;
         for record in assignment.members.iter().filter(|r| r.listed) {
             if let Some(peer) = self.peers.get_mut(&record.id.address)
                 && peer.note.member.id == record.id
@@ -333,6 +355,7 @@
         if id.supersedes(&known) {
             self.remove_from_lists(id.address);
             self.peers.remove(&id.address);
+            self.troubled.remove(&id.address);
             self.end(known, now);
             self.insert(note, now);
             return;
@@ -445,6 +468,11 @@
         };
         let old = peer.note.health;
         peer.note.health = health;
+        if health == Health::Alive {
+            self.troubled.remove(&address);
+        } else {
+            self.troubled.insert(address);
+        }
         match health {
             Health::Alive => {
                 peer.failures = 0;
--- a/crates/membership/src/members/digest.rs
+++ b/crates/membership/src/members/digest.rs
@@ -1,5 +1,6 @@
 //! Which news a heartbeat carries.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use rand::Rng;
@@ -16,10 +17,26 @@
 /// later and the proposer learns which epochs all members have settled.
 const RANDOM_NOTES: usize = 2;
 
+/// The most pieces of news kept. A daemon that hears of many members at once must not
+/// delay the news of a failure.
+const MOST_NEWS: usize = 256;
+
+/// A piece of news; the ones sent least often go first, and of these the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rumor {
+    sent: u32,
+    age: Reverse<u64>,
+}
+
 impl Members {
     /// Marks a member's note as news.
     pub(super) fn spread(&mut self, address: SocketAddr) {
-        self.rumors.insert(address, 0);
+        self.rumored += 1;
+        self.rumors.insert(address, Rumor { sent: 0, age: Reverse(self.rumored) });
+        if self.rumors.len() > MOST_NEWS {
+            let oldest = self.rumors.iter().max_by_key(|(_, rumor)| **rumor).map(|(a, _)| *a);
+            oldest.map(|address| self.rumors.remove(&address));
+        }
     }
 
     /// News that has been sent least often, then random members.
@@ -34,13 +51,13 @@
         if let Some(peer) = self.peers.get(&to).filter(|p| p.note.health != Health::Alive) {
             notes.push(peer.note.clone());
         }
-        let mut news: Vec<(u32, SocketAddr)> =
-            self.rumors.iter().map(|(address, sent)| (*sent, *address)).collect();
+        let mut news: Vec<(Rumor, SocketAddr)> =
+            self.rumors.iter().map(|(address, rumor)| (*rumor, *address)).collect();
         let wanted = (DIGEST_NOTES - RANDOM_NOTES).min(news.len());
         if wanted > 0 && wanted < news.len() {
             news.select_nth_unstable(wanted - 1);
         }
-        for &(sent, address) in &news[..wanted] {
+        for &(rumor, address) in &news[..wanted] {
             let note = if address == self.me.member.id.address {
                 Some(&self.me)
             } else {
@@ -51,10 +68,10 @@
             if let Some(note) = note.filter(|_| !held_back && address != to) {
                 notes.push(note.clone());
             }
-            if note.is_none() || sent + 1 >= limit {
+            if note.is_none() || rumor.sent + 1 >= limit {
                 self.rumors.remove(&address);
             } else {
-                self.rumors.insert(address, sent + 1);
+                self.rumors.insert(address, Rumor { sent: rumor.sent + 1, ..rumor });
             }
         }
         let others = self.near.len() + self.far.len();
--- a/crates/membership/src/members/heartbeat.rs
+++ b/crates/membership/src/members/heartbeat.rs
@@ -13,14 +13,17 @@
 use tt_model::Revision;
 
 use super::FAILURE_SPAN;
+use super::FALSE_SUSPICIONS;
 use super::FORGET_AFTER;
 use super::GONE_AFTER;
 use super::HEARTBEAT;
 use super::Health;
 use super::Intent;
 use super::LOSS_WINDOW;
+use super::MOST_FAILURES;
 use super::Members;
 use super::Note;
+use super::RATE_WEIGHT;
 use super::SUSPECT_AFTER;
 use super::SUSPECT_FAILURES;
 
@@ -96,6 +99,7 @@
     pub fn on_answer(&mut self, message: Heartbeat, now: Instant) -> Option<Action> {
         let from = message.from.member.id.address;
         let more = message.known as usize;
+        self.failure_rate -= self.failure_rate * RATE_WEIGHT;
         self.take(message, now);
         let behind = more > self.len() + self.len() / 8 + ALL_TO_ALL;
         if !behind || self.pulled_at.is_some_and(|at| now < at + PULL_PERIOD) {
@@ -108,8 +112,12 @@
     /// A call of any kind to a member failed or timed out.
     pub fn on_failed(&mut self, address: SocketAddr, now: Instant) {
         let Some(peer) = self.peers.get_mut(&address) else { return };
+        if peer.failures == 0 && peer.note.health == Health::Alive {
+            self.failure_rate += (1.0 - self.failure_rate) * RATE_WEIGHT;
+        }
         peer.failures = peer.failures.saturating_add(1);
         peer.first_failure.get_or_insert(now);
+        self.troubled.insert(address);
         self.suspect_if_silent(address, now);
     }
 
@@ -121,6 +129,9 @@
         peer.failures = 0;
         peer.first_failure = None;
         peer.listing.heard();
+        if peer.note.health == Health::Alive {
+            self.troubled.remove(&address);
+        }
         if peer.note.health != Health::Alive && peer.note.intent != Intent::Stopped {
             self.set_health(address, Health::Alive, now);
         }
@@ -167,10 +178,9 @@
             let rest = NEAR + FAR - targets.len();
             sample(&self.far, rest, rng, &mut targets);
             let silent: Vec<SocketAddr> = self
-                .near
+                .troubled
                 .iter()
-                .chain(&self.far)
-                .filter(|a| self.peers.get(a).is_some_and(|p| p.failures > 0))
+                .filter(|a| self.peers.get(a).is_some_and(|p| p.note.health != Health::Gone))
                 .copied()
                 .collect();
             sample(&silent, PROBES, rng, &mut targets);
@@ -188,39 +198,42 @@
 
     /// Moves members on by time.
     fn review(&mut self, now: Instant) {
-        let silent: Vec<SocketAddr> = self
-            .peers
-            .iter()
-            .filter(|(_, p)| p.failures > 0 && p.note.health == Health::Alive)
-            .map(|(address, _)| *address)
-            .collect();
-        for address in silent {
+        let troubled: Vec<SocketAddr> = self.troubled.iter().copied().collect();
+        for &address in &troubled {
             self.suspect_if_silent(address, now);
         }
         self.guard(now);
         if !self.is_partitioned() {
             let late = |since: Option<Instant>| since.is_some_and(|at| now >= at + GONE_AFTER);
-            let lost: Vec<SocketAddr> = self
-                .peers
-                .iter()
-                .filter(|(_, p)| p.note.health == Health::Suspect && late(p.suspect_since))
-                .map(|(address, _)| *address)
-                .collect();
+            let lost = troubled.iter().copied().filter(|address| {
+                let peer = self.peers.get(address);
+                peer.is_some_and(|p| p.note.health == Health::Suspect && late(p.suspect_since))
+            });
+            let lost: Vec<SocketAddr> = lost.collect();
             for address in lost {
                 self.change_health(address, Health::Gone, now);
             }
         }
-        let unreleased = &self.unreleased;
-        self.peers.retain(|_, p| {
-            p.gone_since.is_none_or(|at| now < at + FORGET_AFTER)
-                || unreleased.contains(&p.note.member.id)
-        });
+        for address in troubled {
+            let Some(peer) = self.peers.get(&address) else { continue };
+            let old = peer.gone_since.is_some_and(|at| now >= at + FORGET_AFTER);
+            if old && !self.unreleased.contains(&peer.note.member.id) {
+                self.peers.remove(&address);
+                self.troubled.remove(&address);
+            }
+        }
+    }
+
+    /// How many failures in a row are needed at the present failure rate.
+    fn failures_needed(&self) -> u32 {
+        let needed = FALSE_SUSPICIONS.ln() / -self.failure_rate.max(f64::MIN_POSITIVE).ln();
+        (needed.ceil() as u32).clamp(SUSPECT_FAILURES, MOST_FAILURES)
     }
 
     fn suspect_if_silent(&mut self, address: SocketAddr, now: Instant) {
         let Some(peer) = self.peers.get(&address) else { return };
         let heard = peer.heard.unwrap_or(peer.since);
-        let silent = peer.failures >= SUSPECT_FAILURES
+        let silent = peer.failures >= self.failures_needed()
             && now >= heard + SUSPECT_AFTER
             && peer.first_failure.is_some_and(|at| now >= at + FAILURE_SPAN);
         if silent && peer.note.health == Health::Alive {
@@ -239,6 +252,11 @@
     /// Assumes a partition when more than a third of the members were lost within the
     /// window, until fewer are suspect.
     pub(super) fn guard(&mut self, now: Instant) {
+        let in_doubt =
+            |a: &SocketAddr| self.peers.get(a).is_some_and(|p| p.note.health != Health::Alive);
+        if self.partitioned_since.is_none() && !self.troubled.iter().any(in_doubt) {
+            return;
+        }
         let (mut all, mut lost) = (1, 0);
         for peer in self.peers.values() {
             // Members that are known by hearsay only may have ended long ago.
--- a/crates/membership/src/members/platform.rs
+++ b/crates/membership/src/members/platform.rs
@@ -109,7 +109,7 @@
         let listed: HashMap<SocketAddr, ListedState> =
             list.iter().map(|vm| (vm.address, vm.state)).collect();
         self.own_listed |= listed.contains_key(&own);
-        for &address in listed.keys() {
+        for address in list.iter().map(|vm| vm.address) {
             if address != own && !self.seeds.contains(&address) {
                 self.seeds.push(address);
             }
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -67,12 +67,40 @@
     /// The rank of this member for `key`: minus the logarithm of a uniform hash, divided by
     /// the weight, so that shares are proportional to weights.
     pub fn score(&self, key: u64) -> Score {
+        self.score_of(self.mix(key))
+    }
+
+    fn mix(&self, key: u64) -> u64 {
         let mut bytes = [0u8; 16];
         bytes[..8].copy_from_slice(&self.hash.to_le_bytes());
         bytes[8..].copy_from_slice(&key.to_le_bytes());
-        let hash = xxh3_64(&bytes);
-        (log2::negative_log2(hash) / u64::from(self.weight), hash, self.id.address)
+        xxh3_64(&bytes)
+    }
+
+    fn score_of(&self, hash: u64) -> Score {
+        (log2::negative_log2(hash) / u64::from(self.weight), !hash, self.id.address)
+    }
+}
+
+/// The first in rank. Members of equal weight rank by their hash alone, which saves the
+/// logarithm and the division for nearly all of them.
+fn first<'a, I>(candidates: I, key: u64) -> Option<&'a Candidate>
+where
+    I: Iterator<Item = &'a Candidate>,
+{
+    let mut best: Option<(&Candidate, u64)> = None;
+    for candidate in candidates {
+        let hash = candidate.mix(key);
+        let wins = match best {
+            None => true,
+            Some((other, high)) if other.weight == candidate.weight && hash != high => hash > high,
+            Some((other, high)) => candidate.score_of(hash) < other.score_of(high),
+        };
+        if wins {
+            best = Some((candidate, hash));
+        }
     }
+    best.map(|(candidate, _)| candidate)
 }
 
 /// The pair for a searcher. The owner comes from the domain of the searcher if it has
@@ -88,11 +116,11 @@
     key: SearcherKey,
     domain: DomainKey,
 ) -> Option<[&Candidate; 2]> {
-    let owner = candidates.iter().min_by_key(|c| (c.domain != domain, c.score(key.0)))?;
-    let successor = candidates
-        .iter()
-        .filter(|c| c.id.address != owner.id.address)
-        .min_by_key(|c| (c.domain == owner.domain, c.score(key.0)))
+    let near = candidates.iter().filter(|c| c.domain == domain);
+    let owner = first(near, key.0).or_else(|| first(candidates.iter(), key.0))?;
+    let others = || candidates.iter().filter(|c| c.id.address != owner.id.address);
+    let successor = first(others().filter(|c| c.domain != owner.domain), key.0)
+        .or_else(|| first(others(), key.0))
         .unwrap_or(owner);
     Some([owner, successor])
 }
--- a/crates/membership/tests/tier/fuzz.rs
+++ b/crates/membership/tests/tier/fuzz.rs
@@ -18,7 +18,7 @@
 /// Absent VMs are dropped from the list after 10 s, count as gone 30 s and three reads
 /// later, are held off for 5 s, and a member that came back joins after 10 s.
 const RECOVERY_MS: u64 = 90_000;
-/// A VM that was lost before any epoch said that it is listed counts as gone after 300 s.
+/// A VM that was lost before an epoch said that it is listed counts as gone after 300 s.
 const LONG_RECOVERY_MS: u64 = 330_000;
 
 #[derive(Debug, Clone)]
--- a/crates/membership/tests/tier/world.rs
+++ b/crates/membership/tests/tier/world.rs
@@ -300,11 +300,12 @@
         state == Some(State::Leaving)
     }
 
-    /// Whether a process that has not released its halves was never marked as listed.
+    /// Whether a process that may hold something was never marked as listed, or nobody knows,
+    /// because there is no epoch.
     pub fn lost_unlisted(&self) -> bool {
         let processes = self.sites.iter().filter_map(|site| site.process.as_ref());
         let newest = processes.filter_map(|p| p.assignments.current()).max_by_key(|a| a.epoch);
-        newest.is_some_and(|a| {
+        newest.is_none_or(|a| {
             let running =
                 |id| self.sites.iter().any(|s| s.process.as_ref().is_some_and(|p| p.id == id));
             a.members.iter().any(|r| !r.listed && !r.released && !running(r.id))
