fix: give suspects time again when a partition ends

A member that was not heard in the first second after a partition was gone at once, because its suspicion was older than the limit.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -29,6 +29,7 @@
 use crate::ids::Member;
 use crate::ids::MemberId;
 
+pub use digest::DIGEST_NOTES;
 pub use heartbeat::Action;
 pub use heartbeat::Heartbeat;
 pub use platform::ListedState;
--- a/crates/membership/src/members/heartbeat.rs
+++ b/crates/membership/src/members/heartbeat.rs
@@ -279,6 +279,12 @@
             Some(_) if !cut_off => {
                 warn!("member: no longer assuming a partition");
                 self.partitioned_since = None;
+                // Those not heard yet get the time that any suspect has.
+                for peer in self.peers.values_mut() {
+                    if peer.note.health == Health::Suspect {
+                        peer.suspect_since = Some(now);
+                    }
+                }
             }
             _ => {}
         }
