fix: take a later process at an address as the end of a listed one

A process that had ended, been replaced and been lost again stayed unreleased, because its successor was heard first. The time of an end is kept, so that repeated news does not extend the hold-off.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -311,6 +311,15 @@
         self.unreleased = unreleased.map(|record| record.id).collect();
         for record in assignment.members.iter().filter(|r| r.left.is_some() && !r.released) {
             // Nobody is searched for that has left, but its VM may still vanish from the list.
+            let known = if record.id.address == self.me.member.id.address {
+                Some(self.me.member.id)
+            } else {
+                self.peers.get(&record.id.address).map(|peer| peer.note.member.id)
+            };
+            if known.is_some_and(|id| id.supersedes(&record.id)) {
+                self.end(record.id, now);
+                continue;
+            }
             match self.peers.get(&record.id.address) {
                 None => self.insert_gone(assignment.member(record), now),
                 Some(peer) if peer.note.member.id == record.id && peer.heard.is_none() => {
@@ -339,7 +348,7 @@
     fn merge(&mut self, note: Note, now: Instant) {
         let id = note.member.id;
         if id.address == self.me.member.id.address {
-            self.merge_own(&note);
+            self.merge_own(&note, now);
             return;
         }
         let Some(peer) = self.peers.get_mut(&id.address) else {
@@ -380,8 +389,11 @@
         self.note_change(id.address, before);
     }
 
-    fn merge_own(&mut self, note: &Note) {
+    fn merge_own(&mut self, note: &Note, now: Instant) {
         let own = self.me.member.id;
+        if own.supersedes(&note.member.id) {
+            self.end(note.member.id, now);
+        }
         if note.member.id.supersedes(&own) {
             warn!("member: {} has taken over this address", note.member.id);
             self.events.push(Event::Superseded);
@@ -438,10 +450,10 @@
 
     /// Records that a process has certainly ended.
     fn end(&mut self, id: MemberId, now: Instant) {
-        if self.ended.insert(id, now).is_some() {
-            self.ended.entry(id).and_modify(|at| *at = (*at).min(now));
+        if self.ended.contains_key(&id) {
             return;
         }
+        self.ended.insert(id, now);
         info!("member: {id} has ended");
         self.events.push(Event::Ended(id));
     }
