--- a/crates/membership/tests/rights.rs
+++ b/crates/membership/tests/rights.rs
@@ -221,7 +221,7 @@
             Message::Renew(_) => None,
         })
         .collect();
-    assert_eq!(asked.iter().map(|r| r.to).collect::<Vec<_>>().len(), 2);
+    assert_eq!(asked.len(), 2);
     for ask in &asked {
         let answer = match ask.to {
             to if to == ids[1] => between.on_release(ask, idle, time.at(1)),
@@ -232,6 +232,35 @@
     assert_eq!(slots(&owner, time.at(2)), (0, 0));
 }
 
+// Guards against a release by a process that has not seen the epoch in which it was the
+// owner: it holds nothing, but would take the half when it learns that epoch late.
+#[test]
+fn a_process_that_is_behind_releases_nothing() {
+    let time = Time(Instant::now());
+    let ids = ranked(vec![id(1, 1), id(2, 1), id(3, 1)]);
+    let first = Assignment::first(&target(&ids[2..]), ids[2], 0);
+    let second = first.next(&target(&ids[1..]), ids[2], 0);
+    let third = second.next(&target(&ids), ids[2], 0);
+    let mut holder = process(ids[2], &[&first, &third], &time);
+    let mut behind = process(ids[1], &[&first], &time);
+    let mut owner = process(ids[0], &[&third], &time);
+    for message in owner.tick(idle, time.clock(0)) {
+        let Message::Release(ask) = message else { continue };
+        let answer = match ask.to {
+            to if to == ids[1] => behind.on_release(&ask, idle, time.at(1)),
+            _ => holder.on_release(&ask, idle, time.at(1)),
+        };
+        owner.on_release_answer(&answer, time.at(2));
+    }
+    assert_eq!(slots(&owner, time.at(2)), (0, 0));
+    behind.set_assignment(&third, time.at(3));
+    let ask = question(&mut owner, time.clock(300)).expect("it still waits");
+    assert_eq!(ask.to, ids[1]);
+    let answer = behind.on_release(&ask, idle, time.at(301));
+    owner.on_release_answer(&answer, time.at(302));
+    assert_eq!(slots(&owner, time.at(302)), (2, 0));
+}
+
 // Guards against taking the half of a process that has just ended: its work may run until
 // its deadline, and the owner may hold a promise of it.
 #[test]
