--- /dev/null
+++ b/crates/rpc/examples/message_cost.rs
@@ -0,0 +1,91 @@
+//! Prints the size of `Gather` messages and the time to encode and decode them, by the number
+//! of sub-queries in one message.
+//!
+//! `cargo run --release -p tt-rpc --example message_cost`
+
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use prost::Message;
+use tt_rpc::GatherRequest;
+use tt_rpc::Outcome;
+use tt_rpc::Sub;
+use tt_rpc::SubReply;
+
+const SUB_REQUESTS: usize = 400_000;
+/// The best of several rounds is the one least disturbed by other processes.
+const ROUNDS: usize = 5;
+const HITS: [usize; 3] = [0, 200, 2_000];
+
+fn request(count: usize) -> GatherRequest {
+    let sub = |i: usize| Sub {
+        key: (1 << 40) + i as u64,
+        searcher: format!("10.{}.{}.{}:7000", i / 65_536 + 1, i / 256 % 256, i % 256),
+        shard: format!("shard-{i:05}"),
+    };
+    GatherRequest {
+        query: 1 << 40,
+        environment: "production".to_owned(),
+        service: "counter-desk-01".to_owned(),
+        snapshot: 1_000,
+        budget_us: 370_000,
+        deadline_ms: 1_764_000_000_000,
+        query_text: vec![b'q'; 100],
+        subs: (0..count).map(sub).collect(),
+        incarnation: u64::MAX / 3,
+        ..GatherRequest::default()
+    }
+}
+
+fn reply(hits: usize) -> SubReply {
+    SubReply {
+        key: 1 << 40,
+        outcome: Outcome::Answered.into(),
+        snapshot: 1_000,
+        held: vec![998, 999, 1_000],
+        hits: vec![b'h'; hits],
+        pressure_us: 300,
+        service_us: 10_000,
+    }
+}
+
+/// Nanoseconds of one round trip through bytes.
+fn nanos<M>(message: &M, rounds: usize) -> f64
+where
+    M: Message + Default,
+{
+    let once = || {
+        let started = Instant::now();
+        for _ in 0..rounds {
+            let bytes = black_box(message).encode_to_vec();
+            black_box(M::decode(bytes.as_slice()).expect("it was encoded here"));
+        }
+        started.elapsed()
+    };
+    let best = (0..ROUNDS).map(|_| once()).min().unwrap_or(Duration::ZERO);
+    best.as_nanos() as f64 / rounds as f64
+}
+
+fn main() {
+    println!("encode and decode, best of {ROUNDS} rounds");
+    println!("| message | bytes | bytes for each sub-query | ns for each sub-query |");
+    println!("|---|---|---|---|");
+    for count in [1, 10, 100, 870] {
+        let message = request(count);
+        let bytes = message.encoded_len();
+        println!(
+            "| GatherRequest, {count} sub-queries | {bytes} | {:.1} | {:.0} |",
+            bytes as f64 / count as f64,
+            nanos(&message, SUB_REQUESTS / count) / count as f64,
+        );
+    }
+    for hits in HITS {
+        let message = reply(hits);
+        let bytes = message.encoded_len();
+        println!(
+            "| SubReply, {hits} bytes of hits | {bytes} | {bytes} | {:.0} |",
+            nanos(&message, SUB_REQUESTS),
+        );
+    }
+}
