--- a/crates/daemon/src/tasks.rs
+++ b/crates/daemon/src/tasks.rs
@@ -16,8 +16,9 @@
 use crate::metrics::DaemonState;
 use crate::node::Node;
 
-/// Time between looks at what is due; heartbeats and renewals are due once a second.
-const TICK: Duration = Duration::from_millis(100);
+/// Time between looks at what is due. Heartbeats and renewals are due once a second, questions
+/// during a handover every 50 ms.
+const TICK: Duration = Duration::from_millis(50);
 
 /// Time between reads of the platform's list, which lags anyway.
 const LIST_EVERY: Duration = Duration::from_secs(2);
--- a/crates/membership/src/rights.rs
+++ b/crates/membership/src/rights.rs
@@ -83,7 +83,9 @@
             renewal: Duration::from_secs(1),
             clock_error: Duration::from_millis(50),
             longest_work: Duration::from_secs(5),
-            ask: Duration::from_millis(250),
+            // A handover waits for sub-queries in flight, which take milliseconds; sub-queries of
+            // the new pair wait meanwhile.
+            ask: Duration::from_millis(50),
         }
     }
 }
