--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -32,7 +32,7 @@
 
   --site     kingston (default) or texas
   --daemons  number of daemons, 2 to 8 (default 5)
-  --seconds  length of the load, 2 to 40 (default 8)
+  --seconds  length of the load, 6 to 30 (default 12)
   --seed     seed of the load (default 1)
 ";
 
--- a/crates/ctl/src/commands/bench.rs
+++ b/crates/ctl/src/commands/bench.rs
@@ -18,6 +18,7 @@
 use crate::commands::read;
 use crate::output::Failure;
 use crate::output::Format;
+use crate::output::print_line;
 
 const HELP: &str = "\
 Usage: tillerctl bench list
@@ -55,12 +56,12 @@
                 .iter()
                 .map(|scenario| json!({ "name": scenario.name, "about": scenario.about }))
                 .collect();
-            println!("{}", json!(list));
+            print_line(format!("{}", json!(list)));
         }
         Format::Text => {
             for scenario in scenarios {
                 let seconds = scenario.length().as_secs();
-                println!("{:<16} {seconds:>3} s  {}", scenario.name, scenario.about);
+                print_line(format!("{:<16} {seconds:>3} s  {}", scenario.name, scenario.about));
             }
         }
     }
@@ -86,7 +87,7 @@
         runs.push(report.map_err(|error| internal(&error))?);
     }
     match arguments.format() {
-        Format::Json => println!("{}", json!(runs)),
+        Format::Json => print_line(format!("{}", json!(runs))),
         Format::Text => print!("{}", markdown(&scenario, &runs)),
     }
     if let Some(folder) = folder {
--- a/crates/ctl/src/commands/check.rs
+++ b/crates/ctl/src/commands/check.rs
@@ -8,6 +8,7 @@
 use crate::commands::read;
 use crate::output::Failure;
 use crate::output::Format;
+use crate::output::print_line;
 
 const HELP: &str = "\
 Usage: tillerctl check DOCUMENT [--json]
@@ -28,7 +29,7 @@
     let environment = Environment::parse(&text)
         .map_err(|faults| Failure::new(faults.code, format!("{}: {faults}", path.display())))?;
     match arguments.format() {
-        Format::Json => println!(
+        Format::Json => print_line(format!(
             "{}",
             json!({
                 "environment": environment.name,
@@ -38,8 +39,8 @@
                 "searchers": environment.searchers.len(),
                 "shards": environment.shards.len(),
             })
-        ),
-        Format::Text => println!(
+        )),
+        Format::Text => print_line(format!(
             "{}: valid, digest {}: {} domains, {} services, {} searchers, {} shards",
             environment.name,
             environment.digest,
@@ -47,7 +48,7 @@
             environment.services.len(),
             environment.searchers.len(),
             environment.shards.len(),
-        ),
+        )),
     }
     Ok(())
 }
--- a/crates/ctl/src/commands/env.rs
+++ b/crates/ctl/src/commands/env.rs
@@ -29,6 +29,9 @@
   diff ENVIRONMENT DOCUMENT [--stage trial|production]
       show what a document would change (default: against production)
 
+  --change ID with `trial` and `promote` submits an earlier change again: its outcome was
+  unknown, and it is not carried out twice.
+
 --base is the revision that the change is based on, from `status`; without it the revision
 is read first. Every answer has a result code. A change that the store did not confirm is
 reported as unknown with its change id: ask `status --change ID` later.
@@ -68,12 +71,14 @@
     let address = arguments.address()?;
     let operator: String = arguments.required("--operator")?;
     let base: Option<u64> = arguments.option("--base")?;
+    let again: Option<String> = arguments.option("--change")?;
     let path = arguments.path("the path of a document")?;
     let text = read(&path)?;
     // The daemon checks it again; the check here gives faults without a daemon.
     let environment = tt_model::Environment::parse(&text)
         .map_err(|faults| Failure::new(faults.code, format!("{}: {faults}", path.display())))?;
-    let path = format!("/v1/env/{}/trial?{}", environment.name, change(&operator, base));
+    let path =
+        format!("/v1/env/{}/trial?{}", environment.name, change(&operator, base, again.as_deref()));
     Ok(Ask::post(address, path, text.into_bytes()))
 }
 
@@ -81,9 +86,13 @@
     let address = arguments.address()?;
     let operator: String = arguments.required("--operator")?;
     let base: Option<u64> = arguments.option("--base")?;
+    let again: Option<String> = arguments.option("--change")?;
     let digest: String = arguments.required("--digest")?;
     let name = arguments.word("the name of an environment")?;
-    let path = format!("/v1/env/{name}/promote?digest={digest}&{}", change(&operator, base));
+    let path = format!(
+        "/v1/env/{name}/promote?digest={digest}&{}",
+        change(&operator, base, again.as_deref())
+    );
     Ok(Ask::post(address, path, Vec::new()))
 }
 
@@ -107,7 +116,9 @@
     Ok(Ask::post(address, format!("/v1/env/{name}/diff?stage={stage}"), text.into_bytes()))
 }
 
-fn change(operator: &str, base: Option<u64>) -> String {
+fn change(operator: &str, base: Option<u64>, again: Option<&str>) -> String {
     let base = base.map(|revision| format!("&base={revision}")).unwrap_or_default();
-    format!("operator={operator}{base}")
+    let operator: String = form_urlencoded::byte_serialize(operator.as_bytes()).collect();
+    let again = again.map(|id| format!("&change={id}")).unwrap_or_default();
+    format!("operator={operator}{base}{again}")
 }
--- a/crates/ctl/src/commands/standin.rs
+++ b/crates/ctl/src/commands/standin.rs
@@ -21,6 +21,7 @@
 use crate::commands::block_on;
 use crate::commands::read;
 use crate::output::Failure;
+use crate::output::print_line;
 
 const HELP: &str = "\
 Usage: tillerctl standin DOCUMENT --platform ADDRESS [--seconds N]
@@ -81,7 +82,7 @@
             .map_err(|error| bind_failure(searcher.address, &error))?;
         searchers.insert(searcher.name.clone(), standin);
     }
-    println!("platform at {}, {} searchers", platform.address(), searchers.len());
+    print_line(format!("platform at {}, {} searchers", platform.address(), searchers.len()));
     let commands = take_commands(&platform, &searchers);
     tokio::select! {
         () = commands => {}
@@ -129,9 +130,9 @@
             searchers.values().for_each(|searcher| searcher.retire(snapshot));
         }
         ["counts"] => {
-            println!("store: {:?}", platform.counts());
+            print_line(format!("store: {:?}", platform.counts()));
             for (name, searcher) in searchers {
-                println!("{name}: {:?}", searcher.counts());
+                print_line(format!("{name}: {:?}", searcher.counts()));
             }
         }
         _ => return Err("the command is not known"),
--- a/crates/ctl/src/demo/report.rs
+++ b/crates/ctl/src/demo/report.rs
@@ -13,6 +13,7 @@
 use crate::demo::Site;
 use crate::output::Failure;
 use crate::output::Format;
+use crate::output::print_line;
 
 /// Prints the result.
 pub(crate) fn print(
@@ -39,18 +40,18 @@
             "invariants": checks.invariants(),
             "held": checks.hold(),
         });
-        println!("{body}");
+        print_line(format!("{body}"));
         return Ok(());
     }
-    println!();
-    println!(
+    print_line("");
+    print_line(format!(
         "{:<14} {:>7} {:>8} {:>8} {:>8} {:>9} {:>7}  codes",
         "class", "queries", "p50 ms", "p99 ms", "p999 ms", "coverage", "extra"
-    );
+    ));
     for (class, stats) in &classes {
         let codes: Vec<String> =
             stats.codes.iter().map(|(name, count)| format!("{name} {count}")).collect();
-        println!(
+        print_line(format!(
             "{:<14} {:>7} {:>8.1} {:>8.1} {:>8.1} {:>8.2}% {:>6.2}%  {}",
             class,
             stats.queries,
@@ -60,28 +61,28 @@
             stats.coverage * 100.0,
             stats.extra_load * 100.0,
             codes.join(", "),
-        );
+        ));
         if !stats.uncovered.is_empty() {
             let reasons: Vec<String> =
                 stats.uncovered.iter().map(|(name, count)| format!("{name} {count}")).collect();
-            println!("{:<14} not covered: {}", "", reasons.join(", "));
+            print_line(format!("{:<14} not covered: {}", "", reasons.join(", ")));
         }
     }
-    println!();
+    print_line("");
     for invariant in checks.invariants() {
         let verdict = if invariant.broken == 0 { "held" } else { "BROKEN" };
-        println!(
+        print_line(format!(
             "{verdict:<7} {} ({} cases, {} broken)",
             invariant.name, invariant.cases, invariant.broken
-        );
+        ));
         for fault in &invariant.faults {
-            println!("        {fault}");
+            print_line(format!("        {fault}"));
         }
     }
     if let Some(slowest) = records.iter().max_by_key(|record| record.latency) {
         let limit = Duration::from_secs(1);
         if slowest.latency > limit {
-            println!("slowest request: {} after {:?}", slowest.id, slowest.latency);
+            print_line(format!("slowest request: {} after {:?}", slowest.id, slowest.latency));
         }
     }
     Ok(())
--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -33,6 +33,7 @@
 use crate::demo::report;
 use crate::output::Failure;
 use crate::output::Format;
+use crate::output::print_line;
 
 /// A leaving searcher must get no new work after this time.
 const LEAVE_LIMIT: Duration = Duration::from_secs(3);
@@ -56,7 +57,7 @@
 /// Runs the demo.
 pub(crate) async fn run(settings: DemoSettings) -> Result<(), Failure> {
     let progress = |text: &str| match settings.format {
-        Format::Text => println!("{text}"),
+        Format::Text => print_line(text),
         Format::Json => {}
     };
     let http = Http::new();
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -1,5 +1,6 @@
 //! What commands print and how they end.
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use serde_json::Value;
@@ -52,7 +53,7 @@
                         "detail": self.detail,
                     })
                 });
-                println!("{body}");
+                print_line(body);
             }
             Format::Text => {
                 eprintln!("tillerctl: {}: {}", self.code, self.code.text());
@@ -71,7 +72,15 @@
 /// Prints a JSON value: as it is, or indented for people.
 pub(crate) fn print_value(format: Format, value: &Value) {
     match format {
-        Format::Json => println!("{value}"),
-        Format::Text => println!("{value:#}"),
+        Format::Json => print_line(value),
+        Format::Text => print_line(format!("{value:#}")),
     }
 }
+
+/// Prints a line. A reader that has gone away, like `head`, is no fault.
+pub(crate) fn print_line<T>(text: T)
+where
+    T: std::fmt::Display,
+{
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -98,10 +98,8 @@
             self.assign(node);
             return ClaimReply::NotOwner;
         }
-        self.waiting.fetch_add(1, Ordering::Relaxed);
-        let answer = answer.await.unwrap_or(ClaimReply::NotOwner);
-        self.waiting.fetch_sub(1, Ordering::Relaxed);
-        answer
+        let _waiting = Waiting::new(&self.waiting);
+        answer.await.unwrap_or(ClaimReply::NotOwner)
     }
 
     /// Calls that wait for an answer.
@@ -114,6 +112,22 @@
     }
 }
 
+/// Counts a call while it waits, also when its future is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl Waiting<'_> {
+    fn new(count: &AtomicUsize) -> Waiting<'_> {
+        count.fetch_add(1, Ordering::Relaxed);
+        Waiting(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Node {
     /// Calls the owner of a partition. `None` if there is no answer.
     pub(crate) async fn claim(
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -123,7 +123,8 @@
             ..ControlSettings::default()
         };
         let keep = settings.callers.keep() + ANNOUNCE_TIME;
-        let drain = DrainSettings { keep, ..DrainSettings::default() };
+        let finish_limit = Duration::from_millis(settings.callers.drain_ms);
+        let drain = DrainSettings { keep, finish_limit, ..DrainSettings::default() };
         Arc::new(Node {
             runtime: Handle::current(),
             store: Store::new(settings.platform, StoreSettings::default()),
--- a/crates/daemon/src/node/membership.rs
+++ b/crates/daemon/src/node/membership.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Whether no other daemon is known to serve.
+    pub(crate) fn is_alone(&self) -> bool {
+        let me = self.me.id.address;
+        let members = self.members();
+        !members.iter().any(|view| view.state == State::Live && view.member.id.address != me)
+    }
+
     fn live_peers(&self) -> impl Iterator<Item = SocketAddr> + use<> {
         let me = self.me.id.address;
         let peers: Vec<SocketAddr> = self
--- a/crates/daemon/src/tasks.rs
+++ b/crates/daemon/src/tasks.rs
@@ -93,7 +93,9 @@
         if self.drain().stage() == Stage::Running {
             return;
         }
-        let remaining = Remaining { held: self.held().halves, in_flight: self.in_flight() };
+        // Without another daemon there is nobody to hand over to.
+        let held = if self.is_alone() { 0 } else { self.held().halves };
+        let remaining = Remaining { held, in_flight: self.in_flight() };
         self.drain().tick(remaining, Instant::now());
         self.stopping.notify_waiters();
     }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -47,7 +47,7 @@
 // Guards against a misspelt field that is silently ignored.
 #[test]
 fn unknown_fields_are_refused() {
-    assert_snapshot!(check_change(r#""domain""#, r#""dommain""#), @"vm.jsonc:3:11: unknown field `dommain`, expected one of `domain`, `weight`, `listen`, `platform`, `peers`, `callers`, `threads`, `log` at line 3 column 11 (result code 600 SettingsInvalid)");
+    assert_snapshot!(check_change(r#""domain""#, r#""dommain""#), @"vm.jsonc:3:11: unknown field `dommain`, expected one of `domain`, `weight`, `listen`, `platform`, `peers`, `callers`, `threads`, `policy`, `log` at line 3 column 11 (result code 600 SettingsInvalid)");
 }
 
 #[test]
