internal: test operator sessions and recovery with real daemons

Sessions of operators are golden files; daemons restart while the store is down. The platform stand-in can go down after a write took effect. A restart of a killed daemon failed while its listener was still open and then panicked on the drop of the new runtime; it now tries again until the address is free.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -26,6 +26,9 @@
 /// Any free port on loopback.
 const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// Time for the address of a killed daemon to become free.
+const FREE_LIMIT: Duration = Duration::from_secs(10);
+
 /// How a fleet is set up.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -182,7 +185,15 @@
     /// Starts a killed daemon again, with an empty memory, at the same address.
     pub async fn restart(&mut self, killed: Killed) -> io::Result<()> {
         let Killed { index, domain, listen } = killed;
-        let running = self.launch(domain, listen).await?;
+        // The listener of the killed daemon is closed by its runtime, which ends on its own.
+        let end = Instant::now() + FREE_LIMIT;
+        let running = loop {
+            match self.launch(domain.clone(), listen).await {
+                Ok(running) => break running,
+                Err(error) if Instant::now() >= end => return Err(error),
+                Err(_) => sleep(Duration::from_millis(20)).await,
+            }
+        };
         self.daemons[index] = Some(running);
         self.publish_vms();
         Ok(())
@@ -237,9 +248,18 @@
             policy: self.settings.policy,
             log: String::new(),
         };
-        let started = runtime.spawn(Daemon::start(settings)).await.map_err(io::Error::other)?;
-        let daemon = started.map_err(io::Error::other)?;
-        Ok(Running { runtime, daemon, domain, listen })
+        let started = match runtime.spawn(Daemon::start(settings)).await {
+            Ok(started) => started.map_err(io::Error::other),
+            Err(error) => Err(io::Error::other(error)),
+        };
+        match started {
+            Ok(daemon) => Ok(Running { runtime, daemon, domain, listen }),
+            Err(error) => {
+                // A runtime must not be dropped by a task of another one.
+                runtime.shutdown_background();
+                Err(error)
+            }
+        }
     }
 }
 
--- /dev/null
+++ b/crates/bench/tests/operators.rs
@@ -0,0 +1,201 @@
+//! Whole operator sessions with real daemons, kept as golden files. Addresses, ids, digests
+//! and times are replaced by names.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use tt_bench::Ask;
+use tt_bench::Fleet;
+use tt_bench::Http;
+use tt_standin::Fault;
+
+use support::ENVIRONMENT;
+
+/// What operators sent and were told.
+struct Session {
+    http: Http,
+    log: String,
+    /// Ids and digests with the names that stand for them.
+    names: Vec<(String, String)>,
+}
+
+impl Session {
+    fn new() -> Session {
+        Session { http: Http::new(), log: String::new(), names: Vec::new() }
+    }
+
+    fn note(&mut self, text: &str) {
+        self.log.push_str(&format!("# {text}\n"));
+    }
+
+    async fn send(
+        &mut self,
+        at: SocketAddr,
+        method: &'static str,
+        path: &str,
+        body: &str,
+    ) -> Value {
+        let (status, answer) = self.call(at, method, path, body).await;
+        self.tell(method, path, status, &answer);
+        answer
+    }
+
+    async fn call(
+        &self,
+        at: SocketAddr,
+        method: &'static str,
+        path: &str,
+        body: &str,
+    ) -> (u16, Value) {
+        let path = format!("/v1/env/{ENVIRONMENT}{path}");
+        let ask = Ask { address: at, method, path, body: body.as_bytes().to_vec() };
+        let answer = self.http.send(ask).await.expect("the daemon answers");
+        (answer.status, serde_json::from_slice(&answer.body).expect("the body is JSON"))
+    }
+
+    fn tell(&mut self, method: &str, path: &str, status: u16, answer: &Value) {
+        let mut answer = answer.clone();
+        self.normalise(&mut answer);
+        let mut text = format!("{method} {path}\n{status} {answer:#}\n\n");
+        for (from, to) in &self.names {
+            text = text.replace(from, to);
+        }
+        self.log.push_str(&text);
+    }
+
+    /// Hides times and collects ids and digests in order of their appearance.
+    fn normalise(&mut self, value: &mut Value) {
+        match value {
+            Value::Array(list) => list.iter_mut().for_each(|item| self.normalise(item)),
+            Value::Object(map) => {
+                for (key, item) in map {
+                    match (key.as_str(), &*item) {
+                        (key, Value::Number(_)) if key.ends_with("_ms") => *item = "[ms]".into(),
+                        ("change", Value::String(text)) => self.name("change", &text.clone()),
+                        ("digest" | "from" | "to", Value::String(text)) if text.len() > 30 => {
+                            self.name("digest", &text.clone());
+                        }
+                        _ => self.normalise(item),
+                    }
+                }
+            }
+            Value::Null | Value::Bool(_) | Value::Number(_) | Value::String(_) => {}
+        }
+    }
+
+    fn name(&mut self, kind: &str, text: &str) {
+        if self.names.iter().all(|(known, _)| known != text) {
+            let number = self.names.iter().filter(|(_, name)| name.starts_with(kind)).count() + 1;
+            self.names.push((text.to_owned(), format!("{kind}-{number}")));
+        }
+    }
+}
+
+fn operators(fleet: &Fleet, index: usize) -> SocketAddr {
+    fleet.operators(index).expect("the daemon runs")
+}
+
+fn text<'a>(answer: &'a Value, field: &str) -> &'a str {
+    answer[field].as_str().unwrap_or_default()
+}
+
+/// The digest that the trial stage has now.
+async fn tried(session: &mut Session, at: SocketAddr) -> String {
+    let (_, status) = session.call(at, "GET", "", "").await;
+    let digest = text(&status["stages"][0], "digest").to_owned();
+    session.name("digest", &digest);
+    digest
+}
+
+/// A document with other contracts.
+fn changed(document: &str, rate: &str) -> String {
+    document.replace("\"rate\": 200.0", &format!("\"rate\": {rate}"))
+}
+
+/// Guards against any change in what operators are told, a promotion of what was not tried, and
+/// a document with faults that takes effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_is_tried_promoted_and_changed() {
+    let fleet = support::fleet(3).await;
+    let mut session = Session::new();
+    let (first, other) = (operators(&fleet, 0), operators(&fleet, 1));
+    let faulty = fleet.document.replace("\"class\": \"payout\"", "\"class\": \"payouts\"");
+    session.send(first, "POST", "/trial?operator=alice", &faulty).await;
+    session.send(first, "GET", "", "").await;
+    session.send(first, "POST", "/trial?operator=alice", &fleet.document).await;
+    let digest = tried(&mut session, first).await;
+    let promote = format!("/promote?operator=alice&digest={digest}");
+    session.send(other, "POST", &promote, "").await;
+    session.send(other, "GET", "", "").await;
+    let next = changed(&fleet.document, "150.0");
+    session.send(other, "POST", "/diff", &next).await;
+    session.send(other, "POST", "/trial?operator=bob", &next).await;
+    session.note("the digest before is no longer the one in trial");
+    session.send(first, "POST", &promote, "").await;
+    session.send(first, "GET", "/history", "").await;
+    insta::assert_snapshot!("changes", session.log);
+}
+
+/// Guards against two accepted changes on one base, and a loser that is not told by whom and
+/// with which revision it was overtaken.
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_racing_operators_one_is_told_the_winner() {
+    let fleet = support::fleet(3).await;
+    let mut session = Session::new();
+    let (first, other) = (operators(&fleet, 0), operators(&fleet, 1));
+    session.send(first, "POST", "/trial?operator=setup", &fleet.document).await;
+    let (one, two) = (changed(&fleet.document, "150.0"), changed(&fleet.document, "160.0"));
+    let (alice, bob) = tokio::join!(
+        session.call(first, "POST", "/trial?operator=alice&base=1", &one),
+        session.call(other, "POST", "/trial?operator=bob&base=1", &two),
+    );
+    let (winner, loser, name) =
+        if alice.0 == 200 { (alice, bob, "alice") } else { (bob, alice, "bob") };
+    assert_eq!(winner.1["revision"], loser.1["winner"]["revision"]);
+    assert_eq!(winner.1["change"], loser.1["winner"]["change"]);
+    assert_eq!(loser.1["winner"]["operator"], name);
+    session.names.push((name.to_owned(), "[winner]".to_owned()));
+    session.tell("POST", "/trial by the winner", winner.0, &winner.1);
+    session.tell("POST", "/trial by the loser", loser.0, &loser.1);
+    session.send(first, "GET", "/history", "").await;
+    insta::assert_snapshot!("race", session.log);
+}
+
+/// Guards against a lost reply that is answered as a failure or leads to a second change, a
+/// change that is reported as refused while it is in the store, and an outcome that cannot be
+/// found out later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_fails_leaves_no_change_in_doubt_for_ever() {
+    let fleet = support::fleet(3).await;
+    let mut session = Session::new();
+    let (first, other) = (operators(&fleet, 0), operators(&fleet, 1));
+    session.note("the replies to the next two writes are lost");
+    fleet.platform.lose_replies(2);
+    session.send(first, "POST", "/trial?operator=alice", &fleet.document).await;
+
+    session.note("the store is down");
+    fleet.platform.set_fault(Fault::Down);
+    let next = changed(&fleet.document, "150.0");
+    let refused = session.send(first, "POST", "/trial?operator=alice", &next).await;
+    let path = format!("/changes/{}", text(&refused, "change"));
+    session.send(first, "GET", &path, "").await;
+    session.note("the store is up again");
+    fleet.platform.set_fault(Fault::None);
+    session.send(first, "GET", &path, "").await;
+
+    session.note("the store goes down after the next change took effect");
+    fleet.platform.fail_after_write("catalog");
+    let unknown = session.send(other, "POST", "/trial?operator=bob", &next).await;
+    let path = format!("/changes/{}", text(&unknown, "change"));
+    session.send(first, "GET", &path, "").await;
+    session.note("the store is up again");
+    fleet.platform.set_fault(Fault::None);
+    session.send(first, "GET", &path, "").await;
+    let again = format!("/trial?operator=bob&base=1&change={}", text(&unknown, "change"));
+    session.send(first, "POST", &again, &next).await;
+    session.send(first, "GET", "/history", "").await;
+    insta::assert_snapshot!("store_faults", session.log);
+}
--- /dev/null
+++ b/crates/bench/tests/support/mod.rs
@@ -0,0 +1,176 @@
+//! A small fleet, its document and its loads, shared by the tests.
+#![allow(dead_code)] // each test binary uses a part of it
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use tt_bench::Ask;
+use tt_bench::Checks;
+use tt_bench::Fleet;
+use tt_bench::FleetSettings;
+use tt_bench::Http;
+use tt_bench::LoadKind;
+use tt_bench::LoadSettings;
+use tt_bench::RateStep;
+use tt_bench::ServiceLoad;
+use tt_bench::bring_into_force;
+use tt_bench::scenario::ServiceShape;
+use tt_bench::scenario::Shape;
+use tt_bench::settle;
+use tt_daemon::Policy;
+
+/// Far beyond what any awaited condition takes on a busy machine.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// Environment of the document.
+pub const ENVIRONMENT: &str = "yards";
+
+/// A document of 6 shards with 2 replicas each.
+pub fn document() -> String {
+    let service = |name: &str, count| ServiceShape { name: name.to_owned(), count, rate: 200.0 };
+    let shape = Shape {
+        shards: 6,
+        replicas: 2,
+        slots: 2,
+        connections: 25,
+        connect_ms: 1.0,
+        domains: 3,
+        deadline_ms: 4_000,
+        services: vec![service("desk", 2), service("payout", 1)],
+    };
+    shape.document(ENVIRONMENT)
+}
+
+/// A fleet whose daemons know each other.
+pub async fn fleet(daemons: usize) -> Fleet {
+    let settings = FleetSettings { document: document(), daemons, ..FleetSettings::default() };
+    let fleet = Fleet::start(settings).await.expect("loopback has free ports");
+    assert!(all_live(&fleet, daemons).await, "the daemons did not find each other");
+    fleet
+}
+
+/// A fleet with its document in force and its searchers owned.
+pub async fn serving_fleet(daemons: usize) -> Fleet {
+    let fleet = fleet(daemons).await;
+    bring_into_force(&fleet).await.expect("the document is valid");
+    settle(&fleet, Policy::Adaptive).await.expect("the daemons agree on owners");
+    fleet
+}
+
+/// Waits until every daemon that runs sees `count` live members.
+pub async fn all_live(fleet: &Fleet, count: usize) -> bool {
+    let http = Http::new();
+    Fleet::wait_for(LIMIT, async || {
+        for address in all_operators(fleet) {
+            let (_, members) = get(&http, address, "/v1/members").await;
+            let list = members["members"].as_array().cloned().unwrap_or_default();
+            if list.iter().filter(|member| member["state"] == "live").count() != count {
+                return false;
+            }
+        }
+        true
+    })
+    .await
+}
+
+/// Waits until a search covers every shard at every daemon that runs.
+pub async fn full_coverage(fleet: &Fleet) -> bool {
+    let http = Http::new();
+    Fleet::wait_for(LIMIT, async || {
+        for address in fleet.all_callers() {
+            let answer = query(&http, address, &search(&new_id())).await;
+            if answer.is_none_or(|answer| answer["name"] != "Complete") {
+                return false;
+            }
+        }
+        true
+    })
+    .await
+}
+
+/// The operators' addresses of the daemons that run.
+pub fn all_operators(fleet: &Fleet) -> Vec<SocketAddr> {
+    (0..8).filter_map(|index| fleet.operators(index)).collect()
+}
+
+/// Sends a `GET`; the body is null if it is not JSON and the status 0 without an answer.
+pub async fn get(http: &Http, address: SocketAddr, path: &str) -> (u16, Value) {
+    match http.send(Ask::get(address, path.to_owned())).await {
+        Ok(answer) => (answer.status, serde_json::from_slice(&answer.body).unwrap_or_default()),
+        Err(_) => (0, Value::Null),
+    }
+}
+
+/// Sends a query; `None` without an answer.
+pub async fn query(http: &Http, address: SocketAddr, body: &Value) -> Option<Value> {
+    let ask = Ask::post(address, "/v1/query".to_owned(), body.to_string().into_bytes());
+    let answer = http.send(ask).await.ok()?;
+    serde_json::from_slice(&answer.body).ok()
+}
+
+/// A search of all shards.
+pub fn search(id: &str) -> Value {
+    json!({ "environment": ENVIRONMENT, "service": "desk-0", "request_id": id, "query": id })
+}
+
+/// A request that must run at most once.
+pub fn once(id: &str, attempt: u32) -> Value {
+    json!({
+        "environment": ENVIRONMENT,
+        "service": "payout-0",
+        "request_id": id,
+        "query": id,
+        "mode": "at-most-once",
+        "attempt": attempt,
+        "shards": ["s0"],
+    })
+}
+
+/// A new request id.
+pub fn new_id() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// How often a request ran, over all searchers.
+pub fn executions(fleet: &Fleet, id: &str) -> u32 {
+    fleet.searchers.values().map(|searcher| searcher.executions(id)).sum()
+}
+
+/// A steady load of searches and of requests that must run at most once.
+pub fn load(fleet: &Fleet, seconds: u64, rate: f64, once_rate: f64) -> LoadSettings {
+    let length = Duration::from_secs(seconds);
+    let service = |service: &str, class: &str, rate, kind| ServiceLoad {
+        service: service.to_owned(),
+        class: class.to_owned(),
+        steps: vec![RateStep { length, rate }],
+        kind,
+    };
+    let once = LoadKind::Once { shard: "s0".to_owned() };
+    LoadSettings {
+        environment: ENVIRONMENT.to_owned(),
+        services: vec![
+            service("desk-0", "desk", rate, LoadKind::Search),
+            service("desk-1", "desk", rate, LoadKind::Search),
+            service("payout-0", "payout", once_rate, once),
+        ],
+        seed: 7,
+        seeds: fleet.all_callers(),
+    }
+}
+
+/// Fails with the faults of every invariant that was broken or never looked at, but for those
+/// named in `except`.
+pub fn assert_held(checks: &Checks, except: &[&str]) {
+    for invariant in checks.invariants() {
+        if !except.contains(&invariant.name) {
+            assert_eq!(invariant.broken, 0, "{invariant:#?}");
+        }
+    }
+    for name in ["one snapshot", "true coverage", "own answer", "at most once"] {
+        let cases = checks.invariants().iter().find(|found| found.name == name);
+        assert!(cases.is_some_and(|found| found.cases > 20), "{name}: {cases:?}");
+    }
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -71,6 +71,7 @@
     next_lease: u64,
     fault: Option<Fault>,
     lost_replies: u32,
+    last_write: Option<String>,
     vms: Bytes,
     counts: PlatformCounts,
 }
@@ -115,6 +116,12 @@
         self.shared.lock().lost_replies = count;
     }
 
+    /// Loses the reply to the next write of `key` after it took effect; the store is down from
+    /// then on, so that the write cannot be read back.
+    pub fn fail_after_write(&self, key: &str) {
+        self.shared.lock().last_write = Some(key.to_owned());
+    }
+
     /// Ends every lease at once, as if its holder had been paused for too long.
     pub fn lapse_leases(&self) {
         let mut state = self.shared.lock();
@@ -185,6 +192,11 @@
         let revision = state.revision;
         let entry = Entry { revision, value: call.body.clone(), lease };
         state.values.insert(key.to_owned(), entry);
+        if state.last_write.as_deref() == Some(key) {
+            state.last_write = None;
+            state.fault = Some(Fault::Down);
+            state.lost_replies = 1;
+        }
         self.finish_write(state, revision)
     }
 
