--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -236,13 +236,15 @@
     for step in steps {
         let end = start + step.length;
         let mut time = start;
-        while step.rate > 0.0 {
-            let uniform: f64 = random.random_range(f64::EPSILON..1.0);
-            time += Duration::from_secs_f64(-uniform.ln() / step.rate);
-            if time >= end {
-                break;
+        if step.rate > 0.0 {
+            loop {
+                let uniform: f64 = random.random_range(f64::EPSILON..1.0);
+                time += Duration::from_secs_f64(-uniform.ln() / step.rate);
+                if time >= end {
+                    break;
+                }
+                times.push(time);
             }
-            times.push(time);
         }
         start = end;
     }
