--- /dev/null
+++ b/crates/bench/tests/stops.rs
@@ -0,0 +1,86 @@
+//! Daemons that are killed or stopped and searchers that leave, under load.
+
+mod support;
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use tt_bench::Checks;
+use tt_bench::Load;
+use tt_standin::Fault;
+use tt_standin::State;
+
+/// A leaving searcher must get no new work after this time.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Requests a second of each searching service.
+const RATE: f64 = 40.0;
+
+/// Requests a second that run at most once.
+const ONCE_RATE: f64 = 8.0;
+
+/// Guards against an answer that hides what is missing, a request that runs twice, and a
+/// searcher over its limits while the daemon that takes over and the lost one both use it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_daemon_breaks_no_invariant_and_coverage_returns() {
+    let mut fleet = support::serving_fleet(4).await;
+    let load = tokio::spawn(Load::new(support::load(&fleet, 12, RATE, ONCE_RATE)).run());
+    sleep(Duration::from_secs(2)).await;
+    let killed = fleet.kill(3).expect("the daemon ran");
+    sleep(Duration::from_secs(6)).await;
+    // Ownership changes once more while the load goes on.
+    fleet.restart(killed).await.expect("the address is free again");
+    let records = load.await.expect("the load does not panic");
+    assert!(support::full_coverage(&fleet).await, "coverage did not return");
+    let checks = Checks::of(&fleet.environment, &records, &fleet.searchers);
+    // The killed daemon answers nothing that it had accepted.
+    support::assert_held(&checks, &["every request is answered"]);
+    for (name, searcher) in &fleet.searchers {
+        let counts = searcher.counts();
+        assert!(counts.peak_busy <= 2 && counts.peak_open <= 25, "{name}: {counts:?}");
+    }
+}
+
+/// Guards against a planned stop that cuts off a request or leaves one without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_daemon_answers_every_request() {
+    let mut fleet = support::serving_fleet(4).await;
+    let load = tokio::spawn(Load::new(support::load(&fleet, 10, RATE, ONCE_RATE)).run());
+    sleep(Duration::from_secs(2)).await;
+    fleet.stop(3).await;
+    assert_eq!(fleet.len(), 3);
+    sleep(Duration::from_secs(1)).await;
+    fleet.stop(0).await;
+    let records = load.await.expect("the load does not panic");
+    let checks = Checks::of(&fleet.environment, &records, &fleet.searchers);
+    support::assert_held(&checks, &[]);
+    assert!(support::full_coverage(&fleet).await, "coverage did not return");
+}
+
+/// Guards against a leaving searcher that goes on getting work, with and without the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_searcher_gets_no_new_work() {
+    let fleet = support::serving_fleet(4).await;
+    let load = tokio::spawn(Load::new(support::load(&fleet, 13, RATE, 0.0)).run());
+    sleep(Duration::from_secs(1)).await;
+    for (name, fault) in [("s1-0", Fault::None), ("s2-1", Fault::Down)] {
+        let searcher = &fleet.searchers[name];
+        fleet.platform.set_fault(fault);
+        assert!(searcher.counts().executed > 0, "{name} had no work before");
+        searcher.set_state(State::Draining);
+        sleep(LEAVE_LIMIT).await;
+        let before = searcher.counts().received;
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(searcher.counts().received, before, "{name} still gets work, store {fault:?}");
+    }
+    let records = load.await.expect("the load does not panic");
+    let checks = Checks::of(&fleet.environment, &records, &fleet.searchers);
+    for invariant in checks.invariants() {
+        assert_eq!(invariant.broken, 0, "{invariant:#?}");
+    }
+    let complete = records
+        .iter()
+        .filter(|record| record.answer.as_ref().is_ok_and(|answer| answer["name"] == "Complete"));
+    assert!(complete.count() * 10 > records.len() * 9, "the other replicas did not take over");
+}
