--- a/crates/bench/tests/stops.rs
+++ b/crates/bench/tests/stops.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
+use serde_json::json;
 use tokio::time::sleep;
 
 use tt_bench::Checks;
+use tt_bench::Http;
 use tt_bench::Load;
 use tt_standin::Fault;
 use tt_standin::State;
@@ -84,3 +86,23 @@
         .filter(|record| record.answer.as_ref().is_ok_and(|answer| answer["name"] == "Complete"));
     assert!(complete.count() * 10 > records.len() * 9, "the other replicas did not take over");
 }
+
+/// Guards against an answer that names a shard as covered, or no shard at all, when none of its
+/// replicas can be reached.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shard_without_replicas_is_named_as_uncovered() {
+    let fleet = support::serving_fleet(3).await;
+    for name in ["s5-0", "s5-1"] {
+        fleet.searchers[name].set_state(State::Dead);
+    }
+    let http = Http::new();
+    for address in fleet.all_callers() {
+        for _ in 0..5 {
+            let body = support::search(&support::new_id());
+            let answer = support::query(&http, address, &body).await.expect("it answers");
+            assert_eq!(answer["name"], "Partial", "{answer}");
+            assert_eq!(answer["covered"], json!(["s0", "s1", "s2", "s3", "s4"]), "{answer}");
+            assert_eq!(answer["uncovered"][0]["shard"], "s5", "{answer}");
+        }
+    }
+}
