--- a/crates/routing/examples/stragglers.rs
+++ b/crates/routing/examples/stragglers.rs
@@ -2,7 +2,7 @@
 //! coverage and extra load of both policies. No sockets: the figures show the decisions, not
 //! the daemon.
 //!
-//! `cargo run --release -p tt-routing --example stragglers`
+//! `cargo run --release -p tt-routing --example stragglers [SHARDS [QUERIES]]`
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -67,6 +67,7 @@
     router: Router<u64, StdRng>,
     rng: StdRng,
     fault: Fault,
+    shards: usize,
     start: Instant,
     events: BinaryHeap<Reverse<(u64, Event)>>,
     subs: Vec<SubQuery>,
@@ -80,20 +81,24 @@
 }
 
 fn main() {
-    println!("{SHARDS} shards, {REPLICAS} replicas, service time 8 to 12 ms, {QUERIES} queries");
+    let mut arguments = std::env::args().skip(1).map(|text| text.parse().expect("a number"));
+    let shards = arguments.next().unwrap_or(SHARDS);
+    let queries = arguments.next().unwrap_or(QUERIES);
+    println!("{shards} shards, {REPLICAS} replicas, service time 8 to 12 ms, {queries} queries");
     println!("fault         rate/s  policy      p50    p99   p999 ms  coverage  extra load");
     for fault in [Fault::Stragglers, Fault::SlowSearcher, Fault::HungSearcher] {
         for rate in [5.0, 20.0, 60.0] {
             for policy in [Policy::Baseline, Policy::Adaptive] {
-                Simulation::new(fault, policy).run(rate, policy);
+                let simulation = Simulation::new(fault, policy, shards);
+                simulation.run(rate, policy, queries);
             }
         }
     }
 }
 
 impl Simulation {
-    fn new(fault: Fault, policy: Policy) -> Simulation {
-        let environment = environment();
+    fn new(fault: Fault, policy: Policy, shards: usize) -> Simulation {
+        let environment = environment(shards);
         let start = Instant::now();
         let settings = Settings { policy, ..Settings::default() };
         let rng = StdRng::seed_from_u64(1);
@@ -105,6 +110,7 @@
             router,
             rng: StdRng::seed_from_u64(3),
             fault,
+            shards,
             start,
             events: BinaryHeap::new(),
             subs: Vec::new(),
@@ -118,14 +124,14 @@
         }
     }
 
-    fn run(mut self, rate: f64, policy: Policy) {
+    fn run(mut self, rate: f64, policy: Policy, queries: usize) {
         self.events.push(Reverse((0, Event::Arrive)));
         let mut arrived = 0;
         let mut out = Vec::new();
         while let Some(Reverse((at, event))) = self.events.pop() {
             let now = self.start + Duration::from_micros(at);
             match event {
-                Event::Arrive if arrived == QUERIES => continue,
+                Event::Arrive if arrived == queries => continue,
                 Event::Arrive => {
                     arrived += 1;
                     let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
@@ -229,7 +235,7 @@
             let place = ((self.latencies.len() - 1) as f64 * q) as usize;
             self.latencies[place].as_secs_f64() * 1e3
         };
-        let coverage = self.covered as f64 / (self.latencies.len() * SHARDS) as f64;
+        let coverage = self.covered as f64 / (self.latencies.len() * self.shards) as f64;
         let extra = self.executed as f64 / self.router.counters().primaries as f64 - 1.0;
         println!(
             "{:12}  {rate:6}  {:8}  {:5.1}  {:5.1}  {:8.1}  {:7.3}%  {:9.2}%",
@@ -244,8 +250,8 @@
     }
 }
 
-fn environment() -> Arc<Environment> {
-    let searchers: Vec<String> = (0..SHARDS * REPLICAS)
+fn environment(shards: usize) -> Arc<Environment> {
+    let searchers: Vec<String> = (0..shards * REPLICAS)
         .map(|i| {
             format!(
                 r#"{{"name":"r{i}","address":"127.0.0.1:{}","domain":"here","slots":{SLOTS},
@@ -254,7 +260,7 @@
             )
         })
         .collect();
-    let shards: Vec<String> = (0..SHARDS)
+    let shards: Vec<String> = (0..shards)
         .map(|i| {
             let first = i * REPLICAS;
             let replicas: Vec<String> =
