--- a/crates/limits/examples/memory.rs
+++ b/crates/limits/examples/queue_memory.rs
@@ -1,6 +1,6 @@
 //! Prints the resident memory of the slot queue and the connection state of one searcher.
 //!
-//! `cargo run --release -p tt-limits --example memory`
+//! `cargo run --release -p tt-limits --example queue_memory`
 
 use std::time::Duration;
 
--- a/crates/routing/examples/memory.rs
+++ b/crates/routing/examples/router_memory.rs
@@ -2,7 +2,7 @@
 //! flight. Lower bounds: memory that the parsing of the document freed may be reused, most
 //! visibly for searchers in the second and third row.
 //!
-//! `cargo run --release -p tt-routing --example memory`
+//! `cargo run --release -p tt-routing --example router_memory`
 
 use std::fmt::Write;
 use std::sync::Arc;
