--- a/crates/bench/src/check.rs
+++ b/crates/bench/src/check.rs
@@ -6,11 +6,10 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::load::Record;
 use tt_model::Environment;
 use tt_standin::Searcher;
 
-use crate::load::Record;
-
 /// Faults kept for each invariant; more would not help to find the cause.
 const MAX_FAULTS: usize = 5;
 
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -15,10 +15,9 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
-use tt_model::ResultCode;
-
 use crate::client::Ask;
 use crate::client::Http;
+use tt_model::ResultCode;
 
 /// A load.
 #[derive(Debug, Clone)]
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -9,10 +9,6 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
-use tt_daemon::Policy;
-use tt_standin::Profile;
-use tt_standin::State;
-
 use crate::check::Checks;
 use crate::check::Invariant;
 use crate::fleet::Fleet;
@@ -30,6 +26,9 @@
 use crate::stats::stats;
 use crate::submit::bring_into_force;
 use crate::submit::settle;
+use tt_daemon::Policy;
+use tt_standin::Profile;
+use tt_standin::State;
 
 /// The result of a scenario under one policy.
 #[derive(Debug, Clone, Serialize)]
--- a/crates/bench/src/submit.rs
+++ b/crates/bench/src/submit.rs
@@ -9,12 +9,11 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use tt_daemon::Policy;
-
 use crate::client::Ask;
 use crate::client::ClientError;
 use crate::client::Http;
 use crate::fleet::Fleet;
+use tt_daemon::Policy;
 
 /// Time for the daemons to agree on owners after their start.
 const SETTLE_LIMIT: Duration = Duration::from_secs(20);
--- a/crates/bench/tests/index.rs
+++ b/crates/bench/tests/index.rs
@@ -7,6 +7,8 @@
 
 use serde_json::Value;
 use serde_json::json;
+use support::ENVIRONMENT;
+use support::LIMIT;
 use tokio::time::sleep;
 
 use tt_bench::Ask;
@@ -19,9 +21,6 @@
 use tt_bench::settle;
 use tt_daemon::Policy;
 
-use support::ENVIRONMENT;
-use support::LIMIT;
-
 /// Requests a second of each searching service.
 const RATE: f64 = 40.0;
 
--- a/crates/bench/tests/once.rs
+++ b/crates/bench/tests/once.rs
@@ -6,14 +6,13 @@
 use std::net::SocketAddr;
 
 use serde_json::Value;
+use support::LIMIT;
 use tokio::task::JoinSet;
 
 use tt_bench::Fleet;
 use tt_bench::Http;
 use tt_standin::Fault;
 
-use support::LIMIT;
-
 /// Requests in one round; with so many, each of the 4 claim partitions has some.
 const REQUESTS: usize = 24;
 
--- a/crates/bench/tests/operators.rs
+++ b/crates/bench/tests/operators.rs
@@ -6,14 +6,13 @@
 use std::net::SocketAddr;
 
 use serde_json::Value;
+use support::ENVIRONMENT;
 
 use tt_bench::Ask;
 use tt_bench::Fleet;
 use tt_bench::Http;
 use tt_standin::Fault;
 
-use support::ENVIRONMENT;
-
 /// What operators sent and were told.
 struct Session {
     http: Http,
--- a/crates/bench/tests/recovery.rs
+++ b/crates/bench/tests/recovery.rs
@@ -5,14 +5,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use support::ENVIRONMENT;
+use support::LIMIT;
+
 use tt_bench::Ask;
 use tt_bench::Fleet;
 use tt_bench::Http;
 use tt_standin::Fault;
 
-use support::ENVIRONMENT;
-use support::LIMIT;
-
 /// The highest revisions seen at each daemon since it started.
 #[derive(Debug, Default)]
 struct Revisions {
--- a/crates/claims/examples/measure.rs
+++ b/crates/claims/examples/measure.rs
@@ -16,6 +16,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use uuid::Uuid;
+
 use tt_claims::Attempt;
 use tt_claims::BodyDigest;
 use tt_claims::ClaimId;
@@ -39,7 +41,6 @@
 use tt_model::Revision;
 use tt_model::StoreCall;
 use tt_model::StoreReply;
-use uuid::Uuid;
 
 const STORE_CALL: Duration = Duration::from_millis(5);
 /// Within the deadlines of today's classes.
--- a/crates/claims/src/claimant.rs
+++ b/crates/claims/src/claimant.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use tt_model::Ran;
-use tt_model::ResultCode;
 
 use crate::message::ClaimReply;
 use crate::message::ClaimRequest;
@@ -19,6 +17,8 @@
 use crate::request_id::Now;
 use crate::request_id::PartitionId;
 use crate::request_id::RequestKey;
+use tt_model::Ran;
+use tt_model::ResultCode;
 
 /// Intervals of a [`Claimant`].
 #[derive(Debug, Clone)]
--- a/crates/claims/src/log.rs
+++ b/crates/claims/src/log.rs
@@ -10,9 +10,6 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use tt_model::Epoch;
-use tt_model::Incarnation;
-use tt_model::ResultCode;
 
 use crate::message::RunResult;
 use crate::message::Start;
@@ -21,6 +18,9 @@
 use crate::request_id::ClaimId;
 use crate::request_id::PartitionId;
 use crate::request_id::RequestKey;
+use tt_model::Epoch;
+use tt_model::Incarnation;
+use tt_model::ResultCode;
 
 pub(crate) use codec::SEGMENT_PREFIX_BYTES;
 pub(crate) use codec::encode_head;
--- a/crates/claims/src/log/codec.rs
+++ b/crates/claims/src/log/codec.rs
@@ -1,9 +1,6 @@
 //! The byte format of heads and segments: big-endian numbers at fixed positions. Compact
 //! records matter because each write sends the whole segment.
 
-use tt_model::Epoch;
-use tt_model::Incarnation;
-use tt_model::ResultCode;
 use uuid::Uuid;
 
 use crate::log::DecodeError;
@@ -20,6 +17,9 @@
 use crate::request_id::BodyDigest;
 use crate::request_id::ClaimId;
 use crate::request_id::RequestKey;
+use tt_model::Epoch;
+use tt_model::Incarnation;
+use tt_model::ResultCode;
 
 const HEAD_FORMAT: u8 = 0x11;
 const SEGMENT_FORMAT: u8 = 0x21;
--- a/crates/claims/src/message.rs
+++ b/crates/claims/src/message.rs
@@ -2,13 +2,13 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use tt_model::Ran;
-use tt_model::ResultCode;
 
 use crate::request_id::Attempt;
 use crate::request_id::BodyDigest;
 use crate::request_id::ClaimId;
 use crate::request_id::RequestKey;
+use tt_model::Ran;
+use tt_model::ResultCode;
 
 /// The largest result that is kept in the log; of a larger one only the digest is kept.
 pub const MAX_RESULT_BYTES: usize = 4096;
--- a/crates/claims/src/partition.rs
+++ b/crates/claims/src/partition.rs
@@ -9,9 +9,6 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use tt_model::Revision;
-use tt_model::StoreCall;
-use tt_model::StoreReply;
 
 use crate::log::Head;
 use crate::log::Seal;
@@ -28,6 +25,9 @@
 use crate::table::Table;
 use crate::table::Verdict;
 use crate::table::View;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
 
 /// Limits and intervals of a [`Partition`].
 #[derive(Debug, Clone)]
--- a/crates/claims/src/partition/owner.rs
+++ b/crates/claims/src/partition/owner.rs
@@ -6,9 +6,6 @@
 use log::info;
 use log::warn;
 use tokio::time::Instant;
-use tt_model::Revision;
-use tt_model::StoreCall;
-use tt_model::StoreReply;
 
 use super::CallState;
 use super::InFlight;
@@ -40,6 +37,9 @@
 use crate::table::Table;
 use crate::table::Verdict;
 use crate::table::View;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
 
 impl Partition {
     /// Starts whatever is due.
--- a/crates/claims/src/partition/take_over.rs
+++ b/crates/claims/src/partition/take_over.rs
@@ -8,13 +8,13 @@
 use std::collections::HashMap;
 
 use tokio::time::Instant;
-use tt_model::Revision;
 
 use crate::log::Head;
 use crate::log::Record;
 use crate::log::SEGMENT_PREFIX_BYTES;
 use crate::log::Seal;
 use crate::log::Segment;
+use tt_model::Revision;
 
 /// Where the take-over stands.
 #[derive(Debug)]
--- a/crates/claims/src/request_id.rs
+++ b/crates/claims/src/request_id.rs
@@ -5,11 +5,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
-use tt_model::ResultCode;
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_128;
 
+use tt_model::ResultCode;
+
 /// Number of claim partitions. Changing it moves ids between logs, so a request could be
 /// claimed in both; a change needs a pause of claims for the retention window.
 pub const PARTITIONS: u8 = 4;
--- a/crates/claims/src/table.rs
+++ b/crates/claims/src/table.rs
@@ -4,8 +4,6 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
-use tt_model::ResultCode;
-
 use crate::log::Record;
 use crate::message::ClaimReply;
 use crate::message::ClaimRequest;
@@ -19,6 +17,7 @@
 use crate::request_id::ClaimId;
 use crate::request_id::MAX_AHEAD_MS;
 use crate::request_id::RequestKey;
+use tt_model::ResultCode;
 
 /// The state of one request id.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/claims/tests/claimant.rs
+++ b/crates/claims/tests/claimant.rs
@@ -7,6 +7,7 @@
 use common::UNIX_MS;
 use common::key;
 use tokio::time::Instant;
+
 use tt_claims::Answer;
 use tt_claims::Attempt;
 use tt_claims::BodyDigest;
--- a/crates/claims/tests/common/mod.rs
+++ b/crates/claims/tests/common/mod.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use uuid::Uuid;
+
 use tt_claims::Attempt;
 use tt_claims::BodyDigest;
 use tt_claims::ClaimId;
@@ -29,7 +31,6 @@
 use tt_model::Revision;
 use tt_model::StoreCall;
 use tt_model::StoreReply;
-use uuid::Uuid;
 
 /// Wall-clock time at the start of each test.
 pub const UNIX_MS: u64 = 1_800_000_000_000;
--- a/crates/claims/tests/common/world.rs
+++ b/crates/claims/tests/common/world.rs
@@ -13,6 +13,10 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
+
+use super::Store;
+use super::UNIX_MS;
+use super::uuid_at;
 use tt_claims::Answer;
 use tt_claims::Attempt;
 use tt_claims::BodyDigest;
@@ -36,10 +40,6 @@
 use tt_model::Incarnation;
 use tt_model::StoreCall;
 
-use super::Store;
-use super::UNIX_MS;
-use super::uuid_at;
-
 pub const DAEMONS: usize = 3;
 pub const BODIES: [&[u8]; 2] = [b"body a", b"body b"];
 const RETENTION: Duration = Duration::from_secs(20);
--- a/crates/claims/tests/common/world/run.rs
+++ b/crates/claims/tests/common/world/run.rs
@@ -2,16 +2,6 @@
 
 use rand::RngExt;
 use tokio::time::Instant;
-use tt_claims::Answer;
-use tt_claims::ClaimantAction;
-use tt_claims::ClaimantEvent;
-use tt_claims::PartitionAction;
-use tt_claims::PartitionEvent;
-use tt_claims::RunOutcome;
-use tt_model::Ran;
-use tt_model::ResultCode;
-use tt_model::StoreCall;
-use tt_model::StoreReply;
 
 use super::Caller;
 use super::Choice;
@@ -22,6 +12,16 @@
 use super::StoreMode;
 use super::Sub;
 use super::World;
+use tt_claims::Answer;
+use tt_claims::ClaimantAction;
+use tt_claims::ClaimantEvent;
+use tt_claims::PartitionAction;
+use tt_claims::PartitionEvent;
+use tt_claims::RunOutcome;
+use tt_model::Ran;
+use tt_model::ResultCode;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
 
 impl World {
     /// Does one thing; moves the clock, at most to `end`, if there is nothing to do.
--- a/crates/claims/tests/fuzz.rs
+++ b/crates/claims/tests/fuzz.rs
@@ -17,6 +17,7 @@
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
+
 use tt_claims::Answer;
 use tt_claims::BodyDigest;
 use tt_claims::Start;
--- a/crates/claims/tests/log.rs
+++ b/crates/claims/tests/log.rs
@@ -11,6 +11,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
+use uuid::Uuid;
+
 use tt_claims::Head;
 use tt_claims::PartitionId;
 use tt_claims::RequestKey;
@@ -21,7 +23,6 @@
 use tt_claims::head_key;
 use tt_claims::segment_key;
 use tt_model::ResultCode;
-use uuid::Uuid;
 
 // Guards the log against ids without a time, which could not be pruned.
 #[test]
--- a/crates/claims/tests/partition.rs
+++ b/crates/claims/tests/partition.rs
@@ -8,6 +8,7 @@
 use common::key;
 use common::request;
 use common::uuid_at;
+
 use tt_claims::BodyDigest;
 use tt_claims::ClaimReply;
 use tt_claims::PartitionEvent;
--- a/crates/control/examples/dissemination.rs
+++ b/crates/control/examples/dissemination.rs
@@ -12,6 +12,13 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use support::FakeStore;
+use support::change_id;
+use support::cluster::Cluster;
+use support::cluster::Layout;
+use support::cluster::Mode;
+use support::document;
+use support::operators::trial;
 
 use tt_control::Change;
 use tt_control::ChangeRequest;
@@ -24,14 +31,6 @@
 use tt_model::Environment;
 use tt_model::Revision;
 
-use support::FakeStore;
-use support::change_id;
-use support::cluster::Cluster;
-use support::cluster::Layout;
-use support::cluster::Mode;
-use support::document;
-use support::operators::trial;
-
 /// Members, domains and regions of the runs.
 const SIZES: [[usize; 3]; 4] = [[10, 3, 1], [100, 6, 2], [1_000, 18, 6], [2_700, 36, 11]];
 const LOSSES: [f64; 3] = [0.0, 0.01, 0.1];
--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -9,13 +9,12 @@
 use uuid::Uuid;
 use uuid::Version;
 
+use crate::parts::Manifest;
 use tt_model::Digest;
 use tt_model::MAX_VALUE_BYTES;
 use tt_model::ResultCode;
 use tt_model::Revision;
 
-use crate::parts::Manifest;
-
 /// The key of the catalog in the store.
 pub const CATALOG_KEY: &str = "catalog";
 /// Changes kept for each entry. A lost reply can be resolved as long as the change is among them.
--- a/crates/control/src/change.rs
+++ b/crates/control/src/change.rs
@@ -17,11 +17,6 @@
 
 use tokio::time::Instant;
 
-use tt_model::Digest;
-use tt_model::Revision;
-use tt_model::StoreCall;
-use tt_model::StoreReply;
-
 use crate::backoff::Backoff;
 use crate::catalog::CATALOG_KEY;
 use crate::catalog::Catalog;
@@ -38,6 +33,10 @@
 use crate::parts::Manifest;
 use crate::parts::Part;
 use crate::parts::part_key;
+use tt_model::Digest;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
 
 pub use outcome::Outcome;
 pub use outcome::Winner;
--- a/crates/control/src/change/check.rs
+++ b/crates/control/src/change/check.rs
@@ -1,13 +1,12 @@
 //! Checks that need no store.
 
-use tt_model::Environment;
-use tt_model::Fault;
-use tt_model::ResultCode;
-
 use super::ChangeKind;
 use super::ChangeRequest;
 use super::Outcome;
 use crate::catalog::MAX_OPERATOR_BYTES;
+use tt_model::Environment;
+use tt_model::Fault;
+use tt_model::ResultCode;
 
 /// Checks everything that can be checked without the store.
 pub(super) fn check(request: &ChangeRequest) -> Result<(), Outcome> {
--- a/crates/control/src/change/outcome.rs
+++ b/crates/control/src/change/outcome.rs
@@ -2,13 +2,12 @@
 
 use std::fmt;
 
+use crate::catalog::ChangeId;
+use crate::catalog::Entry;
 use tt_model::Fault;
 use tt_model::ResultCode;
 use tt_model::Revision;
 
-use crate::catalog::ChangeId;
-use crate::catalog::Entry;
-
 /// The entry that a change lost against.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Winner {
--- a/crates/control/src/change/status.rs
+++ b/crates/control/src/change/status.rs
@@ -1,12 +1,11 @@
 //! The status of an earlier change, and the history of an environment.
 
-use tt_model::Revision;
-
 use crate::catalog::Catalog;
 use crate::catalog::ChangeId;
 use crate::catalog::ChangeRecord;
 use crate::catalog::EntryKey;
 use crate::catalog::HISTORY_LEN;
+use tt_model::Revision;
 
 /// What a catalog says about a change.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/control/src/change/steps.rs
+++ b/crates/control/src/change/steps.rs
@@ -4,12 +4,6 @@
 
 use tokio::time::Instant;
 
-use tt_model::Digest;
-use tt_model::ResultCode;
-use tt_model::Revision;
-use tt_model::StoreCall;
-use tt_model::StoreReply;
-
 use super::Attempt;
 use super::Change;
 use super::ChangeKind;
@@ -29,6 +23,11 @@
 use crate::message::StoreRequest;
 use crate::parts::Manifest;
 use crate::parts::Part;
+use tt_model::Digest;
+use tt_model::ResultCode;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
 
 /// Reads that show a catalog older than the operator's base before the base is judged wrong.
 const READS_BEHIND: u32 = 3;
--- a/crates/control/src/collector.rs
+++ b/crates/control/src/collector.rs
@@ -22,11 +22,6 @@
 
 use tokio::time::Instant;
 
-use tt_model::Digest;
-use tt_model::Revision;
-use tt_model::StoreCall;
-use tt_model::StoreReply;
-
 use crate::catalog::CATALOG_KEY;
 use crate::catalog::Catalog;
 use crate::journal::JOURNAL_KEY;
@@ -37,6 +32,10 @@
 use crate::parts::Manifest;
 use crate::parts::Part;
 use crate::parts::part_key;
+use tt_model::Digest;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
 
 /// Settings of the collector.
 #[derive(Debug, Clone)]
--- a/crates/control/src/dissemination.rs
+++ b/crates/control/src/dissemination.rs
@@ -8,12 +8,11 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::backoff::Backoff;
 use tt_model::Revision;
 use tt_model::StoreCall;
 use tt_model::StoreReply;
 
-use crate::backoff::Backoff;
-
 /// Daemons of a failure domain that watch the store. Two, so that the loss of one does not
 /// delay a change.
 pub const WATCHERS: usize = 2;
--- a/crates/control/src/in_force.rs
+++ b/crates/control/src/in_force.rs
@@ -7,11 +7,10 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
-use tt_model::Incarnation;
-use tt_model::Revision;
-
 use crate::message::PullRequest;
 use crate::message::Versions;
+use tt_model::Incarnation;
+use tt_model::Revision;
 
 /// Questions to daemons at the same time.
 const ASKED_AT_ONCE: usize = 64;
--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -7,11 +7,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::catalog::ChangeId;
 use tt_model::Digest;
 use tt_model::MAX_VALUE_BYTES;
 
-use crate::catalog::ChangeId;
-
 /// The key of the journal in the store.
 pub const JOURNAL_KEY: &str = "changes";
 
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -5,14 +5,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::catalog::Entry;
+use crate::parts::Part;
 use tt_model::Digest;
 use tt_model::Epoch;
 use tt_model::Revision;
 use tt_model::StoreCall;
 
-use crate::catalog::Entry;
-use crate::parts::Part;
-
 /// What a daemon has adopted. Carried in heartbeats.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Versions {
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -11,12 +11,6 @@
 use derive_more::Display;
 use tokio::time::Instant;
 
-use tt_model::Digest;
-use tt_model::Epoch;
-use tt_model::Revision;
-use tt_model::StoreCall;
-use tt_model::StoreReply;
-
 use crate::backoff::Backoff;
 use crate::catalog::CATALOG_KEY;
 use crate::catalog::Catalog;
@@ -35,6 +29,11 @@
 use crate::parts::Part;
 use crate::replica::Offer;
 use crate::replica::Replica;
+use tt_model::Digest;
+use tt_model::Epoch;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
 
 pub use settings::ControlSettings;
 
--- a/crates/control/src/plane/fetch.rs
+++ b/crates/control/src/plane/fetch.rs
@@ -6,10 +6,6 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use tt_model::Digest;
-use tt_model::Revision;
-use tt_model::StoreCall;
-
 use super::BackupPush;
 use super::ControlPlane;
 use super::PullInFlight;
@@ -22,6 +18,9 @@
 use crate::message::PullRequest;
 use crate::message::Update;
 use crate::parts::part_key;
+use tt_model::Digest;
+use tt_model::Revision;
+use tt_model::StoreCall;
 
 /// A daemon that has heard no peer since its start asks the store after this time.
 const START_WAIT: Duration = Duration::from_secs(1);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -5,11 +5,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use tt_model::Digest;
-use tt_model::Environment;
-use tt_model::Epoch;
-use tt_model::Revision;
-
 use crate::catalog::Catalog;
 use crate::catalog::Entry;
 use crate::catalog::EntryKey;
@@ -19,6 +14,10 @@
 use crate::parts;
 use crate::parts::Manifest;
 use crate::parts::Part;
+use tt_model::Digest;
+use tt_model::Environment;
+use tt_model::Epoch;
+use tt_model::Revision;
 
 /// Marks a part of a catalog that is not adopted yet.
 const STAGED: Revision = Revision(u64::MAX);
--- a/crates/control/tests/change.rs
+++ b/crates/control/tests/change.rs
@@ -4,6 +4,16 @@
 
 use std::collections::VecDeque;
 
+use support::change_id;
+use support::document;
+use support::operators::CallFault;
+use support::operators::Desk;
+use support::operators::is_swap;
+use support::operators::no_faults;
+use support::operators::once;
+use support::operators::promote;
+use support::operators::trial;
+
 use tt_control::Attempt;
 use tt_control::Catalog;
 use tt_control::Change;
@@ -23,16 +33,6 @@
 use tt_model::StoreCall;
 use tt_model::StoreReply;
 
-use support::change_id;
-use support::document;
-use support::operators::CallFault;
-use support::operators::Desk;
-use support::operators::is_swap;
-use support::operators::no_faults;
-use support::operators::once;
-use support::operators::promote;
-use support::operators::trial;
-
 fn accepted(revision: u64) -> Outcome {
     Outcome::Accepted { revision: Revision(revision) }
 }
--- a/crates/control/tests/collector.rs
+++ b/crates/control/tests/collector.rs
@@ -6,6 +6,13 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use support::FakeStore;
+use support::change_id;
+use support::document;
+use support::operators::Desk;
+use support::operators::no_faults;
+use support::operators::promote;
+use support::operators::trial;
 use tokio::time::Instant;
 
 use tt_control::CATALOG_KEY;
@@ -24,14 +31,6 @@
 use tt_model::StoreCall;
 use tt_model::StoreReply;
 
-use support::FakeStore;
-use support::change_id;
-use support::document;
-use support::operators::Desk;
-use support::operators::no_faults;
-use support::operators::promote;
-use support::operators::trial;
-
 const HOUR: Duration = Duration::from_secs(3600);
 
 /// The parts and manifests that the catalog references.
--- a/crates/control/tests/fuzz.rs
+++ b/crates/control/tests/fuzz.rs
@@ -13,6 +13,14 @@
 use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
+use support::change_id;
+use support::cluster::Cluster;
+use support::cluster::Layout;
+use support::cluster::StoreState;
+use support::document;
+use support::oracle::Oracle;
+use support::oracle::Submitted;
+use support::oracle::sha256;
 use tokio::time::Instant;
 
 use tt_control::Attempt;
@@ -30,15 +38,6 @@
 use tt_model::Digest;
 use tt_model::Revision;
 
-use support::change_id;
-use support::cluster::Cluster;
-use support::cluster::Layout;
-use support::cluster::StoreState;
-use support::document;
-use support::oracle::Oracle;
-use support::oracle::Submitted;
-use support::oracle::sha256;
-
 const DAEMONS: usize = 5;
 const OPERATORS: [&str; 3] = ["alice", "bob", "carol"];
 const ENVIRONMENTS: [&str; 2] = ["a", "b"];
--- a/crates/control/tests/golden.rs
+++ b/crates/control/tests/golden.rs
@@ -2,13 +2,6 @@
 
 mod support;
 
-use tt_control::CATALOG_KEY;
-use tt_control::Outcome;
-use tt_control::change::history;
-use tt_control::change::status;
-use tt_model::Digest;
-use tt_model::StoreCall;
-
 use support::change_id;
 use support::document;
 use support::operators::CallFault;
@@ -19,6 +12,13 @@
 use support::operators::promote;
 use support::operators::trial;
 
+use tt_control::CATALOG_KEY;
+use tt_control::Outcome;
+use tt_control::change::history;
+use tt_control::change::status;
+use tt_model::Digest;
+use tt_model::StoreCall;
+
 fn digest(text: &str) -> Digest {
     Digest::of(text.as_bytes())
 }
--- a/crates/control/tests/parts.rs
+++ b/crates/control/tests/parts.rs
@@ -5,6 +5,8 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
+use support::document;
+
 use tt_control::parts::AssembleError;
 use tt_control::parts::MAX_PART_BYTES;
 use tt_control::parts::Manifest;
@@ -13,8 +15,6 @@
 use tt_control::parts::cut;
 use tt_model::Digest;
 
-use support::document;
-
 fn digests(parts: &[Part]) -> HashSet<Digest> {
     parts.iter().map(|part| part.digest().clone()).collect()
 }
--- a/crates/control/tests/plane.rs
+++ b/crates/control/tests/plane.rs
@@ -4,6 +4,14 @@
 
 use std::time::Duration;
 
+use support::change_id;
+use support::cluster::Cluster;
+use support::cluster::Layout;
+use support::cluster::Mode;
+use support::cluster::StoreState;
+use support::document;
+use support::operators::trial;
+
 use tt_control::ASSIGNMENT_KEY;
 use tt_control::Change;
 use tt_control::ChangeRequest;
@@ -16,14 +24,6 @@
 use tt_model::Revision;
 use tt_model::StoreCall;
 
-use support::change_id;
-use support::cluster::Cluster;
-use support::cluster::Layout;
-use support::cluster::Mode;
-use support::cluster::StoreState;
-use support::document;
-use support::operators::trial;
-
 /// Accepts a document at once.
 fn accept(cluster: &mut Cluster, base: u64, text: &str) -> Revision {
     let id = change_id(base + 1);
--- a/crates/control/tests/support/cluster.rs
+++ b/crates/control/tests/support/cluster.rs
@@ -12,6 +12,7 @@
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
+use super::FakeStore;
 use tt_control::Action;
 use tt_control::CallId;
 use tt_control::ControlPlane;
@@ -27,8 +28,6 @@
 use tt_model::StoreCall;
 use tt_model::StoreReply;
 
-use super::FakeStore;
-
 /// The I/O layer's wait of a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// The I/O layer's timeout of a store call whose reply is lost.
--- a/crates/control/tests/support/operators.rs
+++ b/crates/control/tests/support/operators.rs
@@ -6,6 +6,8 @@
 
 use tokio::time::Instant;
 
+use super::FakeStore;
+use super::change_id;
 use tt_control::Attempt;
 use tt_control::CATALOG_KEY;
 use tt_control::Catalog;
@@ -20,9 +22,6 @@
 use tt_model::StoreCall;
 use tt_model::StoreReply;
 
-use super::FakeStore;
-use super::change_id;
-
 /// What happens to a store call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallFault {
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -2,12 +2,11 @@
 
 use serde_json::Value;
 
+use crate::output::Failure;
 use tt_bench::Ask;
 use tt_bench::Http;
 use tt_model::ResultCode;
 
-use crate::output::Failure;
-
 /// Sends one request and reads a JSON answer; a refusal is a failure.
 pub(crate) async fn json(http: &Http, ask: Ask) -> Result<Value, Failure> {
     let answer = http
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -8,11 +8,10 @@
 
 use std::future::Future;
 
-use tt_model::ResultCode;
-
 use crate::arguments::Arguments;
 use crate::demo;
 use crate::output::Failure;
+use tt_model::ResultCode;
 
 pub(crate) use bench::bench;
 pub(crate) use check::check;
--- a/crates/ctl/src/commands/bench.rs
+++ b/crates/ctl/src/commands/bench.rs
@@ -4,6 +4,12 @@
 
 use serde_json::json;
 
+use crate::arguments::Arguments;
+use crate::commands::block_on;
+use crate::commands::read;
+use crate::output::Failure;
+use crate::output::Format;
+use crate::output::print_line;
 use tt_bench::RunReport;
 use tt_bench::markdown;
 use tt_bench::plot;
@@ -13,13 +19,6 @@
 use tt_daemon::Policy;
 use tt_model::ResultCode;
 
-use crate::arguments::Arguments;
-use crate::commands::block_on;
-use crate::commands::read;
-use crate::output::Failure;
-use crate::output::Format;
-use crate::output::print_line;
-
 const HELP: &str = "\
 Usage: tillerctl bench list
        tillerctl bench run NAME|FILE [--policy adaptive|baseline|both] [--seed N]
--- a/crates/ctl/src/commands/check.rs
+++ b/crates/ctl/src/commands/check.rs
@@ -2,13 +2,12 @@
 
 use serde_json::json;
 
-use tt_model::Environment;
-
 use crate::arguments::Arguments;
 use crate::commands::read;
 use crate::output::Failure;
 use crate::output::Format;
 use crate::output::print_line;
+use tt_model::Environment;
 
 const HELP: &str = "\
 Usage: tillerctl check DOCUMENT [--json]
--- a/crates/ctl/src/commands/env.rs
+++ b/crates/ctl/src/commands/env.rs
@@ -2,15 +2,14 @@
 
 use serde_json::Value;
 
-use tt_bench::Ask;
-use tt_bench::Http;
-
 use crate::arguments::Arguments;
 use crate::client;
 use crate::commands::block_on;
 use crate::commands::read;
 use crate::output::Failure;
 use crate::output::print_value;
+use tt_bench::Ask;
+use tt_bench::Http;
 
 const HELP: &str = "\
 Usage: tillerctl env ACTION --at ADDRESS [OPTIONS]
--- a/crates/ctl/src/commands/query.rs
+++ b/crates/ctl/src/commands/query.rs
@@ -3,15 +3,14 @@
 use serde_json::Value;
 use serde_json::json;
 
-use tt_bench::Ask;
-use tt_bench::Http;
-use tt_model::ResultCode;
-
 use crate::arguments::Arguments;
 use crate::client;
 use crate::commands::block_on;
 use crate::output::Failure;
 use crate::output::print_value;
+use tt_bench::Ask;
+use tt_bench::Http;
+use tt_model::ResultCode;
 
 const QUERY_HELP: &str = "\
 Usage: tillerctl query --at ADDRESS --environment NAME --service NAME [OPTIONS] QUERY
--- a/crates/ctl/src/commands/standin.rs
+++ b/crates/ctl/src/commands/standin.rs
@@ -8,6 +8,11 @@
 use tokio::io::BufReader;
 use tokio::time::sleep;
 
+use crate::arguments::Arguments;
+use crate::commands::block_on;
+use crate::commands::read;
+use crate::output::Failure;
+use crate::output::print_line;
 use tt_model::Environment;
 use tt_model::ResultCode;
 use tt_standin::Fault;
@@ -17,12 +22,6 @@
 use tt_standin::SearcherSettings;
 use tt_standin::State;
 
-use crate::arguments::Arguments;
-use crate::commands::block_on;
-use crate::commands::read;
-use crate::output::Failure;
-use crate::output::print_line;
-
 const HELP: &str = "\
 Usage: tillerctl standin DOCUMENT --platform ADDRESS [--seconds N]
 
--- a/crates/ctl/src/demo/report.rs
+++ b/crates/ctl/src/demo/report.rs
@@ -5,15 +5,14 @@
 use serde_json::Value;
 use serde_json::json;
 
-use tt_bench::Checks;
-use tt_bench::Record;
-use tt_bench::class_stats;
-
 use crate::demo::DemoSettings;
 use crate::demo::Site;
 use crate::output::Failure;
 use crate::output::Format;
 use crate::output::print_line;
+use tt_bench::Checks;
+use tt_bench::Record;
+use tt_bench::class_stats;
 
 /// Prints the result.
 pub(crate) fn print(
--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -8,6 +8,12 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::client::json;
+use crate::demo::DemoSettings;
+use crate::demo::report;
+use crate::output::Failure;
+use crate::output::Format;
+use crate::output::print_line;
 use tt_bench::Ask;
 use tt_bench::Checks;
 use tt_bench::Fleet;
@@ -28,13 +34,6 @@
 use tt_standin::Profile;
 use tt_standin::State;
 
-use crate::client::json;
-use crate::demo::DemoSettings;
-use crate::demo::report;
-use crate::output::Failure;
-use crate::output::Format;
-use crate::output::print_line;
-
 /// A leaving searcher must get no new work after this time.
 const LEAVE_LIMIT: Duration = Duration::from_secs(3);
 
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::node::Node;
 use tt_control::CATALOG_KEY;
 use tt_control::Catalog;
 use tt_control::Change;
@@ -19,8 +20,6 @@
 use tt_model::StoreCall;
 use tt_model::StoreReply;
 
-use crate::node::Node;
-
 /// Runs one change to its outcome.
 pub(crate) async fn run(node: &Arc<Node>, request: ChangeRequest) -> Outcome {
     let settings = ChangeSettings { seed: node.me.id.incarnation.0, ..ChangeSettings::default() };
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -15,6 +15,9 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::clock;
+use crate::node::ClaimMessage;
+use crate::node::Node;
 use tt_claims::ClaimReply;
 use tt_claims::ClaimRequest;
 use tt_claims::PARTITIONS;
@@ -27,10 +30,6 @@
 use tt_claims::Token;
 use tt_rpc::Kind;
 
-use crate::clock;
-use crate::node::ClaimMessage;
-use crate::node::Node;
-
 /// Time for one call to a partition owner; the claimant repeats calls.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,10 +10,6 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
-use tt_membership::drain::Stage;
-use tt_membership::members::Intent;
-use tt_model::ResultCode;
-
 use crate::http;
 use crate::http::Listener;
 use crate::http::Side;
@@ -22,6 +18,9 @@
 use crate::peers;
 use crate::settings::Settings;
 use crate::tasks;
+use tt_membership::drain::Stage;
+use tt_membership::members::Intent;
+use tt_model::ResultCode;
 
 /// Time for calls of other daemons that are in flight when everything else has ended.
 const PEER_LIMIT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/env.rs
+++ b/crates/daemon/src/env.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use crate::settings::Policy;
 use tt_control::Stage;
 use tt_limits::Admission;
 use tt_limits::AdmissionSettings;
@@ -24,8 +25,6 @@
 use tt_routing::Router;
 use tt_routing::Settings;
 
-use crate::settings::Policy;
-
 /// Routers of one document. More of them would let threads wait less for the lock, but each
 /// learns about searchers only from its own queries, and at today's load a router that learns
 /// slowly costs more than the lock.
--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -6,7 +6,6 @@
 use crate::http::server::Request;
 use crate::node::Node;
 use crate::query;
-
 use tt_model::ResultCode;
 
 /// Answers one request of a caller.
--- a/crates/daemon/src/http/operators.rs
+++ b/crates/daemon/src/http/operators.rs
@@ -10,6 +10,12 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::change;
+use crate::http::answer::Answer;
+use crate::http::parameter;
+use crate::http::server::Request;
+use crate::metrics;
+use crate::node::Node;
 use tt_control::Attempt;
 use tt_control::ChangeId;
 use tt_control::ChangeKind;
@@ -29,13 +35,6 @@
 use tt_model::ResultCode;
 use tt_model::Revision;
 
-use crate::change;
-use crate::http::answer::Answer;
-use crate::http::parameter;
-use crate::http::server::Request;
-use crate::metrics;
-use crate::node::Node;
-
 /// How long an accepted change is followed until it is in force everywhere; the target is 10 s.
 const IN_FORCE_WAIT: Duration = Duration::from_secs(10);
 
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -21,12 +21,11 @@
 use xitca_web::http::header::CONTENT_TYPE;
 use xitca_web::service::fn_service;
 
-use tt_model::ResultCode;
-
 use crate::http::answer::Answer;
 use crate::http::callers;
 use crate::http::operators;
 use crate::node::Node;
+use tt_model::ResultCode;
 
 /// A caller that sends its head or body more slowly than this is cut off.
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -12,9 +12,8 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
-use tt_model::ResultCode;
-
 use crate::env::Env;
+use tt_model::ResultCode;
 
 /// Bounds of latency histograms, in seconds. 0.37 is the target for 99 in 100 queries.
 const LATENCY_BOUNDS: &[f64] = &[
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -21,6 +21,14 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::claims::Claims;
+use crate::clock;
+use crate::env::Env;
+use crate::owner::Hosts;
+use crate::peers::Origin;
+use crate::peers::Peers;
+use crate::peers::Running;
+use crate::settings::Settings;
 use tt_control::Collector;
 use tt_control::CollectorSettings;
 use tt_control::ControlPlane;
@@ -42,15 +50,6 @@
 use tt_platform::StoreSettings;
 use tt_platform::VmList;
 
-use crate::claims::Claims;
-use crate::clock;
-use crate::env::Env;
-use crate::owner::Hosts;
-use crate::peers::Origin;
-use crate::peers::Peers;
-use crate::peers::Running;
-use crate::settings::Settings;
-
 pub(crate) use exchange::Beat;
 pub(crate) use exchange::ClaimMessage;
 pub(crate) use exchange::ConfigAnswer;
--- a/crates/daemon/src/node/config.rs
+++ b/crates/daemon/src/node/config.rs
@@ -8,6 +8,12 @@
 
 use tokio::time::Instant;
 
+use crate::env::Env;
+use crate::node::ConfigAge;
+use crate::node::ConfigAnswer;
+use crate::node::ConfigMessage;
+use crate::node::Node;
+use crate::node::lock;
 use tt_control::Action;
 use tt_control::ControlPlane;
 use tt_control::PullFailed;
@@ -25,13 +31,6 @@
 use tt_model::Searcher;
 use tt_rpc::Kind;
 
-use crate::env::Env;
-use crate::node::ConfigAge;
-use crate::node::ConfigAnswer;
-use crate::node::ConfigMessage;
-use crate::node::Node;
-use crate::node::lock;
-
 /// Time for a push; a peer that misses it pulls.
 const PUSH_LIMIT: Duration = Duration::from_secs(2);
 
--- a/crates/daemon/src/node/entries.rs
+++ b/crates/daemon/src/node/entries.rs
@@ -4,14 +4,13 @@
 
 use serde::Serialize;
 
-use tt_membership::entries::Origin;
-use tt_membership::entries::entries;
-use tt_model::ResultCode;
-
 use crate::http::Answer;
 use crate::http::parameter;
 use crate::node::Node;
 use crate::node::lock;
+use tt_membership::entries::Origin;
+use tt_membership::entries::entries;
+use tt_model::ResultCode;
 
 /// Addresses in one answer. A caller needs a few; the rest would only grow the answer.
 const MAX_ENTRIES: usize = 8;
--- a/crates/daemon/src/node/exchange.rs
+++ b/crates/daemon/src/node/exchange.rs
@@ -4,14 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 use tonic::Status;
 
-use bytes::Bytes;
-
+use crate::codec;
+use crate::node::Node;
+use crate::owner::Call;
+use crate::owner::Handle;
+use crate::owner::Work;
 use tt_claims::ClaimRequest;
 use tt_claims::PartitionId;
 use tt_control::PullRequest;
@@ -27,12 +31,6 @@
 use tt_rpc::Outcome;
 use tt_rpc::SubReply;
 
-use crate::codec;
-use crate::node::Node;
-use crate::owner::Call;
-use crate::owner::Handle;
-use crate::owner::Work;
-
 /// Sub-queries of one `Gather` run no longer than this, whatever the message says.
 const MAX_BUDGET: Duration = Duration::from_secs(60);
 
--- a/crates/daemon/src/node/membership.rs
+++ b/crates/daemon/src/node/membership.rs
@@ -7,6 +7,12 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
+use crate::node::Beat;
+use crate::node::Node;
+use crate::node::exchange::MemberMessage;
+use crate::node::exchange::SearcherNote;
+use crate::node::exchange::Used;
+use crate::node::lock;
 use tt_control::Member as ControlMember;
 use tt_limits::MemberView;
 use tt_limits::ServiceUsage;
@@ -28,13 +34,6 @@
 use tt_routing::Hint;
 use tt_rpc::Kind;
 
-use crate::node::Beat;
-use crate::node::Node;
-use crate::node::exchange::MemberMessage;
-use crate::node::exchange::SearcherNote;
-use crate::node::exchange::Used;
-use crate::node::lock;
-
 /// Time for the answer to a heartbeat; less than the time between two.
 const BEAT_LIMIT: Duration = Duration::from_millis(900);
 
--- a/crates/daemon/src/node/ownership.rs
+++ b/crates/daemon/src/node/ownership.rs
@@ -7,6 +7,15 @@
 
 use tokio::time::Instant;
 
+use crate::clock;
+use crate::node::Node;
+use crate::node::Route;
+use crate::node::lock;
+use crate::node::membership::vm_id;
+use crate::owner::Host;
+use crate::owner::Right;
+use crate::owner::Standing;
+use crate::settings::Policy;
 use tt_control::Versions;
 use tt_membership::MemberId;
 use tt_membership::Rights;
@@ -24,16 +33,6 @@
 use tt_model::VmId;
 use tt_rpc::Kind;
 
-use crate::clock;
-use crate::node::Node;
-use crate::node::Route;
-use crate::node::lock;
-use crate::node::membership::vm_id;
-use crate::owner::Host;
-use crate::owner::Right;
-use crate::owner::Standing;
-use crate::settings::Policy;
-
 /// Time for an answer to a renewal or a question. A later answer is of little use, because the
 /// promise is measured from before the request.
 const ANSWER_LIMIT: Duration = Duration::from_millis(900);
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -18,6 +18,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 
+use crate::clock;
+use crate::settings::Policy;
 use tt_limits::SlotPolicy;
 use tt_limits::SlotRight;
 use tt_limits::Ticket;
@@ -27,9 +29,6 @@
 use tt_model::ServiceId;
 use tt_rpc::SubReply;
 
-use crate::clock;
-use crate::settings::Policy;
-
 pub(crate) use host::Host;
 
 /// A sub-query to run at a searcher.
--- a/crates/daemon/src/owner/client.rs
+++ b/crates/daemon/src/owner/client.rs
@@ -21,15 +21,14 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
-use tt_rpc::Outcome;
-use tt_rpc::RunMode;
-use tt_rpc::SubReply;
-
 use crate::clock;
 use crate::owner::Work;
 use crate::owner::reply::Found;
 use crate::owner::reply::Gone;
 use crate::owner::reply::StatusBody;
+use tt_rpc::Outcome;
+use tt_rpc::RunMode;
+use tt_rpc::SubReply;
 
 /// Bounds what one reply may make the daemon hold.
 const MAX_REPLY_BYTES: usize = 1024 * 1024;
--- a/crates/daemon/src/owner/host.rs
+++ b/crates/daemon/src/owner/host.rs
@@ -3,14 +3,6 @@
 mod drive;
 mod state;
 
-use crate::owner::Right;
-use crate::owner::Work;
-use crate::owner::client;
-use crate::owner::host::state::Mode;
-use crate::owner::host::state::State;
-use crate::settings::Policy;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -18,8 +10,18 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+
+use crate::owner::Right;
+use crate::owner::Work;
+use crate::owner::client;
+use crate::owner::host::state::Mode;
+use crate::owner::host::state::State;
+use crate::settings::Policy;
 use tt_limits::CancelOutcome;
 use tt_limits::ConnectionSettings;
 use tt_limits::Connections;
@@ -217,7 +219,7 @@
         }
     }
 
-    pub(super) fn report(&self, work: &Work, outcome: Outcome) {
+    fn report(&self, work: &Work, outcome: Outcome) {
         let mut reply = client::outcome(work.key, outcome);
         let pressure = self.lock().queue.pressure(Instant::now());
         reply.pressure_us = pressure.expected_wait.as_micros() as u64;
@@ -225,12 +227,12 @@
         let _ = work.reply.send(reply);
     }
 
-    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
 
-pub(super) fn refusal(reason: RejectReason) -> Outcome {
+fn refusal(reason: RejectReason) -> Outcome {
     match reason {
         RejectReason::DeadlinePassed => Outcome::Expired,
         RejectReason::WaitTooLong | RejectReason::QueueFull => Outcome::Shed,
--- a/crates/daemon/src/owner/host/drive.rs
+++ b/crates/daemon/src/owner/host/drive.rs
@@ -1,5 +1,13 @@
 //! The work of a host: starting, finishing and cancelling sub-queries, and its connections.
 
+use std::sync::Arc;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
 use crate::owner::Work;
 use crate::owner::client;
 use crate::owner::client::Bound;
@@ -14,12 +22,6 @@
 use crate::owner::host::state::Started;
 use crate::owner::host::state::State;
 use crate::owner::host::state::Step;
-use std::sync::Arc;
-use std::sync::MutexGuard;
-use std::time::Duration;
-use tokio::time::Instant;
-use tokio::time::sleep;
-use tokio::time::timeout;
 use tt_limits::Acquired;
 use tt_limits::ConnectionId;
 use tt_limits::RunOutcome;
--- a/crates/daemon/src/owner/host/state.rs
+++ b/crates/daemon/src/owner/host/state.rs
@@ -1,16 +1,18 @@
 //! The state of a host, under its lock.
 
-use crate::owner::Work;
-use crate::owner::client::Bound;
-use crate::owner::client::Sender;
-use crate::owner::host::Status;
-use rand::rngs::SmallRng;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
+
+use rand::rngs::SmallRng;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
+
+use crate::owner::Work;
+use crate::owner::client::Bound;
+use crate::owner::client::Sender;
+use crate::owner::host::Status;
 use tt_limits::Acquired;
 use tt_limits::ConnectionAction;
 use tt_limits::ConnectionId;
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -14,6 +14,7 @@
 use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 
+use crate::codec;
 use tt_rpc::CancelRequest;
 use tt_rpc::Envelope;
 use tt_rpc::GatherRequest;
@@ -21,8 +22,6 @@
 use tt_rpc::SubReply;
 use tt_rpc::TierClient;
 
-use crate::codec;
-
 /// Time to set up a connection to another daemon.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -19,6 +19,10 @@
 use tonic::Status;
 use tonic::transport::server::TcpIncoming;
 
+use crate::node::Node;
+use crate::peers::Origin;
+use crate::peers::client::MAX_MESSAGE_BYTES;
+use crate::peers::gather::Call;
 use tt_rpc::CancelReply;
 use tt_rpc::CancelRequest;
 use tt_rpc::Envelope;
@@ -27,11 +31,6 @@
 use tt_rpc::Tier;
 use tt_rpc::TierServer;
 
-use crate::node::Node;
-use crate::peers::Origin;
-use crate::peers::client::MAX_MESSAGE_BYTES;
-use crate::peers::gather::Call;
-
 /// A running server.
 #[derive(Debug)]
 pub(crate) struct Server {
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -10,13 +10,6 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use tt_claims::Attempt;
-use tt_claims::local_refusal;
-use tt_limits::Arrival;
-use tt_limits::Permit;
-use tt_model::ResultCode;
-use tt_routing::Mode;
-
 use crate::env::Env;
 use crate::http::Answer;
 use crate::metrics;
@@ -27,6 +20,12 @@
 use crate::query::request::RequestMode;
 use crate::query::request::Resolved;
 use crate::settings::Policy;
+use tt_claims::Attempt;
+use tt_claims::local_refusal;
+use tt_limits::Arrival;
+use tt_limits::Permit;
+use tt_model::ResultCode;
+use tt_routing::Mode;
 
 pub(crate) use run::Query;
 
--- a/crates/daemon/src/query/answer.rs
+++ b/crates/daemon/src/query/answer.rs
@@ -8,15 +8,14 @@
 use serde_json::value::RawValue;
 use tokio::time::Instant;
 
-use tt_model::ResultCode;
-use tt_routing::Reason;
-
 use crate::env::Env;
 use crate::http::Answer;
 use crate::http::ErrorBody;
 use crate::metrics;
 use crate::node::Node;
 use crate::query::request::QueryBody;
+use tt_model::ResultCode;
+use tt_routing::Reason;
 
 /// What the router answers.
 pub(crate) type Result = tt_routing::Answer<Bytes>;
--- a/crates/daemon/src/query/once.rs
+++ b/crates/daemon/src/query/once.rs
@@ -8,6 +8,11 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::clock;
+use crate::http::Answer;
+use crate::node::Node;
+use crate::query::Query;
+use crate::query::answer::Outline;
 use tt_claims::Answer as ClaimAnswer;
 use tt_claims::Attempt;
 use tt_claims::BodyDigest;
@@ -23,12 +28,6 @@
 use tt_model::ResultCode;
 use tt_routing::Outcome;
 
-use crate::clock;
-use crate::http::Answer;
-use crate::node::Node;
-use crate::query::Query;
-use crate::query::answer::Outline;
-
 /// A request that may run at most once.
 pub(crate) struct Submission {
     pub(crate) query: Query,
--- a/crates/daemon/src/query/run.rs
+++ b/crates/daemon/src/query/run.rs
@@ -11,6 +11,12 @@
 use tokio::time::sleep_until;
 use tokio_stream::StreamExt;
 
+use crate::clock;
+use crate::env::Env;
+use crate::node::Node;
+use crate::node::Route;
+use crate::peers::ExchangeError;
+use crate::query::answer::Result as QueryResult;
 use tt_model::ResultCode;
 use tt_model::SearcherId;
 use tt_model::ServiceId;
@@ -33,13 +39,6 @@
 use tt_rpc::Sub;
 use tt_rpc::SubReply;
 
-use crate::clock;
-use crate::env::Env;
-use crate::node::Node;
-use crate::node::Route;
-use crate::peers::ExchangeError;
-use crate::query::answer::Result as QueryResult;
-
 /// A query that may run.
 #[derive(Debug)]
 pub(crate) struct Query {
--- a/crates/daemon/src/tasks.rs
+++ b/crates/daemon/src/tasks.rs
@@ -8,13 +8,12 @@
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
-use tt_membership::drain::Remaining;
-use tt_membership::drain::Stage;
-use tt_membership::members::Intent;
-
 use crate::metrics;
 use crate::metrics::DaemonState;
 use crate::node::Node;
+use tt_membership::drain::Remaining;
+use tt_membership::drain::Stage;
+use tt_membership::members::Intent;
 
 /// Time between looks at what is due. Heartbeats and renewals are due once a second, questions
 /// during a handover every 50 ms.
--- a/crates/limits/examples/limits/cost.rs
+++ b/crates/limits/examples/limits/cost.rs
@@ -7,6 +7,11 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use crate::workload::DEADLINE;
+use crate::workload::SERVICES;
+use crate::workload::SLOTS;
+use crate::workload::contracts;
+use crate::workload::environment;
 use tt_limits::Acquired;
 use tt_limits::Admission;
 use tt_limits::AdmissionSettings;
@@ -24,12 +29,6 @@
 use tt_model::Key;
 use tt_model::ServiceId;
 
-use crate::workload::DEADLINE;
-use crate::workload::SERVICES;
-use crate::workload::SLOTS;
-use crate::workload::contracts;
-use crate::workload::environment;
-
 pub(crate) fn print() {
     println!("decision cost, mean of many rounds   ns per decision");
     let now = Instant::now();
--- a/crates/limits/examples/limits/main.rs
+++ b/crates/limits/examples/limits/main.rs
@@ -7,8 +7,6 @@
 mod simulation;
 mod workload;
 
-use tt_limits::QueuePolicy;
-
 use crate::simulation::Front;
 use crate::simulation::Sample;
 use crate::simulation::Scenario;
@@ -20,6 +18,7 @@
 use crate::workload::SLOTS;
 use crate::workload::SMALLEST;
 use crate::workload::contracts;
+use tt_limits::QueuePolicy;
 
 fn main() {
     let seed = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(1);
--- a/crates/limits/examples/limits/simulation.rs
+++ b/crates/limits/examples/limits/simulation.rs
@@ -10,6 +10,12 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use crate::workload::DEADLINE;
+use crate::workload::SERVICE_TIME;
+use crate::workload::SERVICES;
+use crate::workload::SLOTS;
+use crate::workload::contracts;
+use crate::workload::environment;
 use tt_limits::Admission;
 use tt_limits::AdmissionSettings;
 use tt_limits::Arrival;
@@ -27,13 +33,6 @@
 use tt_model::ServiceId;
 use tt_model::VmId;
 
-use crate::workload::DEADLINE;
-use crate::workload::SERVICE_TIME;
-use crate::workload::SERVICES;
-use crate::workload::SLOTS;
-use crate::workload::contracts;
-use crate::workload::environment;
-
 /// What stands between callers and the queue.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Front {
--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -9,6 +9,9 @@
 
 use tokio::time::Instant;
 
+use crate::admission::bucket::Bucket;
+use crate::admission::meter::Meter;
+use crate::admission::part::Others;
 use tt_model::Arena;
 use tt_model::Contract;
 use tt_model::Environment;
@@ -16,10 +19,6 @@
 use tt_model::ServiceId;
 use tt_model::VmId;
 
-use crate::admission::bucket::Bucket;
-use crate::admission::meter::Meter;
-use crate::admission::part::Others;
-
 /// Settings of [`Admission`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdmissionSettings {
--- a/crates/limits/src/admission/part.rs
+++ b/crates/limits/src/admission/part.rs
@@ -12,11 +12,10 @@
 
 use tokio::time::Instant;
 
-use tt_model::ServiceId;
-use tt_model::VmId;
-
 use crate::admission::MemberView;
 use crate::admission::UsageReport;
+use tt_model::ServiceId;
+use tt_model::VmId;
 
 #[derive(Debug)]
 struct Received {
--- a/crates/limits/src/slots.rs
+++ b/crates/limits/src/slots.rs
@@ -13,8 +13,6 @@
 
 use tokio::time::Instant;
 
-use tt_model::ServiceId;
-
 use crate::slots::entries::Entries;
 use crate::slots::entries::Entry;
 use crate::slots::entries::Queued;
@@ -26,6 +24,7 @@
 use crate::slots::order::Usage;
 use crate::slots::sorted::SortedMap;
 use crate::slowstart::SlowStart;
+use tt_model::ServiceId;
 
 pub use entries::SlotKind;
 pub use entries::Ticket;
--- a/crates/limits/src/slots/interface.rs
+++ b/crates/limits/src/slots/interface.rs
@@ -5,12 +5,11 @@
 use derive_more::Display;
 use tokio::time::Instant;
 
-use tt_model::ResultCode;
-use tt_model::ServiceId;
-
 use crate::slots::entries::SlotKind;
 use crate::slots::entries::Ticket;
 use crate::slowstart::SlowStartSettings;
+use tt_model::ResultCode;
+use tt_model::ServiceId;
 
 /// The order of a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/limits/src/slots/order.rs
+++ b/crates/limits/src/slots/order.rs
@@ -15,11 +15,10 @@
 
 use tokio::time::Instant;
 
-use tt_model::ServiceId;
-
 use crate::slots::entries::Ticket;
 use crate::slots::estimate::Estimate;
 use crate::slots::sorted::SortedMap;
+use tt_model::ServiceId;
 
 /// Shares are clamped to this range so that virtual time stays within 64 bits.
 const MIN_SHARE: f64 = 1e-3;
--- a/crates/limits/src/slots/order/tests.rs
+++ b/crates/limits/src/slots/order/tests.rs
@@ -5,14 +5,13 @@
 
 use tokio::time::Instant;
 
-use tt_model::ServiceId;
-
 use super::FairOrder;
 use super::Position;
 use super::Rank;
 use super::Usage;
 use crate::slots::entries::Entries;
 use crate::slots::estimate::Estimate;
+use tt_model::ServiceId;
 
 const SLOT_TIME: Duration = Duration::from_millis(10);
 
--- a/crates/limits/tests/admission.rs
+++ b/crates/limits/tests/admission.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use common::environment;
+use common::ms;
 use insta::assert_debug_snapshot;
 use tokio::time::Instant;
 
@@ -19,9 +21,6 @@
 use tt_model::ServiceId;
 use tt_model::VmId;
 
-use common::environment;
-use common::ms;
-
 const CONTRACT: &str = r#"{"rate": 100, "burst": 100, "concurrency": 10}"#;
 
 fn arrival(now: Instant, service: u32) -> Arrival {
--- a/crates/limits/tests/connections.rs
+++ b/crates/limits/tests/connections.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::ms;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
@@ -12,8 +13,6 @@
 use tt_limits::ConnectionSettings;
 use tt_limits::Connections;
 
-use common::ms;
-
 /// A searcher whose sockets open after the connect time.
 struct Searcher {
     now: Instant,
--- a/crates/limits/tests/fuzz_admission.rs
+++ b/crates/limits/tests/fuzz_admission.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use common::environment;
+use common::fuzz_config;
+use common::ms;
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
@@ -18,10 +21,6 @@
 use tt_model::ServiceId;
 use tt_model::VmId;
 
-use common::environment;
-use common::fuzz_config;
-use common::ms;
-
 const ENTRIES: usize = 4;
 const RATE: f64 = 40.0;
 const BURST: f64 = 8.0;
--- a/crates/limits/tests/fuzz_connections.rs
+++ b/crates/limits/tests/fuzz_connections.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use common::fuzz_config;
+use common::ms;
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
@@ -16,9 +18,6 @@
 use tt_limits::ConnectionSettings;
 use tt_limits::Connections;
 
-use common::fuzz_config;
-use common::ms;
-
 #[derive(Debug, Clone)]
 enum Step {
     Limit { sockets: u32 },
--- a/crates/limits/tests/fuzz_slots.rs
+++ b/crates/limits/tests/fuzz_slots.rs
@@ -4,6 +4,9 @@
 
 use std::collections::BTreeMap;
 
+use common::fuzz_config;
+use common::ms;
+use common::sub;
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
@@ -21,10 +24,6 @@
 use tt_limits::SubQuery;
 use tt_limits::Ticket;
 
-use common::fuzz_config;
-use common::ms;
-use common::sub;
-
 const MARGIN_MS: u64 = 5;
 
 #[derive(Debug, Clone)]
--- a/crates/limits/tests/slots.rs
+++ b/crates/limits/tests/slots.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use common::ms;
+use common::started;
+use common::sub;
 use insta::assert_snapshot;
 use tokio::time::Instant;
 
@@ -18,10 +21,6 @@
 use tt_limits::SlotRight;
 use tt_limits::SubQuery;
 
-use common::ms;
-use common::started;
-use common::sub;
-
 fn queue(now: Instant, right: SlotRight) -> SlotQueue<u32> {
     queue_with(now, right, QueueSettings::default())
 }
--- a/crates/membership/examples/heartbeats.rs
+++ b/crates/membership/examples/heartbeats.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
+
 use tt_membership::Member;
 use tt_membership::MemberId;
 use tt_membership::Members;
--- a/crates/membership/examples/movement.rs
+++ b/crates/membership/examples/movement.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use tt_membership::DomainKey;
 use tt_membership::MemberId;
 use tt_membership::SearcherKey;
 use tt_membership::ownership::Candidate;
 use tt_membership::ownership::pair;
 use tt_model::Incarnation;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Virtual shards for each member at the first size; the number stays fixed afterwards.
 const VIRTUAL_PER_MEMBER: usize = 32;
--- a/crates/membership/examples/rights_cost.rs
+++ b/crates/membership/examples/rights_cost.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+
 use tt_membership::Assignment;
 use tt_membership::DomainKey;
 use tt_membership::Member;
--- a/crates/membership/src/assignment.rs
+++ b/crates/membership/src/assignment.rs
@@ -13,12 +13,12 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use tt_model::Epoch;
 
 use crate::ids::DomainKey;
 use crate::ids::Member;
 use crate::ids::MemberId;
 use crate::ownership::Candidate;
+use tt_model::Epoch;
 
 pub use proposer::Assignments;
 pub use proposer::CallId;
--- a/crates/membership/src/assignment/proposer.rs
+++ b/crates/membership/src/assignment/proposer.rs
@@ -6,15 +6,15 @@
 
 use log::info;
 use tokio::time::Instant;
-use tt_model::Epoch;
-use tt_model::Revision;
-use tt_model::StoreCall;
-use tt_model::StoreReply;
 
 use super::ASSIGNMENT_KEY;
 use super::Assignment;
 use crate::ids::Member;
 use crate::ids::MemberId;
+use tt_model::Epoch;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
 
 /// A membership must be unchanged for this long before it is proposed, so that a restart
 /// of several daemons makes few epochs.
--- a/crates/membership/src/ids.rs
+++ b/crates/membership/src/ids.rs
@@ -6,9 +6,10 @@
 use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
-use tt_model::Incarnation;
 use xxhash_rust::xxh3::xxh3_64;
 
+use tt_model::Incarnation;
+
 /// One process: a later process at the same address has a higher incarnation.
 #[derive(
     Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -23,11 +23,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
-use tt_model::Epoch;
-use tt_model::Revision;
 
 use crate::ids::Member;
 use crate::ids::MemberId;
+use tt_model::Epoch;
+use tt_model::Revision;
 
 pub use digest::DIGEST_NOTES;
 pub use heartbeat::Action;
--- a/crates/membership/src/members/heartbeat.rs
+++ b/crates/membership/src/members/heartbeat.rs
@@ -9,8 +9,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
-use tt_model::Epoch;
-use tt_model::Revision;
 
 use super::FAILURE_SPAN;
 use super::FALSE_SUSPICIONS;
@@ -26,6 +24,8 @@
 use super::RATE_WEIGHT;
 use super::SUSPECT_AFTER;
 use super::SUSPECT_FAILURES;
+use tt_model::Epoch;
+use tt_model::Revision;
 
 /// Up to this many members, everyone sends to everyone.
 pub const ALL_TO_ALL: usize = 8;
--- a/crates/membership/src/members/target.rs
+++ b/crates/membership/src/members/target.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use tt_model::Epoch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Intent;
@@ -20,6 +19,7 @@
 use crate::ids::Member;
 use crate::ids::MemberId;
 use crate::ownership::Candidate;
+use tt_model::Epoch;
 
 impl Members {
     /// The members that the next epoch should have, and this daemon's place in the order
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -10,7 +10,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use tt_model::Epoch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::assignment::Assignment;
@@ -18,6 +17,7 @@
 use crate::ids::MemberId;
 use crate::ids::SearcherKey;
 use crate::ids::hash_address;
+use tt_model::Epoch;
 
 /// A member as seen by the ranking.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/membership/src/rights.rs
+++ b/crates/membership/src/rights.rs
@@ -22,15 +22,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use state::Entry;
 use tokio::time::Instant;
-use tt_model::Epoch;
 
 use crate::assignment::Assignment;
 use crate::ids::MemberId;
 use crate::ids::SearcherKey;
 use crate::ownership::Ownership;
 use crate::ownership::SearcherSpec;
-use state::Entry;
+use tt_model::Epoch;
 
 pub use messages::Message;
 pub use messages::Release;
--- a/crates/membership/src/rights/messages.rs
+++ b/crates/membership/src/rights/messages.rs
@@ -6,7 +6,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
-use tt_model::Epoch;
 
 use super::Clock;
 use super::Half;
@@ -16,6 +15,7 @@
 use super::state::Lend;
 use crate::ids::MemberId;
 use crate::ids::SearcherKey;
+use tt_model::Epoch;
 
 /// A message that is due.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/membership/src/rights/state.rs
+++ b/crates/membership/src/rights/state.rs
@@ -1,7 +1,6 @@
 //! The rights of one process to one searcher.
 
 use tokio::time::Instant;
-use tt_model::Epoch;
 
 use super::Allowance;
 use super::Half;
@@ -11,6 +10,7 @@
 use crate::ownership::Pair;
 use crate::ownership::SearcherSpec;
 use crate::ownership::ranked_pair;
+use tt_model::Epoch;
 
 /// A promise given to an owner.
 #[derive(Debug, Clone, Copy)]
--- a/crates/membership/tests/assignment.rs
+++ b/crates/membership/tests/assignment.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+
 use tt_membership::Assignment;
 use tt_membership::Assignments;
 use tt_membership::Member;
--- a/crates/membership/tests/drain.rs
+++ b/crates/membership/tests/drain.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+
 use tt_membership::Drain;
 use tt_membership::drain::DrainSettings;
 use tt_membership::drain::Remaining;
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -7,6 +7,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
+
 use tt_membership::Assignment;
 use tt_membership::Member;
 use tt_membership::MemberId;
--- a/crates/membership/tests/ownership.rs
+++ b/crates/membership/tests/ownership.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+
 use tt_membership::Assignment;
 use tt_membership::DomainKey;
 use tt_membership::Member;
--- a/crates/membership/tests/tier/store.rs
+++ b/crates/membership/tests/tier/store.rs
@@ -2,6 +2,7 @@
 
 use rand::RngExt;
 use rand::rngs::StdRng;
+
 use tt_model::Revision;
 use tt_model::StoreCall;
 use tt_model::StoreReply;
--- /dev/null
+++ b/crates/membership/tests/tier/world/step.rs
@@ -0,0 +1,305 @@
+//! What happens in a step of the world: deliveries, the work of each process, searchers.
+
+use std::net::SocketAddr;
+
+use rand::RngExt;
+
+use super::Body;
+use super::CALL_LIMIT_MS;
+use super::LIST_LAG_MS;
+use super::LIST_PERIOD_MS;
+use super::LONGEST_WORK_MS;
+use super::Packet;
+use super::Process;
+use super::Request;
+use super::UNIX_MS;
+use super::Work;
+use super::World;
+use super::usage_of;
+use crate::searcher::Reply;
+use tt_membership::SearcherKey;
+use tt_membership::assignment::Step;
+use tt_membership::members::Action;
+use tt_membership::members::Event;
+use tt_membership::members::ListedState;
+use tt_membership::members::ListedVm;
+use tt_membership::rights::Message;
+use tt_model::Epoch;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
+
+impl World {
+    pub(super) fn run_searchers(&mut self) {
+        let now = self.now_ms;
+        let due: Vec<Request> = self.requests.extract_if(.., |r| r.at_ms <= now).collect();
+        let mut replies: Vec<Reply> = Vec::new();
+        for (_, searcher) in &mut self.searchers {
+            replies.extend(searcher.advance(now));
+        }
+        for r in due {
+            let searcher = &mut self.searchers[r.searcher].1;
+            replies.extend(searcher.arrive(r.work, r.deadline_ms, r.run_ms, r.from, now));
+        }
+        for reply in replies {
+            self.send(reply.to, reply.to, &Body::Done(reply.work));
+        }
+    }
+
+    pub(super) fn deliver(&mut self) {
+        let now = self.now_ms;
+        let paused: Vec<bool> = self
+            .sites
+            .iter()
+            .map(|s| s.process.as_ref().is_some_and(|p| p.paused.is_some()))
+            .collect();
+        let due: Vec<Packet> =
+            self.packets.extract_if(.., |p| p.at_ms <= now && !paused[p.to]).collect();
+        for packet in due {
+            self.receive(packet);
+        }
+    }
+
+    pub(super) fn send(&mut self, from: usize, to: usize, body: &Body) {
+        let copies = match self.rng.random_range(0..100) {
+            0..5 if self.loss > 0.0 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            if self.groups[from] != self.groups[to] || self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let delay = self.rng.random_range(0..=self.delay_ms);
+            self.packets.push(Packet { at_ms: self.now_ms + delay, from, to, body: body.clone() });
+        }
+    }
+
+    pub(super) fn site_of(&self, address: SocketAddr) -> usize {
+        self.sites.iter().position(|s| s.address == address).expect("a known address")
+    }
+
+    pub(super) fn receive(&mut self, packet: Packet) {
+        let Packet { from, to, body, .. } = packet;
+        let Some(process) = &mut self.sites[to].process else { return };
+        let clock = process.clock(self.base, self.now_ms);
+        let now = clock.now;
+        let work = &process.work;
+        let connections = &process.connections;
+        let index = &self.index;
+        let usage = |key: SearcherKey| usage_of(work, connections, index[&key]);
+        let mut replies = Vec::new();
+        let mut peer_epoch = Epoch(0);
+        match body {
+            Body::Heartbeat(message) => {
+                peer_epoch = message.epoch;
+                let answer = process.members.on_heartbeat(*message, &mut self.rng, now);
+                replies.push(Body::HeartbeatAnswer(Box::new(answer)));
+            }
+            Body::HeartbeatAnswer(message) => {
+                peer_epoch = message.epoch;
+                let address = message.from.member.id.address;
+                process.awaited.retain(|(_, a)| *a != address);
+                process.members.on_answer(*message, now);
+            }
+            Body::Renew(renew) => {
+                peer_epoch = renew.epoch;
+                let answer = process.rights.on_renew(&renew, usage, now);
+                replies.extend(answer.map(Body::RenewAnswer));
+            }
+            Body::RenewAnswer(answer) => {
+                peer_epoch = answer.epoch;
+                process.rights.on_renew_answer(&answer);
+            }
+            Body::Release(release) => {
+                peer_epoch = release.epoch;
+                let answer = process.rights.on_release(&release, usage, now);
+                replies.push(Body::ReleaseAnswer(answer));
+            }
+            Body::ReleaseAnswer(answer) => {
+                peer_epoch = answer.epoch;
+                process.rights.on_release_answer(&answer, now);
+            }
+            Body::Pull(epoch) => {
+                if let Some(current) = process.assignments.current().filter(|a| a.epoch > epoch) {
+                    replies.push(match current.delta(epoch) {
+                        Some(delta) => Body::Delta(Box::new(delta)),
+                        None => Body::Full(Box::new(current.clone())),
+                    });
+                }
+            }
+            Body::Full(value) => {
+                if process.assignments.adopt(*value) {
+                    process.adopt(now);
+                }
+            }
+            Body::Delta(delta) => {
+                let value = process.assignments.current().and_then(|a| a.apply(*delta));
+                if value.is_some_and(|value| process.assignments.adopt(value)) {
+                    process.adopt(now);
+                }
+            }
+            Body::StoreReply(incarnation, id, reply) => {
+                if incarnation == process.id.incarnation {
+                    let target = std::mem::take(&mut process.target);
+                    let nonce = self.rng.random();
+                    let steps = process.assignments.on_reply(id, reply, &target, nonce, now);
+                    process.target = target;
+                    self.take_steps(to, steps);
+                    return;
+                }
+            }
+            Body::Done(id) => {
+                for list in process.work.values_mut() {
+                    list.retain(|work| work.id != id);
+                }
+            }
+        }
+        let own = process.rights.epoch();
+        if peer_epoch > own {
+            replies.push(Body::Pull(own));
+        }
+        for body in replies {
+            self.send(to, from, &body);
+        }
+    }
+
+    pub(super) fn take_steps(&mut self, site: usize, steps: Vec<Step>) {
+        for step in steps {
+            let now_ms = self.now_ms;
+            let base = self.base;
+            let Some(process) = &mut self.sites[site].process else { return };
+            match step {
+                Step::Adopted(_) => process.adopt(process.now(base, now_ms)),
+                Step::Call(id, call) => self.call_store(site, id, &call),
+            }
+        }
+    }
+
+    pub(super) fn call_store(
+        &mut self,
+        site: usize,
+        id: tt_membership::assignment::CallId,
+        call: &StoreCall,
+    ) {
+        let reachable = self.store_group.is_none_or(|group| group == self.groups[site]);
+        let reply = if reachable {
+            self.store.call(call, self.now_ms, &mut self.rng)
+        } else {
+            StoreReply::Unavailable
+        };
+        let Some(process) = &self.sites[site].process else { return };
+        let body = Body::StoreReply(process.id.incarnation, id, reply);
+        let at_ms = self.now_ms + self.rng.random_range(1..=5);
+        self.packets.push(Packet { at_ms, from: site, to: site, body });
+    }
+
+    /// Lets a process do what is due and use all that it may use.
+    pub(super) fn run(&mut self, site: usize) {
+        let (base, now_ms) = (self.base, self.now_ms);
+        let Some(mut process) = self.sites[site].process.take() else { return };
+        let clock = process.clock(base, now_ms);
+        let now = clock.now;
+        let mut out = Vec::new();
+        for request in process.outbox.drain(..) {
+            let at_ms = now_ms + self.rng.random_range(0..=self.delay_ms);
+            self.requests.push(Request { at_ms, ..request });
+        }
+        let late: Vec<SocketAddr> =
+            process.awaited.extract_if(.., |(at, _)| now_ms >= *at).map(|(_, a)| a).collect();
+        for address in late {
+            process.members.on_failed(address, now);
+        }
+        let epoch = process.rights.epoch();
+        process.members.set_report(epoch, Revision(0), process.rights.settled());
+        for action in process.members.tick(&mut self.rng, now) {
+            if let Action::Send(to, message) = action {
+                process.awaited.push((now_ms + CALL_LIMIT_MS, to));
+                out.push((self.site_of(to), Body::Heartbeat(Box::new(message))));
+            }
+        }
+        if now_ms >= process.next_list_ms {
+            process.next_list_ms = now_ms + LIST_PERIOD_MS;
+            let list = self.read_list();
+            process.members.on_platform_list(&list, now);
+        }
+        for event in process.members.take_events() {
+            match event {
+                Event::Ended(id) => process.rights.member_ended(id, now),
+                Event::Stopped(id) => process.rights.member_stopped(id, now),
+                Event::Joined(_) | Event::Changed(..) | Event::Superseded => {}
+            }
+        }
+        process.finish_work(now_ms);
+        let work = &process.work;
+        let connections = &process.connections;
+        let index = &self.index;
+        let usage = |key: SearcherKey| usage_of(work, connections, index[&key]);
+        for message in process.rights.tick(usage, clock) {
+            out.push(match message {
+                Message::Renew(renew) => (self.site_of(renew.to.address), Body::Renew(renew)),
+                Message::Release(release) => {
+                    (self.site_of(release.to.address), Body::Release(release))
+                }
+            });
+        }
+        self.use_searchers(site, &mut process);
+        let mut steps = Vec::new();
+        if now_ms.is_multiple_of(100) {
+            let hold_off = self.settings.hold_off();
+            process.target = process.members.target(process.assignments.current(), hold_off, now);
+            let target = std::mem::take(&mut process.target);
+            steps = process.assignments.tick(&target, now);
+            process.target = target;
+        }
+        self.sites[site].process = Some(process);
+        for (to, body) in out {
+            self.send(site, to, &body);
+        }
+        self.take_steps(site, steps);
+    }
+
+    /// Opens as many connections and starts as many sub-queries as allowed.
+    pub(super) fn use_searchers(&mut self, site: usize, process: &mut Process) {
+        let clock = process.clock(self.base, self.now_ms);
+        for (i, (spec, _)) in self.searchers.iter().enumerate() {
+            let allowance = process.rights.allowance(spec.key, clock.now);
+            let open = process.connections.entry(i).or_default();
+            let list = process.work.entry(i).or_default();
+            *open = allowance.connections.max((list.len() as u32).min(*open));
+            for _ in 0..spec.slots {
+                let bounded = list.iter().filter(|work| work.bounded).count() as u32;
+                let free = list.len() as u32 - bounded < allowance.slots;
+                let until = allowance.until.filter(|_| bounded < allowance.bounded);
+                if list.len() as u32 >= *open || (!free && until.is_none()) {
+                    break;
+                }
+                let wanted = clock.unix_ms + self.rng.random_range(50..LONGEST_WORK_MS);
+                let deadline = if free { wanted } else { wanted.min(until.unwrap_or(0)) };
+                self.next_work += 1;
+                list.push(Work { id: self.next_work, deadline_ms: deadline, bounded: !free });
+                process.outbox.push(Request {
+                    at_ms: 0,
+                    searcher: i,
+                    from: site,
+                    work: self.next_work,
+                    deadline_ms: deadline - UNIX_MS,
+                    run_ms: match self.rng.random_range(0..10) {
+                        0 => 4_000,
+                        _ => self.rng.random_range(5..300),
+                    },
+                });
+            }
+        }
+    }
+
+    pub(super) fn read_list(&mut self) -> Vec<ListedVm> {
+        let shown: Vec<SocketAddr> =
+            self.sites.iter().filter(|s| s.vm).map(|s| s.address).collect();
+        self.lists.push((self.now_ms, shown));
+        let oldest = self.now_ms.saturating_sub(LIST_LAG_MS);
+        self.lists.retain(|(at, _)| *at >= oldest);
+        let read = self.rng.random_range(0..self.lists.len());
+        let list = &self.lists[read].1;
+        list.iter().map(|&address| ListedVm { address, state: ListedState::Live }).collect()
+    }
+}
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -7,13 +7,12 @@
 use hyper::Method;
 use hyper::StatusCode;
 
-use tt_model::Revision;
-use tt_model::StoreCall;
-use tt_model::StoreReply;
-
 use crate::http::Failure;
 use crate::http::Http;
 use crate::http::Reply;
+use tt_model::Revision;
+use tt_model::StoreCall;
+use tt_model::StoreReply;
 
 /// How calls to the store are made.
 #[derive(Debug, Clone)]
--- a/crates/routing/examples/decision_cost.rs
+++ b/crates/routing/examples/decision_cost.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
+
 use tt_model::Environment;
 use tt_model::ServiceId;
 use tt_model::ShardId;
--- a/crates/routing/examples/router_memory.rs
+++ b/crates/routing/examples/router_memory.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
+
 use tt_model::Environment;
 use tt_model::ServiceId;
 use tt_model::ShardId;
--- a/crates/routing/examples/stragglers.rs
+++ b/crates/routing/examples/stragglers.rs
@@ -16,6 +16,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
+
 use tt_model::Environment;
 use tt_model::Key;
 use tt_model::SearcherId;
--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -3,16 +3,16 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use tt_model::ResultCode;
-use tt_model::SearcherId;
-use tt_model::ServiceId;
-use tt_model::ShardId;
-use tt_model::Snapshot;
 
 use crate::arena::QueryKey;
 use crate::arena::SubKey;
 use crate::plan::Shards;
 use crate::view::Pressure;
+use tt_model::ResultCode;
+use tt_model::SearcherId;
+use tt_model::ServiceId;
+use tt_model::ShardId;
+use tt_model::Snapshot;
 
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/routing/src/plan.rs
+++ b/crates/routing/src/plan.rs
@@ -10,6 +10,8 @@
 
 use std::sync::Arc;
 
+use crate::view::Served;
+use crate::view::View;
 use tt_model::Arena;
 use tt_model::Environment;
 use tt_model::Preference;
@@ -18,9 +20,6 @@
 use tt_model::ShardId;
 use tt_model::Snapshot;
 
-use crate::view::Served;
-use crate::view::View;
-
 /// The shards that a caller asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Shards {
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -15,11 +15,6 @@
 
 use rand::Rng;
 use tokio::time::Instant;
-use tt_model::Preference;
-use tt_model::SearcherId;
-use tt_model::ServiceId;
-use tt_model::ShardId;
-use tt_model::Snapshot;
 
 use self::finish::End;
 use crate::arena::QueryKey;
@@ -42,6 +37,11 @@
 use crate::view::Probe;
 use crate::view::Trouble;
 use crate::view::View;
+use tt_model::Preference;
+use tt_model::SearcherId;
+use tt_model::ServiceId;
+use tt_model::ShardId;
+use tt_model::Snapshot;
 
 // End of a chain of attempts, and no time set.
 const NONE: u32 = u32::MAX;
--- a/crates/routing/src/query/attempt.rs
+++ b/crates/routing/src/query/attempt.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use tt_model::SearcherId;
 
 use super::Context;
 use super::NONE;
@@ -19,6 +18,7 @@
 use crate::settings::Policy;
 use crate::view::Intent;
 use crate::view::Probe;
+use tt_model::SearcherId;
 
 // With an empty budget only sub-queries slower than this part of all are hedged, so that
 // what is earned goes to the worst stragglers.
--- a/crates/routing/src/query/finish.rs
+++ b/crates/routing/src/query/finish.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use tt_model::ResultCode;
 
 use super::Context;
 use super::Progress;
@@ -18,6 +17,7 @@
 use crate::event::Mode;
 use crate::event::Outcome;
 use crate::event::Reason;
+use tt_model::ResultCode;
 
 /// Why a query ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/routing/src/query/open.rs
+++ b/crates/routing/src/query/open.rs
@@ -3,8 +3,6 @@
 use std::collections::BinaryHeap;
 
 use rand::Rng;
-use tt_model::Preference;
-use tt_model::ResultCode;
 
 use super::Context;
 use super::NONE;
@@ -25,6 +23,8 @@
 use crate::view::Choice;
 use crate::view::Intent;
 use crate::view::Probe;
+use tt_model::Preference;
+use tt_model::ResultCode;
 
 // A query may send one probe, and one more for each so many shards.
 const SHARDS_PER_PROBE: usize = 64;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -4,11 +4,6 @@
 
 use rand::Rng;
 use tokio::time::Instant;
-use tt_model::Environment;
-use tt_model::ResultCode;
-use tt_model::SearcherId;
-use tt_model::Snapshot;
-use tt_model::VmId;
 
 use crate::arena::GenArena;
 use crate::arena::QueryKey;
@@ -28,6 +23,11 @@
 use crate::view::Hint;
 use crate::view::Pressure;
 use crate::view::View;
+use tt_model::Environment;
+use tt_model::ResultCode;
+use tt_model::SearcherId;
+use tt_model::Snapshot;
+use tt_model::VmId;
 
 // Distance between the first generations of a router and of its successor. A router would
 // have to start this many queries before their keys could meet.
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+
 use tt_model::Arena;
 use tt_model::Environment;
 use tt_model::SearcherId;
--- a/crates/routing/src/view/choose.rs
+++ b/crates/routing/src/view/choose.rs
@@ -4,14 +4,14 @@
 
 use rand::Rng;
 use tokio::time::Instant;
-use tt_model::SearcherId;
-use tt_model::ShardId;
-use tt_model::Snapshot;
-use tt_model::VmId;
 
 use super::View;
 use super::searcher::Entry;
 use crate::event::Reason;
+use tt_model::SearcherId;
+use tt_model::ShardId;
+use tt_model::Snapshot;
+use tt_model::VmId;
 
 // The estimates of equal replicas differ by less than this factor.
 const SLOWER: f32 = 2.0;
--- a/crates/routing/src/view/searcher.rs
+++ b/crates/routing/src/view/searcher.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+
+use crate::latency::Latency;
 use tt_model::ShardId;
 use tt_model::Snapshot;
 use tt_model::VmId;
 
-use crate::latency::Latency;
-
 // Parts of the normal traffic in the steps of slow start, in 256ths.
 const WARM_SHARES: [u32; 3] = [32, 64, 128];
 
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
+
 use tt_model::Environment;
 use tt_model::ResultCode;
 use tt_model::SearcherId;
--- a/crates/routing/tests/fuzz.rs
+++ b/crates/routing/tests/fuzz.rs
@@ -12,12 +12,12 @@
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
-use tt_routing::Hint;
-use tt_routing::Mode;
-use tt_routing::Policy;
 
 use self::oracle::Past;
 use self::oracle::World;
+use tt_routing::Hint;
+use tt_routing::Mode;
+use tt_routing::Policy;
 
 /// What happens next. Numbers that pick something are taken modulo what there is.
 #[derive(Debug, Clone)]
--- a/crates/routing/tests/oracle/mod.rs
+++ b/crates/routing/tests/oracle/mod.rs
@@ -5,6 +5,11 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+
+use super::ReplyKind;
+use super::common::Bench;
+use super::common::ShardLine;
+use super::common::environment;
 use tt_model::SearcherId;
 use tt_model::ServiceId;
 use tt_model::ShardId;
@@ -29,11 +34,6 @@
 use tt_routing::SubQuery;
 use tt_routing::Verdict;
 
-use super::ReplyKind;
-use super::common::Bench;
-use super::common::ShardLine;
-use super::common::environment;
-
 const CAPACITY: f64 = 8.0;
 const LEAVE_HOLD: Duration = Duration::from_secs(10);
 
--- a/crates/routing/tests/plan.rs
+++ b/crates/routing/tests/plan.rs
@@ -6,6 +6,11 @@
 
 use insta::assert_snapshot;
 use tokio::time::Instant;
+
+use self::common::COVERAGE;
+use self::common::ShardLine;
+use self::common::environment;
+use self::common::uniform;
 use tt_model::Environment;
 use tt_model::Preference;
 use tt_model::ResultCode;
@@ -18,11 +23,6 @@
 use tt_routing::Shards;
 use tt_routing::View;
 
-use self::common::COVERAGE;
-use self::common::ShardLine;
-use self::common::environment;
-use self::common::uniform;
-
 /// `a` splits into `a1` and `a2` at 11, which split and merge again at 12 and 13; `b` and
 /// `c` merge into `bc` at 12; `d` starts at 11 without parents and `e` ends at 11.
 fn lineage() -> Arc<Environment> {
--- a/crates/routing/tests/query.rs
+++ b/crates/routing/tests/query.rs
@@ -4,6 +4,12 @@
 
 use std::time::Duration;
 
+use self::common::Bench;
+use self::common::COVERAGE;
+use self::common::LATENCY;
+use self::common::ShardLine;
+use self::common::environment;
+use self::common::uniform;
 use tt_model::ResultCode;
 use tt_model::SearcherId;
 use tt_model::Snapshot;
@@ -28,13 +34,6 @@
 use tt_routing::SubQuery;
 use tt_routing::Verdict;
 
-use self::common::Bench;
-use self::common::COVERAGE;
-use self::common::LATENCY;
-use self::common::ShardLine;
-use self::common::environment;
-use self::common::uniform;
-
 fn bench(shards: usize, replicas: usize) -> Bench {
     Bench::new(uniform(shards, replicas), Settings::default())
 }
--- a/crates/routing/tests/view.rs
+++ b/crates/routing/tests/view.rs
@@ -6,6 +6,10 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+
+use self::common::Bench;
+use self::common::COVERAGE;
+use self::common::uniform;
 use tt_model::SearcherId;
 use tt_model::Snapshot;
 use tt_model::VmId;
@@ -21,10 +25,6 @@
 use tt_routing::State;
 use tt_routing::Verdict;
 
-use self::common::Bench;
-use self::common::COVERAGE;
-use self::common::uniform;
-
 const A: SearcherId = SearcherId(0);
 const B: SearcherId = SearcherId(1);
 
--- a/crates/rpc/examples/message_cost.rs
+++ b/crates/rpc/examples/message_cost.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use prost::Message;
+
 use tt_rpc::GatherRequest;
 use tt_rpc::Outcome;
 use tt_rpc::Sub;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -16,8 +16,6 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use tt_model::MAX_VALUE_BYTES;
-
 use crate::http::Answer;
 use crate::http::Call;
 use crate::http::Handler;
@@ -25,6 +23,7 @@
 use crate::http::parameter;
 use crate::http::reply;
 use crate::http::serve;
+use tt_model::MAX_VALUE_BYTES;
 
 /// A running stand-in for the platform.
 #[derive(Debug)]
