feat: reject whole queries when the expected wait at searchers is too long

Cause: contracts above what the searchers can do let every query in. Sub-queries were queued fairly, so nearly every query missed some of its shards. Change: an entry keeps the longest wait that owners report, less the time since, and rejects a query ("overloaded, not run") when that exceeds half of its time.

--- /dev/null
+++ b/crates/daemon/src/backlog/tests.rs
@@ -0,0 +1,40 @@
+//! Guards the rejection of whole queries under overload: without an expected wait every query
+//! is admitted and misses some shard, and with one that never falls none is admitted again.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::backlog::Backlog;
+
+fn check(reports: &[(u64, u64)], at: u64, expect: u64) {
+    let start = Instant::now();
+    let mut backlog = Backlog::default();
+    for &(at, wait) in reports {
+        backlog.observe(start + Duration::from_millis(at), Duration::from_millis(wait));
+    }
+    let wait = backlog.wait(start + Duration::from_millis(at));
+    assert_eq!(wait, Duration::from_millis(expect));
+}
+
+#[test]
+fn nothing_is_expected_without_reports() {
+    check(&[], 10, 0);
+}
+
+#[test]
+fn the_longest_wait_counts() {
+    check(&[(0, 200), (0, 10), (0, 300), (0, 20)], 0, 300);
+}
+
+#[test]
+fn queues_get_shorter_with_time() {
+    check(&[(0, 200)], 150, 50);
+    check(&[(0, 200)], 500, 0);
+}
+
+#[test]
+fn a_report_counts_once_the_older_one_is_worked_off() {
+    check(&[(0, 200), (150, 100)], 150, 100);
+    check(&[(0, 200), (50, 100)], 50, 150);
+}
--- a/crates/daemon/src/env.rs
+++ b/crates/daemon/src/env.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use crate::backlog::Backlog;
 use crate::settings::Policy;
 use tt_control::Stage;
 use tt_limits::Admission;
@@ -41,6 +42,7 @@
     pub(crate) environment: Arc<Environment>,
     routers: Vec<Mutex<EntryRouter>>,
     admission: Arc<Mutex<Admission>>,
+    backlog: Arc<Mutex<Backlog>>,
 }
 
 impl Env {
@@ -68,7 +70,7 @@
         let members = MemberView::Uncertain(1);
         let admission = Admission::new(now, AdmissionSettings::default(), &environment, members);
         let admission = Arc::new(Mutex::new(admission));
-        Env { stage, revision, environment, routers, admission }
+        Env { stage, revision, environment, routers, admission, backlog: Arc::default() }
     }
 
     /// The state for a newer document of the same environment and stage. It keeps what is
@@ -81,7 +83,8 @@
             .collect();
         lock(&self.admission).set_environment(Instant::now(), &environment);
         let admission = self.admission.clone();
-        Env { stage: self.stage, revision, environment, routers, admission }
+        let backlog = self.backlog.clone();
+        Env { stage: self.stage, revision, environment, routers, admission, backlog }
     }
 
     /// The router for a query.
@@ -94,6 +97,11 @@
         lock(&self.admission)
     }
 
+    /// The expected wait at searchers.
+    pub(crate) fn backlog(&self) -> MutexGuard<'_, Backlog> {
+        lock(&self.backlog)
+    }
+
     /// Usage of the contracts here since the last report.
     pub(crate) fn usage(&self, now: Instant) -> UsageReport {
         self.admission().usage_report(now)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! sub-queries to the daemons that own the searchers ([`peers`]), where [`owner`] runs them.
 //! [`node`] holds the state that all of them share.
 
+mod backlog;
 mod change;
 mod claims;
 mod clock;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -24,6 +24,7 @@
 use crate::claims::Claims;
 use crate::clock;
 use crate::env::Env;
+use crate::node::membership::UsageReports;
 use crate::owner::Hosts;
 use crate::peers::Origin;
 use crate::peers::Peers;
@@ -82,6 +83,7 @@
     rights: Mutex<Rights>,
     drain: Mutex<Drain>,
     collector: Mutex<Collector>,
+    usage: Mutex<UsageReports>,
     envs: RwLock<BTreeMap<EntryKey, Arc<Env>>>,
     queries: AtomicU64,
 }
@@ -140,6 +142,7 @@
             rights: Mutex::new(Rights::new(me.id, RightsSettings::default(), now)),
             drain: Mutex::new(Drain::new(drain)),
             collector: Mutex::new(Collector::new(CollectorSettings::default())),
+            usage: Mutex::default(),
             envs: RwLock::default(),
             queries: AtomicU64::new(1),
             me,
--- a/crates/daemon/src/node/exchange.rs
+++ b/crates/daemon/src/node/exchange.rs
@@ -83,7 +83,7 @@
 pub(crate) enum MemberMessage {
     Beat(Box<Beat>),
     Table,
-    Searchers { since: u64 },
+    Searchers,
 }
 
 /// What an owner knows of a searcher.
@@ -104,7 +104,7 @@
             Kind::Heartbeat => match read(payload)? {
                 MemberMessage::Beat(beat) => codec::encode(&self.on_beat(*beat)),
                 MemberMessage::Table => codec::encode(&self.members().snapshot()),
-                MemberMessage::Searchers { since } => codec::encode(&self.searcher_notes(since)),
+                MemberMessage::Searchers => codec::encode(&self.searcher_notes()),
             },
             Kind::Renew => {
                 let renew: Renew = read(payload)?;
--- a/crates/daemon/src/node/membership.rs
+++ b/crates/daemon/src/node/membership.rs
@@ -34,6 +34,16 @@
 use tt_routing::Hint;
 use tt_rpc::Kind;
 
+/// Time between measurements of usage; a little less than between heartbeats.
+const USAGE_EVERY: Duration = Duration::from_millis(950);
+
+/// The last measurement of usage.
+#[derive(Debug, Default)]
+pub(super) struct UsageReports {
+    measured: Option<Instant>,
+    services: Vec<Used>,
+}
+
 /// Time for the answer to a heartbeat; less than the time between two.
 const BEAT_LIMIT: Duration = Duration::from_millis(900);
 
@@ -60,7 +70,7 @@
                 }
             }
         }
-        self.take_events(now);
+        self.take_events();
         self.propose(now);
         self.update_control_members();
     }
@@ -121,7 +131,7 @@
     }
 
     /// What this daemon knows of the searchers that it holds.
-    pub(crate) fn searcher_notes(&self, _since: u64) -> Vec<SearcherNote> {
+    pub(crate) fn searcher_notes(&self) -> Vec<SearcherNote> {
         let hosts = self.hosts.all();
         hosts
             .iter()
@@ -139,12 +149,12 @@
 
     /// Gives what this daemon and its peers know of searchers to the routers.
     pub(crate) async fn refresh_searchers(self: &Arc<Self>) {
-        self.take_searcher_notes(&self.searcher_notes(0));
+        self.take_searcher_notes(&self.searcher_notes());
         let peers: Vec<SocketAddr> = self.live_peers().collect();
         for peer in peers {
             let node = self.clone();
             tokio::spawn(async move {
-                let ask = MemberMessage::Searchers { since: 0 };
+                let ask = MemberMessage::Searchers;
                 let notes: Result<Vec<SearcherNote>, _> =
                     node.peers.exchange(peer, Kind::Heartbeat, &ask, BEAT_LIMIT).await;
                 if let Ok(notes) = notes {
@@ -213,8 +223,19 @@
         }
     }
 
+    /// Usage of the contracts. It is measured once for each round of heartbeats, because the
+    /// averages count rounds; every message of a round carries the same report.
     fn usage_reports(&self) -> Vec<Used> {
         let now = Instant::now();
+        let mut report = lock(&self.usage);
+        if report.measured.is_none_or(|at| now.saturating_duration_since(at) >= USAGE_EVERY) {
+            report.measured = Some(now);
+            report.services = self.measure_usage(now);
+        }
+        report.services.clone()
+    }
+
+    fn measure_usage(&self, now: Instant) -> Vec<Used> {
         let mut reports = Vec::new();
         for env in self.envs() {
             let report = env.usage(now);
@@ -300,7 +321,7 @@
         }
     }
 
-    fn take_events(self: &Arc<Self>, now: Instant) {
+    fn take_events(self: &Arc<Self>) {
         let events = self.members().take_events();
         if events.is_empty() {
             return;
@@ -318,7 +339,6 @@
                 }
             }
         }
-        let _ = now;
         self.update_members_of_contracts();
     }
 
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -41,6 +41,11 @@
     }
 }
 
+/// A query is rejected at once when the expected wait takes more than one part in this many of
+/// its time. A query needs all its shards: admitted in larger numbers than the searchers can
+/// serve, nearly every query would miss some of them.
+const WAIT_SHARE: u32 = 2;
+
 /// A request that may run.
 struct Admitted {
     env: Arc<Env>,
@@ -95,7 +100,7 @@
     let arrival = Arrival {
         service: resolved.service,
         deadline: started + resolved.time,
-        wait: std::time::Duration::ZERO,
+        wait: env.backlog().wait(started) * WAIT_SHARE,
     };
     let permit = match node.settings.policy {
         Policy::Adaptive => {
--- a/crates/daemon/src/query/run.rs
+++ b/crates/daemon/src/query/run.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
@@ -239,11 +240,29 @@
         }
     }
 
+    /// Takes in how long sub-queries wait at a searcher that takes work.
+    fn note_wait(&self, reply: &SubReply) {
+        match reply.outcome() {
+            Outcome::Answered | Outcome::Shed | Outcome::Expired => {
+                let wait = Duration::from_micros(reply.pressure_us);
+                self.query.env.backlog().observe(Instant::now(), wait);
+            }
+            Outcome::Failed
+            | Outcome::Draining
+            | Outcome::SnapshotGone
+            | Outcome::WrongShard
+            | Outcome::Unreachable
+            | Outcome::NotOwner
+            | Outcome::Cancelled => {}
+        }
+    }
+
     fn take(&mut self, reply: SubReply, actions: &mut Vec<Action<Bytes>>) {
         let sub = reply.key as u32;
         let Some(target) = self.sent.remove(&sub) else {
             return;
         };
+        self.note_wait(&reply);
         let held: Vec<Snapshot> = reply.held.iter().copied().map(Snapshot).collect();
         let slots = self.query.env.environment.searchers[target.searcher].slots;
         let pressure = pressure(&reply, slots);
