--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod check;
 mod client;
+mod control;
 mod fleet;
 mod load;
 mod report;
@@ -21,6 +22,8 @@
 pub use client::ClientError;
 pub use client::Http;
 pub use client::HttpAnswer;
+pub use control::ControlReport;
+pub use control::measure_control;
 pub use fleet::Fleet;
 pub use fleet::FleetSettings;
 pub use fleet::Killed;
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -42,8 +42,12 @@
         return Ok(());
     }
     let defaults = demo::DemoSettings::default();
+    let sample = match arguments.option::<String>("--site")? {
+        Some(name) => demo::find(&name).map_err(Failure::usage)?,
+        None => defaults.sample,
+    };
     let settings = demo::DemoSettings {
-        site: arguments.option("--site")?.unwrap_or(defaults.site),
+        sample,
         daemons: arguments.option("--daemons")?.unwrap_or(defaults.daemons),
         seconds: arguments.option("--seconds")?.unwrap_or(defaults.seconds),
         seed: arguments.option("--seed")?.unwrap_or(defaults.seed),
--- a/crates/ctl/src/commands/bench.rs
+++ b/crates/ctl/src/commands/bench.rs
@@ -7,11 +7,14 @@
 use crate::arguments::Arguments;
 use crate::commands::block_on;
 use crate::commands::read;
+use crate::demo;
 use crate::output::Failure;
 use crate::output::Format;
 use crate::output::print_line;
+use crate::output::print_value;
 use tt_bench::RunReport;
 use tt_bench::markdown;
+use tt_bench::measure_control;
 use tt_bench::plot;
 use tt_bench::run;
 use tt_bench::scenario;
@@ -24,7 +27,13 @@
        tillerctl bench run NAME|FILE [--policy adaptive|baseline|both] [--seed N]
                                      [--report FOLDER] [--json]
 
-Runs a measurement scenario with real daemons and stand-ins on loopback in one process. The
+       tillerctl bench control [--site NAME] [--json]
+
+`control` measures how long an accepted change takes until it is in force on five daemons:
+with the store up, with the store down right after the acceptance, and at a daemon that is
+restarted empty during the outage.
+
+`run` runs a measurement scenario with real daemons and stand-ins on loopback in one process. The
 load is open: requests are sent at their times, whatever the answers take. With `both` (the
 default) the scenario runs under both policies, one after the other, with the same seed.
 
@@ -41,11 +50,24 @@
     match action.as_deref() {
         Some("list") => list(arguments),
         Some("run") => run_scenario(arguments),
+        Some("control") => control(arguments),
         Some(other) => Err(Failure::usage(format!("there is no action `{other}`"))),
-        None => Err(Failure::usage("expected `list` or `run`".to_owned())),
+        None => Err(Failure::usage("expected `list`, `run` or `control`".to_owned())),
     }
 }
 
+fn control(arguments: &mut Arguments) -> Result<(), Failure> {
+    let name: Option<String> = arguments.option("--site")?;
+    arguments.end()?;
+    let sample = match name {
+        Some(name) => demo::find(&name).map_err(Failure::usage)?,
+        None => demo::DemoSettings::default().sample,
+    };
+    let report = block_on(measure_control(sample.document))?.map_err(|error| internal(&error))?;
+    print_value(arguments.format(), &json!(report));
+    Ok(())
+}
+
 fn list(arguments: &mut Arguments) -> Result<(), Failure> {
     arguments.end()?;
     let scenarios = scenario::list();
--- a/crates/ctl/src/demo/report.rs
+++ b/crates/ctl/src/demo/report.rs
@@ -6,7 +6,6 @@
 use serde_json::json;
 
 use crate::demo::DemoSettings;
-use crate::demo::Site;
 use crate::output::Failure;
 use crate::output::Format;
 use crate::output::print_line;
@@ -24,12 +23,8 @@
 ) -> Result<(), Failure> {
     let classes = class_stats(records);
     if settings.format == Format::Json {
-        let site = match settings.site {
-            Site::Kingston => "kingston",
-            Site::Texas => "texas",
-        };
         let body = json!({
-            "site": site,
+            "site": settings.sample.name,
             "daemons": settings.daemons,
             "seconds": settings.seconds,
             "seed": settings.seed,
--- a/crates/ctl/src/demo/script.rs
+++ b/crates/ctl/src/demo/script.rs
@@ -122,7 +122,7 @@
 
 async fn start(settings: DemoSettings) -> Result<Fleet, Failure> {
     let fleet = FleetSettings {
-        document: settings.site.document().to_owned(),
+        document: settings.sample.document.to_owned(),
         daemons: settings.daemons,
         seed: settings.seed,
         profile: Profile { straggler_rate: 0.01, ..Profile::default() },
@@ -133,7 +133,7 @@
 
 fn load(settings: DemoSettings, fleet: &Fleet) -> LoadSettings {
     let environment = &fleet.environment;
-    let once = settings.site.once_service();
+    let once = settings.sample.once;
     let length = Duration::from_secs(settings.seconds);
     let steps = |rate| vec![RateStep { length, rate }];
     let mut services: Vec<ServiceLoad> = environment
