--- a/crates/bench/tests/index.rs
+++ b/crates/bench/tests/index.rs
@@ -31,7 +31,6 @@
 /// Guards against an answer with hits of two snapshots while searchers switch one by one.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_answer_mixes_snapshots_while_they_change() {
-    let _turn = support::turn().await;
     let fleet = support::serving_fleet(3).await;
     let load = tokio::spawn(Load::new(support::load(&fleet, 12, RATE, 4.0)).run());
     for next in 2..5 {
@@ -58,7 +57,6 @@
 /// and in the document, while queries run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_split_shard_is_neither_missed_nor_counted_twice() {
-    let _turn = support::turn().await;
     let settings = FleetSettings { document: split(), daemons: 3, ..FleetSettings::default() };
     let fleet = Fleet::start(settings).await.expect("loopback has free ports");
     assert!(support::all_live(&fleet, 3).await, "the daemons did not find each other");
--- a/crates/bench/tests/once.rs
+++ b/crates/bench/tests/once.rs
@@ -94,7 +94,6 @@
 /// gets another result.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_sent_to_all_daemons_runs_once_and_keeps_its_result() {
-    let _turn = support::turn().await;
     let fleet = support::serving_fleet(3).await;
     let http = Http::new();
     assert!(claims_work(&http, &fleet).await, "no request is done");
@@ -123,7 +122,6 @@
 /// lost between two records. Every daemon is killed once, so the owner of every partition is.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_runs_at_most_once_while_owners_of_claims_are_killed() {
-    let _turn = support::turn().await;
     let mut fleet = support::serving_fleet(3).await;
     let http = Http::new();
     assert!(claims_work(&http, &fleet).await, "no request is done");
@@ -165,7 +163,6 @@
 /// that ran.
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_runs_while_the_store_is_down() {
-    let _turn = support::turn().await;
     let fleet = support::serving_fleet(3).await;
     let http = Http::new();
     let entry = fleet.all_callers()[0];
@@ -199,7 +196,6 @@
 /// Guards against a lost reply to a claim's write that leads to a second run or to none.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_reply_to_a_claim_is_resolved() {
-    let _turn = support::turn().await;
     let fleet = support::serving_fleet(3).await;
     let http = Http::new();
     assert!(claims_work(&http, &fleet).await, "no request is done");
--- a/crates/bench/tests/operators.rs
+++ b/crates/bench/tests/operators.rs
@@ -118,7 +118,6 @@
 /// a document with faults that takes effect.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_document_is_tried_promoted_and_changed() {
-    let _turn = support::turn().await;
     let fleet = support::fleet(3).await;
     let mut session = Session::new();
     let (first, other) = (operators(&fleet, 0), operators(&fleet, 1));
@@ -143,7 +142,6 @@
 /// with which revision it was overtaken.
 #[tokio::test(flavor = "multi_thread")]
 async fn of_two_racing_operators_one_is_told_the_winner() {
-    let _turn = support::turn().await;
     let fleet = support::fleet(3).await;
     let mut session = Session::new();
     let (first, other) = (operators(&fleet, 0), operators(&fleet, 1));
@@ -170,7 +168,6 @@
 /// found out later.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_store_that_fails_leaves_no_change_in_doubt_for_ever() {
-    let _turn = support::turn().await;
     let fleet = support::fleet(3).await;
     let mut session = Session::new();
     let (first, other) = (operators(&fleet, 0), operators(&fleet, 1));
--- a/crates/bench/tests/recovery.rs
+++ b/crates/bench/tests/recovery.rs
@@ -41,7 +41,6 @@
 /// returns to an older document.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_empty_daemon_recovers_from_peers_while_the_store_is_down() {
-    let _turn = support::turn().await;
     let mut fleet = support::serving_fleet(3).await;
     let http = Http::new();
     let mut revisions = Revisions::default();
@@ -88,7 +87,6 @@
 /// why it takes none.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_alone_without_the_store_is_not_ready() {
-    let _turn = support::turn().await;
     let mut fleet = support::serving_fleet(1).await;
     let http = Http::new();
     fleet.platform.set_fault(Fault::Down);
--- a/crates/bench/tests/stops.rs
+++ b/crates/bench/tests/stops.rs
@@ -26,7 +26,6 @@
 /// searcher over its limits while the daemon that takes over and the lost one both use it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_daemon_breaks_no_invariant_and_coverage_returns() {
-    let _turn = support::turn().await;
     let mut fleet = support::serving_fleet(4).await;
     let load = tokio::spawn(Load::new(support::load(&fleet, 12, RATE, ONCE_RATE)).run());
     sleep(Duration::from_secs(2)).await;
@@ -48,7 +47,6 @@
 /// Guards against a planned stop that cuts off a request or leaves one without an answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopped_daemon_answers_every_request() {
-    let _turn = support::turn().await;
     let mut fleet = support::serving_fleet(4).await;
     let load = tokio::spawn(Load::new(support::load(&fleet, 10, RATE, ONCE_RATE)).run());
     sleep(Duration::from_secs(2)).await;
@@ -65,7 +63,6 @@
 /// Guards against a leaving searcher that goes on getting work, with and without the store.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_searcher_gets_no_new_work() {
-    let _turn = support::turn().await;
     let fleet = support::serving_fleet(4).await;
     let load = tokio::spawn(Load::new(support::load(&fleet, 13, RATE, 0.0)).run());
     sleep(Duration::from_secs(1)).await;
@@ -94,7 +91,6 @@
 /// replicas can be reached.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_shard_without_replicas_is_named_as_uncovered() {
-    let _turn = support::turn().await;
     let fleet = support::serving_fleet(3).await;
     for name in ["s5-0", "s5-1"] {
         fleet.searchers[name].set_state(State::Dead);
--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -6,8 +6,6 @@
 
 use serde_json::Value;
 use serde_json::json;
-use tokio::sync::Mutex;
-use tokio::sync::MutexGuard;
 
 use tt_bench::Ask;
 use tt_bench::Checks;
@@ -30,15 +28,6 @@
 /// Environment of the document.
 pub const ENVIRONMENT: &str = "yards";
 
-/// Held by the test that runs.
-static TURN: Mutex<()> = Mutex::const_new(());
-
-/// Waits until no other test of the file runs. Several fleets at once on a small machine delay
-/// heartbeats and replies so much that waits run out.
-pub async fn turn() -> MutexGuard<'static, ()> {
-    TURN.lock().await
-}
-
 /// A document of 6 shards with 2 replicas each.
 pub fn document() -> String {
     let service = |name: &str, count| ServiceShape { name: name.to_owned(), count, rate: 200.0 };
--- a/crates/daemon/src/owner/host/drive.rs
+++ b/crates/daemon/src/owner/host/drive.rs
@@ -22,7 +22,6 @@
 use crate::owner::host::state::Started;
 use crate::owner::host::state::State;
 use crate::owner::host::state::Step;
-use crate::owner::host::state::Steps;
 use tt_limits::Acquired;
 use tt_limits::ConnectionId;
 use tt_limits::RunOutcome;
@@ -80,8 +79,7 @@
         loop {
             let now = Instant::now();
             let mut state = self.lock();
-            if let Mode::Frozen(_) = state.mode {
-                state.mode = Mode::Frozen(Steps::Due);
+            if state.mode == Mode::Frozen {
                 return;
             }
             let Some(action) = state.queue.next_action(now) else {
@@ -91,7 +89,7 @@
                 SlotAction::Start { ticket, item, deadline, slot } => {
                     let latest_ms = match slot {
                         SlotKind::Half => None,
-                        SlotKind::Promised => state.right.and_then(|right| right.promise_ms),
+                        SlotKind::Promised => state.promise_ms,
                     };
                     let bound = Bound { deadline, latest_ms };
                     state.waiting.push_back(Started { ticket, work: item, bound });
@@ -219,8 +217,7 @@
             if state.is_over() {
                 return Next::End;
             }
-            if let Mode::Frozen(_) = state.mode {
-                state.mode = Mode::Frozen(Steps::Due);
+            if state.mode == Mode::Frozen {
                 return Next::At(now + STATUS_EVERY);
             }
             let allowed = state.queue.allowed(now);
