--- a/crates/daemon/src/node/ownership.rs
+++ b/crates/daemon/src/node/ownership.rs
@@ -75,7 +75,7 @@
         let owners: HashMap<SocketAddr, VmId> = {
             let rights = lock(&self.rights);
             let owner = |host: &Arc<Host>| {
-                let pair = rights.ownership().pair(SearcherKey::of(host.address))?;
+                let pair = rights.ownership().pair(host.key)?;
                 Some((host.address, vm_id(pair.owner.address)))
             };
             self.hosts.all().iter().filter_map(owner).collect()
@@ -182,7 +182,7 @@
                 host.set_right(Right::static_share(host.slots, host.connections, daemons));
                 continue;
             }
-            let key = SearcherKey::of(host.address);
+            let key = host.key;
             let me = self.me.id;
             let pair = rights.ownership().pair(key);
             let standing = match pair {
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -80,6 +80,19 @@
 }
 
 impl Right {
+    /// Whether both allow the same. The end of a promise is compared on the wall clock: on the
+    /// other clock it is computed anew each time, with small differences.
+    pub(crate) fn allows_the_same(&self, other: &Right) -> bool {
+        let slots = match (self.slots, other.slots) {
+            (
+                SlotRight::Full { slots, half, .. },
+                SlotRight::Full { slots: other_slots, half: other_half, .. },
+            ) => (slots, half) == (other_slots, other_half),
+            (one, other) => one == other,
+        };
+        slots && (self.connections, self.promise_ms) == (other.connections, other.promise_ms)
+    }
+
     /// The right of one of `daemons` daemons that share a searcher statically.
     pub(crate) fn static_share(slots: u32, connections: u32, daemons: u32) -> Right {
         let shares = SlotPolicy::StaticShare { daemons };
@@ -124,7 +137,7 @@
     /// The host of a searcher, by the key of its ownership.
     pub(crate) fn by_key(&self, key: SearcherKey) -> Option<Arc<Host>> {
         let hosts = self.lock();
-        hosts.values().find(|host| SearcherKey::of(host.address) == key).cloned()
+        hosts.values().find(|host| host.key == key).cloned()
     }
 
     /// All hosts.
--- a/crates/daemon/src/owner/host.rs
+++ b/crates/daemon/src/owner/host.rs
@@ -21,6 +21,7 @@
 use crate::owner::client;
 use crate::owner::host::state::Mode;
 use crate::owner::host::state::State;
+use crate::owner::host::state::Steps;
 use crate::settings::Policy;
 use tt_limits::CancelOutcome;
 use tt_limits::ConnectionSettings;
@@ -31,6 +32,7 @@
 use tt_limits::SlotQueue;
 use tt_limits::SubQuery;
 use tt_limits::Ticket;
+use tt_membership::SearcherKey;
 use tt_membership::Usage;
 use tt_model::Searcher;
 use tt_model::SearcherState;
@@ -50,6 +52,7 @@
 /// One searcher.
 #[derive(Debug)]
 pub(crate) struct Host {
+    pub(crate) key: SearcherKey,
     pub(crate) address: SocketAddr,
     pub(crate) slots: u32,
     pub(crate) connections: u32,
@@ -83,9 +86,10 @@
             random: SmallRng::seed_from_u64(u64::from(searcher.address.port())),
             mode: Mode::Serving,
             listed: SearcherState::Active,
-            promise_ms: None,
+            right: None,
         };
         let host = Arc::new(Host {
+            key: SearcherKey::of(searcher.address),
             address: searcher.address,
             slots: searcher.slots,
             connections: searcher.connections,
@@ -139,7 +143,7 @@
     pub(crate) fn freeze(&self) {
         let mut state = self.lock();
         if state.mode == Mode::Serving {
-            state.mode = Mode::Frozen;
+            state.mode = Mode::Frozen(Steps::NoneDue);
         }
     }
 
@@ -157,16 +161,27 @@
     /// Changes the right to use the searcher.
     pub(crate) fn set_right(&self, right: Right) {
         let now = Instant::now();
-        let mut state = self.lock();
-        let state = &mut *state;
-        if state.mode == Mode::Frozen {
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let was_held_up = match state.mode {
+            Mode::Frozen(Steps::Due) => true,
+            Mode::Frozen(Steps::NoneDue) | Mode::Serving | Mode::Retired => false,
+        };
+        if let Mode::Frozen(_) = state.mode {
             state.mode = Mode::Serving;
         }
-        state.promise_ms = right.promise_ms;
-        state.queue.set_right(right.slots);
-        state.connections.set_limit(now, right.connections, &mut state.random);
-        state.connections.set_need(right.slots.allowed(now));
-        self.wake.notify_one();
+        let is_new = state.right.is_none_or(|before| !before.allows_the_same(&right));
+        if is_new {
+            state.right = Some(right);
+            state.queue.set_right(right.slots);
+            state.connections.set_limit(now, right.connections, &mut state.random);
+            state.connections.set_need(right.slots.allowed(now));
+        }
+        drop(guard);
+        // With many searchers, waking every host at every look would take most of the CPU.
+        if is_new || was_held_up {
+            self.wake.notify_one();
+        }
     }
 
     /// Sub-queries that hold a slot.
--- a/crates/daemon/src/owner/host/drive.rs
+++ b/crates/daemon/src/owner/host/drive.rs
@@ -22,6 +22,7 @@
 use crate::owner::host::state::Started;
 use crate::owner::host::state::State;
 use crate::owner::host::state::Step;
+use crate::owner::host::state::Steps;
 use tt_limits::Acquired;
 use tt_limits::ConnectionId;
 use tt_limits::RunOutcome;
@@ -79,7 +80,8 @@
         loop {
             let now = Instant::now();
             let mut state = self.lock();
-            if state.mode == Mode::Frozen {
+            if let Mode::Frozen(_) = state.mode {
+                state.mode = Mode::Frozen(Steps::Due);
                 return;
             }
             let Some(action) = state.queue.next_action(now) else {
@@ -89,7 +91,7 @@
                 SlotAction::Start { ticket, item, deadline, slot } => {
                     let latest_ms = match slot {
                         SlotKind::Half => None,
-                        SlotKind::Promised => state.promise_ms,
+                        SlotKind::Promised => state.right.and_then(|right| right.promise_ms),
                     };
                     let bound = Bound { deadline, latest_ms };
                     state.waiting.push_back(Started { ticket, work: item, bound });
@@ -217,7 +219,8 @@
             if state.is_over() {
                 return Next::End;
             }
-            if state.mode == Mode::Frozen {
+            if let Mode::Frozen(_) = state.mode {
+                state.mode = Mode::Frozen(Steps::Due);
                 return Next::At(now + STATUS_EVERY);
             }
             let allowed = state.queue.allowed(now);
--- a/crates/daemon/src/owner/host/state.rs
+++ b/crates/daemon/src/owner/host/state.rs
@@ -9,6 +9,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::owner::Right;
 use crate::owner::Work;
 use crate::owner::client::Bound;
 use crate::owner::client::Sender;
@@ -41,10 +42,10 @@
     pub(super) mode: Mode,
     /// Whether the document calls the searcher leaving, which its own statements cannot end.
     pub(super) listed: SearcherState,
-    /// End of the promise on the wall clock, as it was when the promise was asked for. A
-    /// deadline taken from the other clock later would be too late by the time for which the
-    /// VM was suspended.
-    pub(super) promise_ms: Option<u64>,
+    /// The right in force. It has the end of the promise on the wall clock as it was when the
+    /// promise was asked for: a deadline taken from the other clock later would be too late by
+    /// the time for which the VM was suspended.
+    pub(super) right: Option<Right>,
 }
 
 /// Whether a host takes steps.
@@ -52,11 +53,18 @@
 pub(super) enum Mode {
     Serving,
     /// Takes none until the next [`Host::set_right`].
-    Frozen,
+    Frozen(Steps),
     /// Ends when nothing runs any more.
     Retired,
 }
 
+/// Whether a frozen host was asked to take a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Steps {
+    NoneDue,
+    Due,
+}
+
 #[derive(Debug)]
 pub(super) struct Open {
     pub(super) sender: Option<Sender>,
