--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,19 +1,28 @@
 //! The `trefoiltiller` daemon.
 
 use std::io::Write;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use tt_adapter::Boot;
+use tt_adapter::PlatformError;
+use tt_adapter::SETTINGS_VARIABLE;
 use tt_daemon::Daemon;
 use tt_daemon::Settings;
+use tt_front::FrontSettings;
 
 const HELP: &str = "\
 trefoiltiller: the daemon of the query tier
 
 Usage: trefoiltiller --settings FILE [--check]
+       trefoiltiller entry [--check]
+
+The second form runs an entry on the users' platform. The variable TREFOILTILLER_CONFIG names
+the settings that the platform writes for it.
 
 Options:
   --settings FILE  the settings, JSON with comments
@@ -34,6 +43,8 @@
     Version,
     Check(PathBuf),
     Run(PathBuf),
+    CheckEntry,
+    RunEntry,
 }
 
 fn main() -> ExitCode {
@@ -64,6 +75,17 @@
             Ok(settings) => run(settings),
             Err(error) => report(&error),
         },
+        Command::CheckEntry => match boot() {
+            Ok((path, _)) => {
+                println!("{}: valid", path.display());
+                ExitCode::SUCCESS
+            }
+            Err(error) => report(&error),
+        },
+        Command::RunEntry => match boot() {
+            Ok((path, boot)) => run_entry(&path, boot),
+            Err(error) => report(&error),
+        },
     }
 }
 
@@ -75,14 +97,57 @@
         return Ok(Command::Version);
     }
     let check = arguments.contains("--check");
+    let entry = match arguments.subcommand()?.as_deref() {
+        None => false,
+        Some("entry") => true,
+        Some(other) => {
+            return Err(pico_args::Error::ArgumentParsingFailed {
+                cause: format!("unknown command `{other}`"),
+            });
+        }
+    };
+    if entry {
+        check_rest(arguments)?;
+        return Ok(if check { Command::CheckEntry } else { Command::RunEntry });
+    }
     let path: PathBuf = arguments.value_from_str("--settings")?;
+    check_rest(arguments)?;
+    Ok(if check { Command::Check(path) } else { Command::Run(path) })
+}
+
+fn check_rest(arguments: pico_args::Arguments) -> Result<(), pico_args::Error> {
     let rest = arguments.finish();
     if let Some(word) = rest.first() {
         return Err(pico_args::Error::ArgumentParsingFailed {
             cause: format!("did not expect `{}`", word.to_string_lossy()),
         });
     }
-    Ok(if check { Command::Check(path) } else { Command::Run(path) })
+    Ok(())
+}
+
+/// The settings that the platform has written.
+fn boot() -> Result<(PathBuf, Boot), PlatformError> {
+    let path = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from).ok_or_else(|| {
+        PlatformError::Malformed { detail: format!("{SETTINGS_VARIABLE} is not set") }
+    })?;
+    let boot = Boot::load(&path)?;
+    Ok((path, boot))
+}
+
+/// Runs an entry. One thread serves it, since its VM has a part of one core.
+fn run_entry(path: &Path, boot: Boot) -> ExitCode {
+    tt_front::start_logs();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return report(&error),
+    };
+    match runtime.block_on(tt_front::run(path, boot, FrontSettings::default())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("trefoiltiller: {error}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
 fn report(error: &dyn std::error::Error) -> ExitCode {
--- /dev/null
+++ b/crates/front/src/attempt.rs
@@ -0,0 +1,263 @@
+//! One send of a request to a searcher.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::Uri;
+use hyper::header;
+use hyper::header::HeaderValue;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+use crate::entry::Entry;
+use crate::links::Wanted;
+use crate::sync::lock;
+use tt_adapter::headers;
+use tt_serve::Choice;
+use tt_serve::Ended;
+use tt_serve::PoolKey;
+use tt_serve::Repeat;
+
+/// Time for which a searcher that shed a request is passed over.
+const SHED_PAUSE: Duration = Duration::from_millis(30);
+
+/// Time for which an address that another searcher has taken is passed over.
+const MOVED_PAUSE: Duration = Duration::from_secs(3);
+
+/// Time for which an address that nothing listens at is passed over.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time before the end that a searcher announced at which an idle connection is given up.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
+
+/// A caller's request, for any number of sends.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) id: String,
+    pub(crate) route: String,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) repeat: Repeat,
+    /// Whether all shards are asked, so that only signed successes count.
+    pub(crate) gather: bool,
+    /// When the caller stops waiting.
+    pub(crate) deadline: Instant,
+}
+
+/// A searcher's answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// How a send ended, for the request that made it.
+#[derive(Debug)]
+pub(crate) struct Report {
+    pub(crate) shard: usize,
+    pub(crate) searcher: String,
+    pub(crate) ended: Ended,
+    pub(crate) cause: &'static str,
+    pub(crate) reply: Option<Reply>,
+}
+
+/// One send.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) outgoing: Arc<Outgoing>,
+    pub(crate) shard: usize,
+    pub(crate) pool: PoolKey,
+    pub(crate) cap: usize,
+    pub(crate) to: Choice,
+    pub(crate) token: u64,
+    pub(crate) reports: UnboundedSender<Report>,
+}
+
+#[derive(Debug)]
+struct Outcome {
+    ended: Ended,
+    cause: &'static str,
+    reply: Option<Reply>,
+    latency: Option<Duration>,
+}
+
+impl Outcome {
+    fn failure(ended: Ended, cause: &'static str) -> Outcome {
+        Outcome { ended, cause, reply: None, latency: None }
+    }
+}
+
+impl Attempt {
+    /// Sends, reports how it ended, and tells the fleet.
+    pub(crate) async fn run(self) {
+        let outcome = tokio::select! {
+            outcome = self.send() => outcome,
+            () = self.abandoned() => Outcome::failure(Ended::Unknown, "abandoned"),
+            () = sleep_until(self.outgoing.deadline) => {
+                Outcome::failure(Ended::Unknown, "deadline")
+            }
+        };
+        self.learn(&outcome);
+        let Outcome { ended, cause, reply, .. } = outcome;
+        let searcher = self.to.id;
+        // The request may have ended without this send.
+        let _ = self.reports.send(Report { shard: self.shard, searcher, ended, cause, reply });
+    }
+
+    /// Ends some time after the request has.
+    async fn abandoned(&self) {
+        self.reports.closed().await;
+        sleep(self.entry.settings.linger).await;
+    }
+
+    fn learn(&self, outcome: &Outcome) {
+        let entry = &self.entry;
+        let now = entry.now();
+        let key = self.to.key;
+        let usual = entry.pace(&self.outgoing.route, |pace| {
+            let usual = pace.usual(&entry.settings.pace);
+            if let Some(latency) = outcome.latency {
+                pace.observe(&entry.settings.pace, latency);
+            }
+            usual
+        });
+        let mut fleet = lock(&entry.fleet);
+        fleet.ended(key, self.token);
+        match outcome.ended {
+            Ended::Answer => {
+                let ratio = usual.zip(outcome.latency).map(|(usual, latency)| {
+                    latency.as_secs_f64() / usual.as_secs_f64().max(f64::EPSILON)
+                });
+                fleet.answered(key, ratio, now);
+            }
+            Ended::NotSent => {
+                fleet.failed(key, now);
+                fleet.hold_back(key, UNREACHABLE_PAUSE, now);
+            }
+            Ended::Refused if outcome.cause == "moved" => fleet.hold_back(key, MOVED_PAUSE, now),
+            Ended::Refused => fleet.hold_back(key, SHED_PAUSE, now),
+            Ended::Failed | Ended::Unknown => fleet.failed(key, now),
+        }
+        drop(fleet);
+        if outcome.ended == Ended::Unknown || outcome.ended == Ended::NotSent {
+            entry.links.of(key).close_idle();
+        }
+        if outcome.ended != Ended::Answer {
+            log::info!(
+                "send: id={} searcher={} shard={} outcome={:?} cause={}",
+                self.outgoing.id,
+                self.to.id,
+                self.shard,
+                outcome.ended,
+                outcome.cause
+            );
+        }
+    }
+
+    async fn send(&self) -> Outcome {
+        let settings = &self.entry.settings;
+        let wanted = Wanted {
+            address: self.to.address,
+            cap: self.cap,
+            connect: settings.connect,
+            fresh: (self.outgoing.repeat == Repeat::Once).then_some(settings.fresh),
+            until: self.outgoing.deadline,
+        };
+        let link = self.entry.links.of(self.to.key);
+        let Some(mut connection) = link.acquire(wanted).await else {
+            return Outcome::failure(Ended::NotSent, "no_connection");
+        };
+        let Some(request) = self.request() else {
+            return Outcome::failure(Ended::NotSent, "bad_request");
+        };
+        let Some(sender) = connection.sender.as_mut() else {
+            return Outcome::failure(Ended::NotSent, "no_connection");
+        };
+        let sent = Instant::now();
+        let response = match sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                return match error.take_message() {
+                    Some(_) => Outcome::failure(Ended::NotSent, "closed"),
+                    None => Outcome::failure(Ended::Unknown, "broken"),
+                };
+            }
+        };
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, settings.answer_bytes);
+        let Ok(body) = body.collect().await else {
+            return Outcome::failure(Ended::Unknown, "cut_short");
+        };
+        let reply = Reply { status: head.status, headers: head.headers, body: body.to_bytes() };
+        let mut outcome = self.judge(reply);
+        if outcome.cause == "other_request" {
+            return outcome;
+        }
+        outcome.latency = (outcome.ended == Ended::Answer).then(|| sent.elapsed());
+        let keep = outcome.reply.as_ref().and_then(|reply| keep_alive(&reply.headers));
+        connection.give_back(keep);
+        outcome
+    }
+
+    /// The request as it goes to the searcher.
+    fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let left = self.outgoing.deadline.saturating_duration_since(Instant::now());
+        let mut request = Request::new(Full::new(self.outgoing.body.clone()));
+        *request.method_mut() = self.outgoing.method.clone();
+        *request.uri_mut() = self.outgoing.uri.clone();
+        *request.headers_mut() = self.outgoing.headers.clone();
+        let headers = request.headers_mut();
+        let left = left.as_millis().max(1) as u64;
+        headers.insert(headers::DEADLINE_MS, HeaderValue::from(left));
+        let expected = HeaderValue::from_str(&self.to.id).ok()?;
+        headers.insert(headers::EXPECTED_SEARCHER, expected);
+        Some(request)
+    }
+
+    fn judge(&self, reply: Reply) -> Outcome {
+        let echoed = reply.headers.get(headers::REQUEST_ID);
+        if echoed.is_none_or(|id| id.as_bytes() != self.outgoing.id.as_bytes()) {
+            return Outcome::failure(Ended::Unknown, "other_request");
+        }
+        if reply.status == StatusCode::MISDIRECTED_REQUEST {
+            return Outcome::failure(Ended::Refused, "moved");
+        }
+        if reply.headers.contains_key(headers::NOT_RUN) {
+            return Outcome::failure(Ended::Refused, "shed");
+        }
+        if reply.headers.contains_key(header::CONTENT_ENCODING) {
+            return Outcome::failure(Ended::Unknown, "encoded");
+        }
+        let signed = reply.headers.contains_key(headers::SIGNATURE);
+        let (ended, cause) = match (reply.status.is_success(), signed) {
+            (true, true) => (Ended::Answer, "answered"),
+            (true, false) => return Outcome::failure(Ended::Unknown, "unsigned"),
+            (false, _) if self.outgoing.gather => (Ended::Failed, "status"),
+            (false, _) if reply.status.is_client_error() => (Ended::Answer, "status"),
+            (false, _) => (Ended::Failed, "status"),
+        };
+        Outcome { ended, cause, reply: Some(reply), latency: None }
+    }
+}
+
+/// How long a searcher keeps an idle connection, if it says so.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: u64 = seconds.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN))
+}
--- /dev/null
+++ b/crates/front/src/directory.rs
@@ -0,0 +1,65 @@
+//! Which addresses callers use, and whether this daemon takes them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+
+use crate::answer;
+use crate::answer::Body;
+use crate::entry::Entry;
+use crate::sync::lock;
+use tt_adapter::paths;
+use tt_serve::Candidate;
+use tt_serve::named;
+
+/// Answers the platform's question whether callers may come.
+pub(crate) async fn ready(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    if request.uri().path() != paths::READY {
+        return answer::refusal(StatusCode::NOT_FOUND, "no such page", None);
+    }
+    if entry.is_open() {
+        Response::new(Full::new(Bytes::new()))
+    } else {
+        answer::refusal(StatusCode::SERVICE_UNAVAILABLE, "not ready", None)
+    }
+}
+
+/// Answers callers that ask where to connect.
+pub(crate) async fn resolve(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    if request.uri().path() != paths::DIRECTORY {
+        return answer::refusal(StatusCode::NOT_FOUND, "no such page", None);
+    }
+    let addresses = addresses(&entry);
+    if addresses.is_empty() {
+        return answer::refusal(StatusCode::SERVICE_UNAVAILABLE, "no daemon is ready", None);
+    }
+    let body = paths::directory_answer(&addresses, entry.settings.directory_ttl_s);
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn addresses(entry: &Entry) -> Vec<SocketAddr> {
+    let Some(in_force) = entry.in_force() else { return Vec::new() };
+    let mut candidates = Vec::new();
+    if entry.is_open() {
+        let vm = &entry.vm;
+        candidates.push(Candidate { front: vm.front, domain: vm.domain.clone() });
+    }
+    let members = lock(&entry.members);
+    let others = members.open(entry.now()).filter(|member| member.version > 0);
+    candidates.extend(
+        others.map(|member| Candidate { front: member.vm.front, domain: member.vm.domain.clone() }),
+    );
+    drop(members);
+    named(&candidates, &in_force.table, &lock(&entry.fleet))
+}
--- /dev/null
+++ b/crates/front/src/entry.rs
@@ -0,0 +1,225 @@
+//! The state of the daemon that its parts share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+
+use crate::clock::Clock;
+use crate::links::Links;
+use crate::settings::FrontSettings;
+use crate::sync::lock;
+use tt_adapter::Boot;
+use tt_serve::Budget;
+use tt_serve::BudgetSettings;
+use tt_serve::Config;
+use tt_serve::Fleet;
+use tt_serve::Members;
+use tt_serve::Pace;
+use tt_serve::PoolKey;
+use tt_serve::Registry;
+use tt_serve::RouteTable;
+use tt_serve::Sighting;
+use tt_serve::Time;
+use tt_serve::Vm;
+
+/// The daemon.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) clock: Clock,
+    pub(crate) settings: FrontSettings,
+    pub(crate) vm: Vm,
+    pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) members: Mutex<Members>,
+    pub(crate) links: Links,
+    boot: RwLock<Boot>,
+    table: RwLock<Option<Arc<InForce>>>,
+    registry: Mutex<Listing>,
+    budgets: Mutex<HashMap<PoolKey, Budget>>,
+    paces: Mutex<HashMap<String, Pace>>,
+    draining: AtomicBool,
+}
+
+/// The configuration that decides.
+#[derive(Debug)]
+pub(crate) struct InForce {
+    pub(crate) table: RouteTable,
+    /// Its encoded form, for other daemons.
+    pub(crate) bytes: Bytes,
+}
+
+#[derive(Debug)]
+struct Listing {
+    registry: Registry,
+    newest: Vec<Sighting>,
+    /// When the newest listing was read at the store, by this daemon or another.
+    read: Option<Time>,
+}
+
+impl Entry {
+    pub(crate) fn new(boot: Boot, settings: FrontSettings) -> Entry {
+        let vm = Vm {
+            name: boot.vm.clone(),
+            front: boot.front,
+            peer: boot.peer,
+            domain: boot.domain.clone(),
+        };
+        Entry {
+            clock: Clock::start(),
+            settings,
+            fleet: Mutex::new(Fleet::new(settings.fleet, boot.domain.clone())),
+            members: Mutex::new(Members::new(settings.members)),
+            links: Links::default(),
+            vm,
+            boot: RwLock::new(boot),
+            table: RwLock::new(None),
+            registry: Mutex::new(Listing {
+                registry: Registry::new(settings.registry),
+                newest: Vec::new(),
+                read: None,
+            }),
+            budgets: Mutex::new(HashMap::new()),
+            paces: Mutex::new(HashMap::new()),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) fn boot(&self) -> Boot {
+        self.boot.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_boot(&self, boot: Boot) {
+        *self.boot.write().unwrap_or_else(std::sync::PoisonError::into_inner) = boot;
+    }
+
+    pub(crate) fn in_force(&self) -> Option<Arc<InForce>> {
+        self.table.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn version(&self) -> u64 {
+        self.in_force().map_or(0, |it| it.table.version)
+    }
+
+    /// Puts a configuration in force unless a later one is. Returns whether it did.
+    pub(crate) fn adopt(&self, config: &Config, bytes: Bytes, source: &str) -> bool {
+        let table = RouteTable::new(config, &mut lock(&self.fleet));
+        let version = table.version;
+        let mut current = self.table.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let before = current.as_ref().map_or(0, |it| it.table.version);
+        if version <= before {
+            return false;
+        }
+        *current = Some(Arc::new(InForce { table, bytes }));
+        drop(current);
+        log::info!("config: version={version} before={before} source={source} in_force=true");
+        true
+    }
+
+    /// Adopts a listing of the searchers that was read at the store at `read`.
+    pub(crate) fn adopt_listing(
+        &self,
+        listing: Vec<Sighting>,
+        restored: Option<Time>,
+        read: Time,
+        source: &str,
+    ) {
+        let mut state = lock(&self.registry);
+        if state.read.is_some_and(|newest| read <= newest) {
+            return;
+        }
+        state.newest.clone_from(&listing);
+        state.read = Some(read);
+        let now = self.now();
+        let changes = state.registry.adopt(&mut lock(&self.fleet), listing, restored, now);
+        drop(state);
+        for change in changes {
+            log::info!("fleet: {change} source={source}");
+        }
+    }
+
+    /// The newest listing, and when it was read.
+    pub(crate) fn listing(&self) -> (Vec<Sighting>, Option<Time>) {
+        let state = lock(&self.registry);
+        (state.newest.clone(), state.read)
+    }
+
+    /// When the newest listing was read.
+    pub(crate) fn listed(&self) -> Option<Time> {
+        lock(&self.registry).read
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.is_draining() && self.in_force().is_some() && self.listed().is_some()
+    }
+
+    /// Notes the daemons in the store's list.
+    pub(crate) fn note_members(&self, listed: Vec<Vm>) {
+        let now = self.now();
+        let mut members = lock(&self.members);
+        for vm in listed {
+            if vm.name != self.vm.name {
+                members.list(vm, now);
+            }
+        }
+        members.expire(now);
+    }
+
+    pub(crate) fn sharers(&self) -> usize {
+        lock(&self.members).sharers(self.now())
+    }
+
+    pub(crate) fn count_requests(&self, pools: &[PoolKey]) {
+        let settings = self.budget_settings();
+        let now = self.now();
+        let mut budgets = lock(&self.budgets);
+        for pool in pools {
+            budgets.entry(*pool).or_default().count_request(&settings, now);
+        }
+    }
+
+    /// Takes one extra send to `pool` from this daemon's part of the budget.
+    pub(crate) fn take_extra(&self, pool: PoolKey) -> bool {
+        let settings = self.budget_settings();
+        let sharers = self.sharers();
+        let mut budgets = lock(&self.budgets);
+        budgets.entry(pool).or_default().take(&settings, sharers, self.now())
+    }
+
+    fn budget_settings(&self) -> BudgetSettings {
+        let boot = self.boot.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        BudgetSettings {
+            ratio: boot.bounds.retry_ratio,
+            extra: boot.bounds.retry_extra,
+            window: boot.bounds.retry_window,
+        }
+    }
+
+    /// Runs `work` on the estimate of the usual latency of a route.
+    pub(crate) fn pace<T, F>(&self, route: &str, work: F) -> T
+    where
+        F: FnOnce(&mut Pace) -> T,
+    {
+        let mut paces = lock(&self.paces);
+        match paces.get_mut(route) {
+            Some(pace) => work(pace),
+            None => work(paces.entry(route.to_owned()).or_default()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,25 @@
+//! The entry daemon on the users' platform: callers connect to it, it connects to searchers.
+//!
+//! [`run`] starts it. `watch` follows the store, `peers` the other daemons; both change the
+//! shared [`entry::Entry`]. `callers` accepts connections, `request` takes one request through a
+//! [`tt_serve::Query`], `attempt` makes one send over a connection of `links`, and `answer`
+//! builds what the caller gets. `directory` tells callers where to connect.
+
+mod answer;
+mod attempt;
+mod callers;
+mod clock;
+mod daemon;
+mod directory;
+mod entry;
+mod links;
+mod logs;
+mod peers;
+mod request;
+mod settings;
+mod sync;
+mod watch;
+
+pub use daemon::run;
+pub use logs::start as start_logs;
+pub use settings::FrontSettings;
--- /dev/null
+++ b/crates/front/src/request.rs
@@ -0,0 +1,347 @@
+//! One request of a caller, from its head to its answer.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::answer;
+use crate::answer::Body;
+use crate::attempt::Attempt;
+use crate::attempt::Outgoing;
+use crate::attempt::Reply;
+use crate::attempt::Report;
+use crate::entry::Entry;
+use crate::entry::InForce;
+use crate::sync::lock;
+use tt_adapter::headers;
+use tt_serve::CompiledRoute;
+use tt_serve::CompiledTarget;
+use tt_serve::Ended;
+use tt_serve::Failure;
+use tt_serve::Plan;
+use tt_serve::Query;
+use tt_serve::Send;
+use tt_serve::Time;
+use tt_serve::Verdict;
+
+/// Part of the time left after which a caller may be told to come back; callers wait no longer
+/// than a third.
+const COME_BACK_SHARE: f64 = 0.3;
+
+/// Distinguishes the sends of this process.
+static NEXT_TOKEN: AtomicU64 = AtomicU64::new(0);
+
+/// Answers a request.
+pub(crate) async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    let started = entry.now();
+    let (head, body) = request.into_parts();
+    let id = text(&head.headers, headers::REQUEST_ID).unwrap_or_default().to_owned();
+    let Some(in_force) = entry.in_force() else {
+        log::info!("request: id={id} outcome=refused cause=no_config");
+        return refuse(&entry, StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", None);
+    };
+    let host =
+        text(&head.headers, header::HOST.as_str()).or_else(|| head.uri.host()).unwrap_or_default();
+    let Some(route) = in_force.table.find(host, head.uri.path()).cloned() else {
+        log::info!(
+            "request: id={id} outcome=refused cause=no_route version={}",
+            in_force.table.version
+        );
+        return refuse(&entry, StatusCode::NOT_FOUND, "no route", None);
+    };
+    if id.is_empty() {
+        return refuse(&entry, StatusCode::BAD_REQUEST, "the request has no id", None);
+    }
+    let waits = text(&head.headers, headers::DEADLINE_MS)
+        .and_then(|value| value.parse().ok())
+        .map_or(route.route.timeout, Duration::from_millis);
+    let limit = started + waits.min(route.route.timeout);
+    let deadline = entry.clock.at(limit);
+    let body = Limited::new(body, in_force.table.limits.body);
+    let body = match timeout_at(deadline, body.collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return refuse(&entry, StatusCode::PAYLOAD_TOO_LARGE, "the body is too large", None);
+        }
+        Ok(Err(_)) => return refuse(&entry, StatusCode::BAD_REQUEST, "the body is cut", None),
+        Err(_) => return refuse(&entry, StatusCode::REQUEST_TIMEOUT, "the body is late", None),
+    };
+    let work = Work { entry, in_force, route, started, limit };
+    work.run(id, head, body, deadline).await
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn refuse(
+    entry: &Entry,
+    status: StatusCode,
+    cause: &str,
+    left: Option<Duration>,
+) -> Response<Body> {
+    let promise = status == StatusCode::SERVICE_UNAVAILABLE;
+    let pause = left.map_or(Duration::MAX, |left| left.mul_f64(COME_BACK_SHARE));
+    answer::refusal(status, cause, promise.then(|| entry.settings.come_back.min(pause)))
+}
+
+/// A request whose route is known.
+#[derive(Debug)]
+struct Work {
+    entry: Arc<Entry>,
+    /// Pinned: all shards of an answer come from one version.
+    in_force: Arc<InForce>,
+    route: Arc<CompiledRoute>,
+    started: Time,
+    limit: Time,
+}
+
+/// What came of the sends.
+#[derive(Debug, Default)]
+struct Replies {
+    parts: Vec<Reply>,
+    /// The newest failure that a searcher answered with.
+    failed: Option<Reply>,
+    last_cause: &'static str,
+}
+
+impl Work {
+    async fn run(
+        self,
+        id: String,
+        head: hyper::http::request::Parts,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Response<Body> {
+        let Some(plan) = self.plan() else {
+            return refuse(&self.entry, StatusCode::SERVICE_UNAVAILABLE, "no searchers", None);
+        };
+        self.entry.count_requests(&plan.pools);
+        let mut headers = head.headers;
+        answer::remove_connection_headers(&mut headers);
+        headers.remove(header::EXPECT);
+        let outgoing = Arc::new(Outgoing {
+            id,
+            route: self.route.route.name.clone(),
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+            repeat: plan.repeat,
+            gather: matches!(self.route.target, CompiledTarget::Gather { .. }),
+            deadline,
+        });
+        let pools = plan.pools.clone();
+        let mut query = Query::new(plan);
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let sends = Sends { work: &self, outgoing: &outgoing, pools: &pools, sender };
+        let first = query.start(&mut lock(&self.entry.fleet), self.entry.now());
+        sends.spawn(first);
+        let mut replies = Replies::default();
+        let verdict = drive(&sends, &mut query, receiver, &mut replies).await;
+        self.finish(&outgoing, &query, verdict, replies)
+    }
+
+    fn plan(&self) -> Option<Plan> {
+        let settings = &self.entry.settings;
+        let route = &self.route.route;
+        let (pools, need) = match &self.route.target {
+            CompiledTarget::One(pool) => (vec![*pool], 1),
+            CompiledTarget::Split(rotation) => (vec![rotation.next()?], 1),
+            CompiledTarget::Gather { pools, need, .. } => (pools.clone(), *need),
+        };
+        let hedge =
+            self.entry.pace(&route.name, |pace| pace.hedge_delay(&settings.pace, route.goal));
+        let way = settings.caller_way.min(route.goal / 4);
+        Some(Plan {
+            pools,
+            need,
+            attempts: route.attempts,
+            repeat: route.repeat,
+            hedge,
+            cutoff: self.started + route.goal.saturating_sub(way),
+            limit: self.limit.saturating_sub(settings.end_margin).max(self.started),
+        })
+    }
+
+    fn finish(
+        &self,
+        outgoing: &Outgoing,
+        query: &Query,
+        verdict: Verdict,
+        replies: Replies,
+    ) -> Response<Body> {
+        let now = self.entry.now();
+        let took = now.saturating_sub(self.started);
+        let (outcome, response) = match verdict {
+            Verdict::Answer => ("answered", self.success(outgoing, query, replies)),
+            Verdict::Fail(failure) => self.failure(failure, replies, now),
+            // A request is only finished with a verdict.
+            Verdict::Wait(_) => self.failure(Failure::Timeout, replies, now),
+        };
+        log::info!(
+            "request: id={} route={} version={} outcome={outcome} status={} took_ms={:.1} \
+             shards={} answered={} hedges={} goal_ms={} left_ms={}",
+            outgoing.id,
+            outgoing.route,
+            self.in_force.table.version,
+            response.status().as_u16(),
+            took.as_secs_f64() * 1000.0,
+            query.shards(),
+            query.answered(),
+            query.hedges(),
+            self.route.route.goal.as_millis(),
+            self.limit.saturating_sub(now).as_millis(),
+        );
+        response
+    }
+
+    fn success(&self, outgoing: &Outgoing, query: &Query, mut replies: Replies) -> Response<Body> {
+        match &self.route.target {
+            CompiledTarget::Gather { top, .. } => {
+                answer::gathered(&outgoing.id, &replies.parts, query.shards(), *top)
+            }
+            CompiledTarget::One(_) | CompiledTarget::Split(_) => match replies.parts.pop() {
+                Some(reply) => answer::pass_on(reply),
+                None => answer::refusal(StatusCode::BAD_GATEWAY, "no answer", None),
+            },
+        }
+    }
+
+    fn failure(
+        &self,
+        failure: Failure,
+        replies: Replies,
+        now: Time,
+    ) -> (&'static str, Response<Body>) {
+        let left = self.limit.saturating_sub(now);
+        match (failure, replies.failed) {
+            (Failure::NotRun, _) => (
+                "not_run",
+                refuse(&self.entry, StatusCode::SERVICE_UNAVAILABLE, "not run", Some(left)),
+            ),
+            (Failure::Failed, Some(reply)) if !promises_not_run(reply.status) => {
+                ("failed", answer::pass_on(reply))
+            }
+            (Failure::Timeout, _) => {
+                ("timeout", answer::refusal(StatusCode::GATEWAY_TIMEOUT, "no answer in time", None))
+            }
+            (Failure::Failed | Failure::Unknown, _) => {
+                ("unknown", answer::refusal(StatusCode::BAD_GATEWAY, "no sound answer", None))
+            }
+        }
+    }
+}
+
+/// Whether callers take a status as a promise that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+/// The sends of one request.
+#[derive(Debug)]
+struct Sends<'a> {
+    work: &'a Work,
+    outgoing: &'a Arc<Outgoing>,
+    pools: &'a [tt_serve::PoolKey],
+    sender: UnboundedSender<Report>,
+}
+
+impl Sends<'_> {
+    fn spawn(&self, sends: Vec<Send>) {
+        let entry = &self.work.entry;
+        let sharers = entry.sharers();
+        let now = entry.now();
+        for Send { shard, to } in sends {
+            let token = NEXT_TOKEN.fetch_add(1, Ordering::Relaxed);
+            lock(&entry.fleet).sent(to.key, token, now);
+            let pool = self.pools[shard];
+            let attempt = Attempt {
+                entry: entry.clone(),
+                outgoing: self.outgoing.clone(),
+                shard,
+                pool,
+                cap: self.work.in_force.table.connections(
+                    pool,
+                    sharers,
+                    entry.settings.connection_share,
+                ),
+                to,
+                token,
+                reports: self.sender.clone(),
+            };
+            tokio::spawn(attempt.run());
+        }
+    }
+}
+
+async fn drive(
+    sends: &Sends<'_>,
+    query: &mut Query,
+    mut reports: UnboundedReceiver<Report>,
+    replies: &mut Replies,
+) -> Verdict {
+    let entry = &sends.work.entry;
+    loop {
+        let wake = match query.verdict(entry.now()) {
+            Verdict::Wait(wake) => wake,
+            verdict => return verdict,
+        };
+        let report = match timeout_at(entry.clock.at(wake), reports.recv()).await {
+            Ok(Some(report)) => report,
+            Ok(None) => return Verdict::Fail(Failure::Unknown),
+            Err(_) => {
+                let extra = |pool| entry.take_extra(pool);
+                let more = query.hedge(&mut lock(&entry.fleet), extra, entry.now());
+                sends.spawn(more);
+                continue;
+            }
+        };
+        let Report { shard, mut ended, cause, mut reply, .. } = report;
+        if ended == Ended::Answer && !replies.takes(reply.as_ref()) {
+            ended = Ended::Unknown;
+            reply = None;
+        }
+        replies.last_cause = cause;
+        let before = query.answered();
+        let extra = |pool| entry.take_extra(pool);
+        let more = query.ended(shard, ended, &mut lock(&entry.fleet), extra, entry.now());
+        if query.answered() > before {
+            replies.parts.extend(reply);
+        } else if ended == Ended::Failed {
+            replies.failed = reply;
+        }
+        sends.spawn(more.into_iter().collect());
+    }
+}
+
+impl Replies {
+    /// Whether a reply may join the others: no signature may come twice.
+    fn takes(&self, reply: Option<&Reply>) -> bool {
+        let signature = reply.and_then(|reply| reply.headers.get(headers::SIGNATURE));
+        signature.is_none()
+            || self.parts.iter().all(|part| part.headers.get(headers::SIGNATURE) != signature)
+    }
+}
--- /dev/null
+++ b/crates/front/src/watch.rs
@@ -0,0 +1,173 @@
+//! Keeps this daemon's view of the store up to date.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::sleep;
+
+use crate::entry::Entry;
+use crate::sync::lock;
+use tt_adapter::ConfigRead;
+use tt_adapter::LeaseId;
+use tt_adapter::Platform;
+use tt_adapter::PlatformError;
+use tt_serve::Time;
+
+/// Renewals in the lifetime of a lease.
+const RENEWALS: u32 = 4;
+
+/// Whether the calls of one kind reach the store; a change is logged.
+#[derive(Debug)]
+struct Reach {
+    calls: &'static str,
+    failing: bool,
+    restored: Option<Time>,
+}
+
+impl Reach {
+    fn new(calls: &'static str) -> Reach {
+        Reach { calls, failing: false, restored: None }
+    }
+
+    fn worked(&mut self, now: Time) {
+        if self.failing {
+            log::info!("store: calls={} state=regained", self.calls);
+            self.restored = Some(now);
+            self.failing = false;
+        }
+    }
+
+    fn failed(&mut self, error: &PlatformError) {
+        if !self.failing {
+            log::warn!("store: calls={} state=lost error=\"{error}\"", self.calls);
+            self.failing = true;
+        }
+    }
+}
+
+/// Follows the operator's configuration.
+pub(crate) async fn follow_config(entry: Arc<Entry>, platform: Platform) {
+    let mut reach = Reach::new("config");
+    let mut at = None;
+    loop {
+        let read = match at {
+            Some(after) => platform.watch_config(after, entry.settings.watch_wait).await,
+            None => platform.read_config().await,
+        };
+        match read {
+            Ok(ConfigRead { config, bytes, at: next }) => {
+                reach.worked(entry.now());
+                match config {
+                    Some(config) => {
+                        entry.adopt(&config, Bytes::from(bytes), "store");
+                        at = Some(next);
+                    }
+                    // The first configuration may not have been written yet.
+                    None if at.is_none() => sleep(entry.settings.store_pause).await,
+                    None => at = Some(next),
+                }
+            }
+            Err(PlatformError::Compacted) => {
+                log::info!("store: calls=config history=dropped");
+                at = None;
+            }
+            Err(error) => {
+                reach.failed(&error);
+                if matches!(error, PlatformError::Malformed { .. }) {
+                    at = None;
+                }
+                sleep(entry.settings.store_pause).await;
+            }
+        }
+    }
+}
+
+/// Follows the registrations of searchers.
+pub(crate) async fn follow_searchers(entry: Arc<Entry>, platform: Platform) {
+    let mut reach = Reach::new("searchers");
+    let mut ticks = interval(entry.settings.list_every);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ignored_before = Vec::new();
+    loop {
+        ticks.tick().await;
+        let asked = entry.now();
+        match platform.list_searchers().await {
+            Ok(list) => {
+                reach.worked(entry.now());
+                if list.ignored != ignored_before {
+                    for line in &list.ignored {
+                        log::warn!("fleet: ignored {line}");
+                    }
+                    ignored_before = list.ignored;
+                }
+                entry.adopt_listing(list.searchers, reach.restored, asked, "store");
+                let fleet = lock(&entry.fleet);
+                entry.links.retain(|key| fleet.get(key).is_some());
+            }
+            Err(error) => reach.failed(&error),
+        }
+    }
+}
+
+/// Keeps this daemon in the list of daemons, and reads that list.
+pub(crate) async fn follow_members(entry: Arc<Entry>, platform: Platform) {
+    let mut reach = Reach::new("members");
+    let mut lease = None;
+    let every = entry.settings.lease / RENEWALS;
+    loop {
+        if entry.is_draining() {
+            leave(&platform, lease).await;
+            return;
+        }
+        match renew(&entry, &platform, &mut lease).await {
+            Ok(()) => reach.worked(entry.now()),
+            Err(error) => reach.failed(&error),
+        }
+        sleep(every).await;
+    }
+}
+
+async fn renew(
+    entry: &Entry,
+    platform: &Platform,
+    lease: &mut Option<LeaseId>,
+) -> Result<(), PlatformError> {
+    let held = match *lease {
+        Some(held) => held,
+        None => {
+            let granted = platform.grant(lifetime(entry)).await?;
+            platform.put_member(&entry.vm, granted).await?;
+            *lease = Some(granted);
+            granted
+        }
+    };
+    match platform.keep(held).await {
+        Err(PlatformError::Ended) => {
+            *lease = None;
+            return Ok(());
+        }
+        kept => kept?,
+    }
+    let listed = platform.list_members().await?;
+    let present = listed.iter().any(|vm| vm.name == entry.vm.name);
+    entry.note_members(listed);
+    if !present {
+        // The key may have been taken away while the lease goes on; the list may also be old.
+        platform.put_member(&entry.vm, held).await?;
+    }
+    Ok(())
+}
+
+fn lifetime(entry: &Entry) -> Duration {
+    entry.settings.lease.max(entry.boot().lease_min)
+}
+
+async fn leave(platform: &Platform, lease: Option<LeaseId>) {
+    let Some(lease) = lease else { return };
+    if let Err(error) = platform.end(lease).await {
+        log::info!("store: calls=members leave=\"{error}\"");
+    }
+}
--- /dev/null
+++ b/crates/serve/src/budget.rs
@@ -0,0 +1,85 @@
+//! The budget for sending a request to a further searcher, one for each pool.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::Time;
+
+/// Limits on extra sends to one pool, for all daemons together.
+#[derive(Debug, Clone, Copy)]
+pub struct BudgetSettings {
+    /// Extra sends for each request.
+    pub ratio: f64,
+    /// Extra sends in a window besides, shared by all daemons.
+    pub extra: f64,
+    /// The window, which slides.
+    pub window: Duration,
+}
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        BudgetSettings { ratio: 0.2, extra: 10.0, window: Duration::from_secs(10) }
+    }
+}
+
+/// Part of the allowance that is used; the rest covers sends that reach a searcher in a later
+/// window than the one they were counted in.
+const USABLE: f64 = 0.9;
+
+/// Steps in which a window slides.
+const STEPS: u32 = 50;
+
+/// Requests and extra sends of this daemon to one pool.
+#[derive(Debug, Default)]
+pub struct Budget {
+    steps: VecDeque<Step>,
+    requests: u32,
+    extras: u32,
+}
+
+#[derive(Debug)]
+struct Step {
+    start: Time,
+    requests: u32,
+    extras: u32,
+}
+
+impl Budget {
+    /// Counts a request of a caller.
+    pub fn count_request(&mut self, settings: &BudgetSettings, now: Time) {
+        self.step(settings, now).requests += 1;
+        self.requests += 1;
+    }
+
+    /// Takes an extra send, if this daemon's part of the budget allows it. `daemons` share
+    /// what is not earned by requests.
+    pub fn take(&mut self, settings: &BudgetSettings, daemons: usize, now: Time) -> bool {
+        self.step(settings, now);
+        let shared = settings.extra / daemons.max(1) as f64;
+        let allowed = USABLE * (settings.ratio * f64::from(self.requests) + shared);
+        if f64::from(self.extras + 1) > allowed {
+            return false;
+        }
+        self.step(settings, now).extras += 1;
+        self.extras += 1;
+        true
+    }
+
+    fn step(&mut self, settings: &BudgetSettings, now: Time) -> &mut Step {
+        let length = settings.window / STEPS;
+        while let Some(first) = self.steps.front() {
+            // One step more than the window, since steps are counted whole.
+            if first.start + settings.window + length > now {
+                break;
+            }
+            self.requests -= first.requests;
+            self.extras -= first.extras;
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|last| last.start + length <= now) {
+            self.steps.push_back(Step { start: now, requests: 0, extras: 0 });
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+}
--- /dev/null
+++ b/crates/serve/src/fleet.rs
@@ -0,0 +1,300 @@
+//! The searchers that may be used, what each is doing, and the choice of one.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::Time;
+
+/// A pool, for the life of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PoolKey(u32);
+
+/// One incarnation of a searcher, for the life of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SearcherKey(u32);
+
+/// What is known of a searcher from its registration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Searcher {
+    /// Its id, which it expects in requests.
+    pub id: String,
+    /// Its pool.
+    pub pool: PoolKey,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Until when it is slow after its start.
+    pub cold_until: Time,
+    /// Whether it takes new work.
+    pub ready: bool,
+}
+
+/// How searchers are compared.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetSettings {
+    /// Factor on the cost of a searcher in another failure domain: bytes between domains are
+    /// dear and take longer.
+    pub away: f64,
+    /// Factor on the cost of a searcher that has just started.
+    pub cold: f64,
+    /// Weight of a new observation of a searcher's slowness.
+    pub weight: f64,
+    /// Largest slowness that one observation may show.
+    pub clip: f64,
+    /// Time in which a remembered slowness halves, so that a searcher is tried again.
+    pub half_life: Duration,
+    /// Time without work after the first failure in a row; doubles with each further one.
+    pub eject: Duration,
+    /// Longest time without work.
+    pub eject_most: Duration,
+    /// Failures in a row that eject a searcher.
+    pub failures: u32,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        FleetSettings {
+            away: 3.0,
+            cold: 1.6,
+            weight: 0.3,
+            clip: 8.0,
+            half_life: Duration::from_millis(2500),
+            eject: Duration::from_millis(400),
+            eject_most: Duration::from_secs(3),
+            failures: 2,
+        }
+    }
+}
+
+/// A chosen searcher.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// Its key.
+    pub key: SearcherKey,
+    /// Its id.
+    pub id: String,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+}
+
+/// A searcher as operators see it.
+#[derive(Debug)]
+pub struct SearcherView<'a> {
+    /// Its registration.
+    pub searcher: &'a Searcher,
+    /// Requests of this daemon that wait for its answer.
+    pub outstanding: usize,
+    /// Its latency relative to what is usual.
+    pub slowness: f64,
+    /// Whether it is ejected.
+    pub ejected: bool,
+}
+
+#[derive(Debug)]
+struct Entry {
+    searcher: Searcher,
+    outstanding: Vec<(u64, Time)>,
+    slowness: f64,
+    observed: Time,
+    failures: u32,
+    ejected_until: Time,
+}
+
+/// All searchers.
+#[derive(Debug)]
+pub struct Fleet {
+    settings: FleetSettings,
+    home: String,
+    names: HashMap<String, PoolKey>,
+    pools: Vec<Vec<SearcherKey>>,
+    entries: HashMap<SearcherKey, Entry>,
+    next: u32,
+    turn: u64,
+}
+
+impl Fleet {
+    /// No searchers yet, as seen from a daemon in the failure domain `home`.
+    pub fn new(settings: FleetSettings, home: String) -> Fleet {
+        Fleet {
+            settings,
+            home,
+            names: HashMap::new(),
+            pools: Vec::new(),
+            entries: HashMap::new(),
+            next: 0,
+            turn: 0,
+        }
+    }
+
+    /// The key of a pool.
+    pub fn pool(&mut self, name: &str) -> PoolKey {
+        if let Some(&key) = self.names.get(name) {
+            return key;
+        }
+        let key = PoolKey(self.pools.len() as u32);
+        self.pools.push(Vec::new());
+        self.names.insert(name.to_owned(), key);
+        key
+    }
+
+    /// Adds a new incarnation.
+    pub fn add(&mut self, searcher: Searcher) -> SearcherKey {
+        let key = SearcherKey(self.next);
+        self.next += 1;
+        self.pools[searcher.pool.0 as usize].push(key);
+        self.entries.insert(
+            key,
+            Entry {
+                searcher,
+                outstanding: Vec::new(),
+                slowness: 1.0,
+                observed: Time::ZERO,
+                failures: 0,
+                ejected_until: Time::ZERO,
+            },
+        );
+        key
+    }
+
+    /// Changes what a searcher says of itself. Its pool and id stay.
+    pub fn update(&mut self, key: SearcherKey, ready: bool, cold_until: Time) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.searcher.ready = ready;
+            entry.searcher.cold_until = cold_until;
+        }
+    }
+
+    /// Forgets a searcher.
+    pub fn remove(&mut self, key: SearcherKey) {
+        if let Some(entry) = self.entries.remove(&key) {
+            self.pools[entry.searcher.pool.0 as usize].retain(|&other| other != key);
+        }
+    }
+
+    /// The registration of a searcher that has not been removed.
+    pub fn get(&self, key: SearcherKey) -> Option<&Searcher> {
+        self.entries.get(&key).map(|entry| &entry.searcher)
+    }
+
+    /// Whether the pool has a searcher that takes work.
+    pub fn is_served(&self, pool: PoolKey, now: Time) -> bool {
+        self.members(pool).any(|(_, entry)| entry.searcher.ready && entry.ejected_until <= now)
+    }
+
+    /// Whether the pool has a searcher in `domain` that takes work.
+    pub fn is_served_in(&self, pool: PoolKey, domain: &str) -> bool {
+        self.members(pool).any(|(_, entry)| entry.searcher.ready && entry.searcher.domain == domain)
+    }
+
+    /// Picks a searcher of `pool` that is not in `tried`. A searcher with a request older than
+    /// `patience` counts as stalled and is picked only if all are.
+    pub fn choose(
+        &mut self,
+        pool: PoolKey,
+        tried: &[SearcherKey],
+        patience: Duration,
+        now: Time,
+    ) -> Option<Choice> {
+        self.turn += 1;
+        let turn = self.turn;
+        let best = self
+            .members(pool)
+            .filter(|(key, entry)| entry.searcher.ready && !tried.contains(key))
+            .map(|(key, entry)| {
+                let (class, cost) = self.rank(entry, patience, now);
+                (class, cost, (u64::from(key.0) + turn) % 7, key)
+            })
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)))?;
+        let key = best.3;
+        let searcher = self.get(key)?;
+        Some(Choice { key, id: searcher.id.clone(), address: searcher.address })
+    }
+
+    fn rank(&self, entry: &Entry, patience: Duration, now: Time) -> (u8, f64) {
+        let stalled = entry.outstanding.iter().any(|&(_, sent)| sent + patience < now);
+        let class = match (entry.ejected_until > now, stalled) {
+            (false, false) => 0,
+            (false, true) => 1,
+            (true, _) => 2,
+        };
+        let searcher = &entry.searcher;
+        let load = 1.0 + entry.outstanding.len() as f64 / f64::from(searcher.slots.max(1));
+        let away = if searcher.domain == self.home { 1.0 } else { self.settings.away };
+        let cold = if searcher.cold_until > now { self.settings.cold } else { 1.0 };
+        (class, self.slowness(entry, now) * load * away * cold)
+    }
+
+    fn slowness(&self, entry: &Entry, now: Time) -> f64 {
+        let age = now.saturating_sub(entry.observed).as_secs_f64();
+        let kept = 0.5_f64.powf(age / self.settings.half_life.as_secs_f64());
+        1.0 + (entry.slowness - 1.0) * kept
+    }
+
+    /// Notes that the request `token` is sent to a searcher.
+    pub fn sent(&mut self, key: SearcherKey, token: u64, now: Time) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.outstanding.push((token, now));
+        }
+    }
+
+    /// Notes that the request `token` is no longer at a searcher, whatever became of it.
+    pub fn ended(&mut self, key: SearcherKey, token: u64) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.outstanding.retain(|&(other, _)| other != token);
+        }
+    }
+
+    /// Learns from an answer that took `ratio` times as long as usual.
+    pub fn answered(&mut self, key: SearcherKey, ratio: Option<f64>, now: Time) {
+        let settings = self.settings;
+        let Some(entry) = self.entries.get(&key) else { return };
+        let known = self.slowness(entry, now);
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        entry.failures = 0;
+        entry.ejected_until = Time::ZERO;
+        if let Some(ratio) = ratio {
+            let seen = ratio.clamp(0.5, settings.clip);
+            entry.slowness = known + settings.weight * (seen - known);
+            entry.observed = now;
+        }
+    }
+
+    /// Learns from a failure: an error, a broken connection, or silence.
+    pub fn failed(&mut self, key: SearcherKey, now: Time) {
+        let settings = self.settings;
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        entry.failures += 1;
+        if entry.failures >= settings.failures {
+            let doublings = (entry.failures - settings.failures).min(8);
+            let pause = (settings.eject * 2_u32.pow(doublings)).min(settings.eject_most);
+            entry.ejected_until = now + pause;
+        }
+    }
+
+    /// Learns that a searcher takes no work for `pause`: it is full, or nothing listens there.
+    pub fn hold_back(&mut self, key: SearcherKey, pause: Duration, now: Time) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.ejected_until = entry.ejected_until.max(now + pause);
+        }
+    }
+
+    /// All searchers, for operators.
+    pub fn views(&self, now: Time) -> impl Iterator<Item = SearcherView<'_>> {
+        self.entries.values().map(move |entry| SearcherView {
+            searcher: &entry.searcher,
+            outstanding: entry.outstanding.len(),
+            slowness: self.slowness(entry, now),
+            ejected: entry.ejected_until > now,
+        })
+    }
+
+    fn members(&self, pool: PoolKey) -> impl Iterator<Item = (SearcherKey, &Entry)> {
+        self.pools[pool.0 as usize]
+            .iter()
+            .filter_map(|&key| self.entries.get(&key).map(|entry| (key, entry)))
+    }
+}
--- /dev/null
+++ b/crates/serve/src/merge.rs
@@ -0,0 +1,18 @@
+//! Selection of the records of an answer over many shards.
+
+/// Length of one record; a shorter rest of a body is not a record.
+pub const RECORD_BYTES: usize = 16;
+
+/// The greatest `top` records of all bodies, greatest first. Equal records all count.
+pub fn merge<'a, I>(bodies: I, top: usize) -> Vec<u8>
+where
+    I: Iterator<Item = &'a [u8]>,
+{
+    let mut records: Vec<&[u8]> = bodies.flat_map(|body| body.chunks_exact(RECORD_BYTES)).collect();
+    if records.len() > top && top > 0 {
+        records.select_nth_unstable_by(top - 1, |a, b| b.cmp(a));
+    }
+    records.truncate(top);
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.concat()
+}
--- /dev/null
+++ b/crates/serve/src/query.rs
@@ -0,0 +1,314 @@
+//! One request of a caller, from its first send to its answer.
+//!
+//! A request over many shards and one to a single searcher differ only in the number of pools
+//! and in how many of them must answer.
+
+use std::time::Duration;
+
+use crate::Time;
+use crate::config::Repeat;
+use crate::fleet::Choice;
+use crate::fleet::Fleet;
+use crate::fleet::PoolKey;
+use crate::fleet::SearcherKey;
+
+/// What a request needs.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// One pool for each shard.
+    pub pools: Vec<PoolKey>,
+    /// Fewest shards in an answer.
+    pub need: usize,
+    /// Most searchers of one pool that it may run at.
+    pub attempts: u32,
+    /// Whether it may run more than once.
+    pub repeat: Repeat,
+    /// Delay after which a shard counts as a straggler.
+    pub hedge: Duration,
+    /// When an answer that covers enough is given without the stragglers.
+    pub cutoff: Time,
+    /// When the request ends, answered or not.
+    pub limit: Time,
+}
+
+/// A send to a searcher.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Send {
+    /// Index of the shard.
+    pub shard: usize,
+    /// The searcher.
+    pub to: Choice,
+}
+
+/// How a send ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// With an answer that counts.
+    Answer,
+    /// Nothing was sent: no connection.
+    NotSent,
+    /// The searcher says that it did not run it.
+    Refused,
+    /// The searcher ran it and failed.
+    Failed,
+    /// It may have run: the connection broke, or there was no sound answer.
+    Unknown,
+}
+
+/// Why a request has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// It has not run anywhere and never will.
+    NotRun,
+    /// A searcher ran it and failed.
+    Failed,
+    /// It may have run; what came back is no answer.
+    Unknown,
+    /// It may have run; time is up.
+    Timeout,
+}
+
+/// Where a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It waits for an answer or for this time.
+    Wait(Time),
+    /// The shards that have answered make the answer.
+    Answer,
+    /// There will be no answer.
+    Fail(Failure),
+}
+
+/// Sends beyond the attempts that are tried while searchers refuse or can't be reached.
+const SPARE_TRIES: u32 = 2;
+
+/// Share of the shards up to which stragglers are hedged. If more are late, the cause is
+/// not a straggler and more load would not help.
+const STRAGGLER_SHARE: f64 = 0.34;
+
+/// Pause before a hedge that the budget refused is tried again.
+const HEDGE_RETRY: Duration = Duration::from_millis(10);
+
+#[derive(Debug)]
+struct Shard {
+    pool: PoolKey,
+    tried: Vec<SearcherKey>,
+    /// Sends that may have run or may still run.
+    runs: u32,
+    waiting: u32,
+    hedge_at: Time,
+    phase: Phase,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Open,
+    Answered,
+    Lost,
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub struct Query {
+    plan: Plan,
+    shards: Vec<Shard>,
+    answered: usize,
+    lost: usize,
+    /// The gravest thing that is known to have happened.
+    worst: Failure,
+    hedges: u32,
+}
+
+impl Query {
+    /// A request that has not been sent.
+    pub fn new(plan: Plan) -> Query {
+        let shards = plan.pools.iter().map(|&pool| Shard {
+            pool,
+            tried: Vec::new(),
+            runs: 0,
+            waiting: 0,
+            hedge_at: Time::MAX,
+            phase: Phase::Open,
+        });
+        let shards = shards.collect();
+        Query { plan, shards, answered: 0, lost: 0, worst: Failure::NotRun, hedges: 0 }
+    }
+
+    /// Hedges that were sent.
+    pub fn hedges(&self) -> u32 {
+        self.hedges
+    }
+
+    /// Shards that have answered.
+    pub fn answered(&self) -> usize {
+        self.answered
+    }
+
+    /// Shards in all.
+    pub fn shards(&self) -> usize {
+        self.shards.len()
+    }
+
+    /// The first sends. Nothing is sent if too few shards have a searcher.
+    pub fn start(&mut self, fleet: &mut Fleet, now: Time) -> Vec<Send> {
+        let mut sends = Vec::with_capacity(self.shards.len());
+        for shard in 0..self.shards.len() {
+            match self.pick(shard, fleet, now) {
+                Some(send) => sends.push(send),
+                None => self.lose(shard),
+            }
+        }
+        if sends.len() < self.plan.need {
+            for send in &sends {
+                let state = &mut self.shards[send.shard];
+                state.waiting = 0;
+                state.runs = 0;
+                self.lose(send.shard);
+            }
+            sends.clear();
+        }
+        sends
+    }
+
+    /// Takes the end of a send. `extra` takes from the budget of a pool.
+    pub fn ended<F>(
+        &mut self,
+        shard: usize,
+        ended: Ended,
+        fleet: &mut Fleet,
+        mut extra: F,
+        now: Time,
+    ) -> Option<Send>
+    where
+        F: FnMut(PoolKey) -> bool,
+    {
+        let state = &mut self.shards[shard];
+        state.waiting = state.waiting.saturating_sub(1);
+        match ended {
+            Ended::Answer => {
+                if state.phase == Phase::Answered {
+                    return None;
+                }
+                if state.phase == Phase::Lost {
+                    self.lost -= 1;
+                }
+                state.phase = Phase::Answered;
+                self.answered += 1;
+                return None;
+            }
+            Ended::NotSent | Ended::Refused => state.runs -= 1,
+            Ended::Failed => self.worst = Failure::Failed,
+            Ended::Unknown => self.worst = Failure::Unknown,
+        }
+        if state.phase != Phase::Open {
+            return None;
+        }
+        let may = match (self.plan.repeat, ended) {
+            (_, Ended::NotSent) => true,
+            (_, Ended::Refused) => extra(state.pool),
+            (Repeat::Once, _) => false,
+            (Repeat::Idempotent, _) => state.runs < self.plan.attempts && extra(state.pool),
+        };
+        let tries = self.plan.attempts + SPARE_TRIES;
+        let may = may && state.tried.len() < tries as usize && state.runs < self.plan.attempts;
+        if may && let Some(send) = self.pick(shard, fleet, now) {
+            return Some(send);
+        }
+        if self.shards[shard].waiting == 0 {
+            self.lose(shard);
+        }
+        None
+    }
+
+    /// Hedges the stragglers. `extra` takes from the budget of a pool.
+    pub fn hedge<F>(&mut self, fleet: &mut Fleet, mut extra: F, now: Time) -> Vec<Send>
+    where
+        F: FnMut(PoolKey) -> bool,
+    {
+        let mut sends = Vec::new();
+        if self.plan.repeat == Repeat::Once {
+            return sends;
+        }
+        let late = self.shards.iter().filter(|it| it.phase == Phase::Open).count();
+        let few = (self.shards.len() as f64 * STRAGGLER_SHARE).ceil() as usize;
+        for shard in 0..self.shards.len() {
+            let state = &mut self.shards[shard];
+            if state.phase != Phase::Open || state.hedge_at > now {
+                continue;
+            }
+            if late > few {
+                state.hedge_at = now + HEDGE_RETRY;
+                continue;
+            }
+            if state.runs >= self.plan.attempts {
+                state.hedge_at = Time::MAX;
+                continue;
+            }
+            let patience = self.plan.hedge;
+            if fleet.choose(state.pool, &state.tried, patience, now).is_none() {
+                state.hedge_at = Time::MAX;
+                continue;
+            }
+            if !extra(state.pool) {
+                state.hedge_at = now + HEDGE_RETRY;
+                continue;
+            }
+            if let Some(send) = self.pick(shard, fleet, now) {
+                self.hedges += 1;
+                sends.push(send);
+            }
+        }
+        sends
+    }
+
+    /// Where the request stands.
+    pub fn verdict(&self, now: Time) -> Verdict {
+        let shards = self.shards.len();
+        let enough = self.answered >= self.plan.need;
+        if self.answered + self.lost == shards && enough {
+            return Verdict::Answer;
+        }
+        if shards - self.lost < self.plan.need {
+            return Verdict::Fail(self.failure());
+        }
+        if now >= self.plan.cutoff && enough {
+            return Verdict::Answer;
+        }
+        if now >= self.plan.limit {
+            return Verdict::Fail(Failure::Timeout);
+        }
+        let open = self.shards.iter().filter(|it| it.phase == Phase::Open);
+        let hedge = open.map(|it| it.hedge_at).min().unwrap_or(Time::MAX);
+        let cutoff = if enough { self.plan.cutoff } else { Time::MAX };
+        Verdict::Wait(hedge.min(cutoff).min(self.plan.limit))
+    }
+
+    /// Why there is no answer. A refusal must be true: it stands only if no send is left that
+    /// may have run.
+    fn failure(&self) -> Failure {
+        let quiet = self.answered == 0 && self.shards.iter().all(|it| it.runs == 0);
+        match self.worst {
+            Failure::NotRun if !quiet => Failure::Unknown,
+            worst => worst,
+        }
+    }
+
+    fn pick(&mut self, shard: usize, fleet: &mut Fleet, now: Time) -> Option<Send> {
+        let hedge = self.plan.hedge;
+        let state = &mut self.shards[shard];
+        let to = fleet.choose(state.pool, &state.tried, hedge, now)?;
+        state.tried.push(to.key);
+        state.runs += 1;
+        state.waiting += 1;
+        state.hedge_at = now + hedge;
+        Some(Send { shard, to })
+    }
+
+    fn lose(&mut self, shard: usize) {
+        let state = &mut self.shards[shard];
+        if state.phase == Phase::Open {
+            state.phase = Phase::Lost;
+            self.lost += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/registry.rs
@@ -0,0 +1,171 @@
+//! Which registered searchers are there, from listings that may lag, lapse or be forged.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Time;
+use crate::fleet::Fleet;
+use crate::fleet::Searcher;
+use crate::fleet::SearcherKey;
+
+/// What a listing says of one searcher.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// Its id.
+    pub id: String,
+    /// Name of its pool.
+    pub pool: String,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: SearcherState,
+    /// How much longer it is slow after its start.
+    pub cold_left: Duration,
+    /// When it started, in Unix milliseconds of its own clock.
+    pub born: Option<u64>,
+    /// Number of its heartbeat since its start.
+    pub sequence: u64,
+    /// Store revision at which its registration was created.
+    pub created: u64,
+}
+
+/// Whether a searcher takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SearcherState {
+    /// It does.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+/// How absent searchers are treated.
+#[derive(Debug, Clone, Copy)]
+pub struct RegistrySettings {
+    /// Time after an outage of the store in which a searcher that is no longer listed is kept:
+    /// its registration may have lapsed meanwhile and be written again.
+    pub lapse_hold: Duration,
+}
+
+impl Default for RegistrySettings {
+    fn default() -> Self {
+        RegistrySettings { lapse_hold: Duration::from_millis(2300) }
+    }
+}
+
+#[derive(Debug)]
+struct Known {
+    sighting: Sighting,
+    key: SearcherKey,
+}
+
+/// All searchers that are registered.
+#[derive(Debug)]
+pub struct Registry {
+    settings: RegistrySettings,
+    known: HashMap<String, Known>,
+    listed: Option<Time>,
+}
+
+impl Registry {
+    /// Knows no searcher.
+    pub fn new(settings: RegistrySettings) -> Registry {
+        Registry { settings, known: HashMap::new(), listed: None }
+    }
+
+    /// Time of the newest listing.
+    pub fn listed(&self) -> Option<Time> {
+        self.listed
+    }
+
+    /// Adopts a whole listing, read at `now`. `restored` is when the store last came back after
+    /// calls to it had failed. Returns one line for each change, for the log.
+    pub fn adopt(
+        &mut self,
+        fleet: &mut Fleet,
+        listing: Vec<Sighting>,
+        restored: Option<Time>,
+        now: Time,
+    ) -> Vec<String> {
+        let mut changes = Vec::new();
+        let mut absent: Vec<String> = self.known.keys().cloned().collect();
+        for sighting in listing {
+            absent.retain(|id| *id != sighting.id);
+            self.see(fleet, sighting, now, &mut changes);
+        }
+        let lapsed = restored.is_some_and(|at| now < at + self.settings.lapse_hold);
+        if !lapsed {
+            for id in absent {
+                if let Some(known) = self.known.remove(&id) {
+                    fleet.remove(known.key);
+                    changes.push(format!("searcher={id} state=gone"));
+                }
+            }
+        }
+        self.listed = Some(now);
+        changes
+    }
+
+    fn see(&mut self, fleet: &mut Fleet, sighting: Sighting, now: Time, changes: &mut Vec<String>) {
+        if let Some(known) = self.known.get_mut(&sighting.id) {
+            match compare(&known.sighting, &sighting) {
+                Age::Stale => return,
+                Age::Same => {
+                    if known.sighting.state != sighting.state {
+                        changes.push(format!(
+                            "searcher={} state={:?} sequence={}",
+                            sighting.id, sighting.state, sighting.sequence
+                        ));
+                    }
+                    let ready = sighting.state == SearcherState::Ready;
+                    fleet.update(known.key, ready, now + sighting.cold_left);
+                    known.sighting = sighting;
+                    return;
+                }
+                Age::Reborn => fleet.remove(known.key),
+            }
+        }
+        changes.push(format!(
+            "searcher={} state={:?} address={} domain={} sequence={}",
+            sighting.id, sighting.state, sighting.address, sighting.domain, sighting.sequence
+        ));
+        let pool = fleet.pool(&sighting.pool);
+        let key = fleet.add(Searcher {
+            id: sighting.id.clone(),
+            pool,
+            address: sighting.address,
+            domain: sighting.domain.clone(),
+            slots: sighting.slots,
+            cold_until: now + sighting.cold_left,
+            ready: sighting.state == SearcherState::Ready,
+        });
+        self.known.insert(sighting.id.clone(), Known { sighting, key });
+    }
+}
+
+#[derive(Debug)]
+enum Age {
+    Stale,
+    Same,
+    Reborn,
+}
+
+/// How a sighting relates to the one that is known of the same id. A late heartbeat of an
+/// earlier time must not undo what a later one has said.
+fn compare(known: &Sighting, new: &Sighting) -> Age {
+    let moved = (known.address, &known.pool) != (new.address, &new.pool);
+    match (known.born, new.born) {
+        (Some(before), Some(after)) if after < before => Age::Stale,
+        (Some(before), Some(after)) if after > before => Age::Reborn,
+        _ if new.sequence < known.sequence && new.created == known.created => Age::Stale,
+        _ if new.sequence < known.sequence || moved => Age::Reborn,
+        _ => Age::Same,
+    }
+}
--- /dev/null
+++ b/crates/serve/src/routes.rs
@@ -0,0 +1,147 @@
+//! The compiled form of a configuration, in which requests look up their route.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use crate::config::CallerLimits;
+use crate::config::Config;
+use crate::config::Route;
+use crate::config::Target;
+use crate::fleet::Fleet;
+use crate::fleet::PoolKey;
+
+/// All routes of one version.
+#[derive(Debug)]
+pub struct RouteTable {
+    /// Version of the configuration.
+    pub version: u64,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    hosts: HashMap<String, Vec<Arc<CompiledRoute>>>,
+    connections: HashMap<PoolKey, u32>,
+}
+
+/// A route with the keys of its pools.
+#[derive(Debug)]
+pub struct CompiledRoute {
+    /// The route as configured.
+    pub route: Route,
+    /// Its pools.
+    pub target: CompiledTarget,
+}
+
+/// The pools of a route, by key.
+#[derive(Debug)]
+pub enum CompiledTarget {
+    /// One searcher of this pool.
+    One(PoolKey),
+    /// One searcher of the pool whose turn it is.
+    Split(Rotation),
+    /// One searcher of each pool; at least `need` of them must answer.
+    Gather {
+        /// One pool for each shard.
+        pools: Vec<PoolKey>,
+        /// Records in the answer.
+        top: usize,
+        /// Fewest shards in an answer.
+        need: usize,
+    },
+}
+
+impl RouteTable {
+    /// Compiles a configuration, with the keys that `fleet` gives to its pools.
+    pub fn new(config: &Config, fleet: &mut Fleet) -> RouteTable {
+        let mut hosts: HashMap<String, Vec<Arc<CompiledRoute>>> = HashMap::new();
+        for route in &config.routes {
+            let target = compile(&route.target, fleet);
+            let compiled = CompiledRoute { route: route.clone(), target };
+            hosts.entry(route.host.clone()).or_default().push(Arc::new(compiled));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|it| std::cmp::Reverse(it.route.prefix.len()));
+        }
+        let connections =
+            config.pools.iter().map(|spec| (fleet.pool(&spec.name), spec.connections)).collect();
+        RouteTable { version: config.version, limits: config.limits, hosts, connections }
+    }
+
+    /// Connections that one of `daemons` may have to each searcher of a pool, if the tier uses
+    /// `share` of what a searcher accepts.
+    pub fn connections(&self, pool: PoolKey, daemons: usize, share: f64) -> usize {
+        let all = f64::from(self.connections.get(&pool).copied().unwrap_or(1));
+        ((all * share / daemons.max(1) as f64) as usize).max(1)
+    }
+
+    /// The route with the longest prefix that starts `path`, among those of `host`.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<CompiledRoute>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        self.hosts.get(&host)?.iter().find(|it| path.starts_with(&it.route.prefix))
+    }
+
+    /// The routes over many shards.
+    pub fn gathers(&self) -> impl Iterator<Item = &[PoolKey]> {
+        self.hosts.values().flatten().filter_map(|it| match &it.target {
+            CompiledTarget::Gather { pools, .. } => Some(pools.as_slice()),
+            CompiledTarget::One(_) | CompiledTarget::Split(_) => None,
+        })
+    }
+}
+
+fn compile(target: &Target, fleet: &mut Fleet) -> CompiledTarget {
+    match target {
+        Target::One(pool) => CompiledTarget::One(fleet.pool(pool)),
+        Target::Split(shares) => {
+            let turns = shares.iter().map(|share| Turn {
+                pool: fleet.pool(&share.pool),
+                weight: share.weight.max(0.0),
+                credit: 0.0,
+            });
+            CompiledTarget::Split(Rotation { turns: Mutex::new(turns.collect()) })
+        }
+        Target::Gather(gather) => {
+            let pools: Vec<PoolKey> = gather.pools.iter().map(|name| fleet.pool(name)).collect();
+            let need = fewest(pools.len(), gather.coverage);
+            CompiledTarget::Gather { pools, top: gather.top, need }
+        }
+    }
+}
+
+/// The fewest of `shards` whose share is not below `coverage`; an answer names at least one.
+fn fewest(shards: usize, coverage: f64) -> usize {
+    (1..=shards)
+        .find(|&covered| covered as f64 / shards as f64 >= coverage)
+        .unwrap_or(shards)
+        .max(1)
+}
+
+/// Deals requests to pools in proportion to their weights, without bursts to one of them.
+#[derive(Debug)]
+pub struct Rotation {
+    turns: Mutex<Vec<Turn>>,
+}
+
+#[derive(Debug)]
+struct Turn {
+    pool: PoolKey,
+    weight: f64,
+    credit: f64,
+}
+
+impl Rotation {
+    /// The pool of the next request; `None` if no pool has a weight.
+    pub fn next(&self) -> Option<PoolKey> {
+        let mut turns = self.turns.lock().unwrap_or_else(PoisonError::into_inner);
+        let total: f64 = turns.iter().map(|turn| turn.weight).sum();
+        if total <= 0.0 {
+            return None;
+        }
+        for turn in turns.iter_mut() {
+            turn.credit += turn.weight;
+        }
+        let chosen = turns.iter_mut().max_by(|a, b| a.credit.total_cmp(&b.credit))?;
+        chosen.credit -= total;
+        Some(chosen.pool)
+    }
+}
