fix: never ask a searcher again whose address another one has taken

Each send to a reused address arrives at a pool that the query asks anyway, and counts there as an extra arrival; the searcher was passed over for 3 s and then only while there was another. Ruled out: the division of the budget (logs show 5 sharers throughout). Change: such a searcher is closed until a later heartbeat of it is seen; one that refuses connections is closed for 300 ms; a connection found closed is replaced within the send.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -20,22 +20,16 @@
 use tokio::time::sleep_until;
 
 use crate::entry::Entry;
+use crate::links::NoConnection;
 use crate::links::Wanted;
 use crate::sync::lock;
 use tt_adapter::headers;
 use tt_serve::Choice;
 use tt_serve::Ended;
-use tt_serve::PoolKey;
 use tt_serve::Repeat;
 
-/// Time for which a searcher that shed a request is passed over.
-const SHED_PAUSE: Duration = Duration::from_millis(30);
-
-/// Time for which an address that another searcher has taken is passed over.
-const MOVED_PAUSE: Duration = Duration::from_secs(3);
-
-/// Time for which an address that nothing listens at is passed over.
-const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
+/// Idle connections that may turn out closed before a send is given up.
+const CLOSED_TRIES: u32 = 3;
 
 /// Time before the end that a searcher announced at which an idle connection is given up.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
@@ -68,19 +62,52 @@
 #[derive(Debug)]
 pub(crate) struct Report {
     pub(crate) shard: usize,
-    pub(crate) searcher: String,
     pub(crate) ended: Ended,
-    pub(crate) cause: &'static str,
+    pub(crate) cause: Cause,
     pub(crate) reply: Option<Reply>,
 }
 
+/// What decided how a send ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// A sound answer.
+    Answered,
+    /// The searcher failed.
+    Status,
+    /// The request's end, before the searcher answered.
+    Deadline,
+    /// The end of the request some time ago.
+    Abandoned,
+    /// No connection to the searcher.
+    Unreachable,
+    /// No free connection in time.
+    NoConnection,
+    /// Idle connections that had been closed, more than once.
+    Closed,
+    /// A connection that broke before the answer.
+    Broken,
+    /// An answer that is not whole.
+    CutShort,
+    /// An answer to another request.
+    OtherRequest,
+    /// Another searcher at the address.
+    Moved,
+    /// A searcher that is full.
+    Shed,
+    /// An encoded body, which is not the searcher's.
+    Encoded,
+    /// A success without a signature.
+    Unsigned,
+    /// An id that can't stand in a header.
+    Unspeakable,
+}
+
 /// One send.
 #[derive(Debug)]
 pub(crate) struct Attempt {
     pub(crate) entry: Arc<Entry>,
     pub(crate) outgoing: Arc<Outgoing>,
     pub(crate) shard: usize,
-    pub(crate) pool: PoolKey,
     pub(crate) cap: usize,
     pub(crate) to: Choice,
     pub(crate) token: u64,
@@ -90,13 +117,13 @@
 #[derive(Debug)]
 struct Outcome {
     ended: Ended,
-    cause: &'static str,
+    cause: Cause,
     reply: Option<Reply>,
     latency: Option<Duration>,
 }
 
 impl Outcome {
-    fn failure(ended: Ended, cause: &'static str) -> Outcome {
+    fn failure(ended: Ended, cause: Cause) -> Outcome {
         Outcome { ended, cause, reply: None, latency: None }
     }
 }
@@ -106,16 +133,15 @@
     pub(crate) async fn run(self) {
         let outcome = tokio::select! {
             outcome = self.send() => outcome,
-            () = self.abandoned() => Outcome::failure(Ended::Unknown, "abandoned"),
+            () = self.abandoned() => Outcome::failure(Ended::Unknown, Cause::Abandoned),
             () = sleep_until(self.outgoing.deadline) => {
-                Outcome::failure(Ended::Unknown, "deadline")
+                Outcome::failure(Ended::Unknown, Cause::Deadline)
             }
         };
         self.learn(&outcome);
         let Outcome { ended, cause, reply, .. } = outcome;
-        let searcher = self.to.id;
         // The request may have ended without this send.
-        let _ = self.reports.send(Report { shard: self.shard, searcher, ended, cause, reply });
+        let _ = self.reports.send(Report { shard: self.shard, ended, cause, reply });
     }
 
     /// Ends some time after the request has.
@@ -145,20 +171,21 @@
                 fleet.answered(key, ratio, now);
             }
             Ended::NotSent => {
-                fleet.failed(key, now);
-                fleet.hold_back(key, UNREACHABLE_PAUSE, now);
+                if outcome.cause == Cause::Unreachable {
+                    fleet.unreachable(key, now);
+                }
             }
-            Ended::Refused if outcome.cause == "moved" => fleet.hold_back(key, MOVED_PAUSE, now),
-            Ended::Refused => fleet.hold_back(key, SHED_PAUSE, now),
+            Ended::Refused if outcome.cause == Cause::Moved => fleet.moved(key),
+            Ended::Refused => fleet.shed(key, now),
             Ended::Failed | Ended::Unknown => fleet.failed(key, now),
         }
         drop(fleet);
-        if outcome.ended == Ended::Unknown || outcome.ended == Ended::NotSent {
+        if outcome.ended == Ended::Unknown || outcome.cause == Cause::Unreachable {
             entry.links.of(key).close_idle();
         }
         if outcome.ended != Ended::Answer {
             log::info!(
-                "send: id={} searcher={} shard={} outcome={:?} cause={}",
+                "send: id={} searcher={} shard={} outcome={:?} cause={:?}",
                 self.outgoing.id,
                 self.to.id,
                 self.shard,
@@ -169,6 +196,17 @@
     }
 
     async fn send(&self) -> Outcome {
+        for _ in 0..CLOSED_TRIES {
+            match self.send_once().await {
+                Some(outcome) => return outcome,
+                None => continue,
+            }
+        }
+        Outcome::failure(Ended::NotSent, Cause::Closed)
+    }
+
+    /// Sends on one connection. `None` if it had been closed and nothing was sent.
+    async fn send_once(&self) -> Option<Outcome> {
         let settings = &self.entry.settings;
         let wanted = Wanted {
             address: self.to.address,
@@ -178,39 +216,38 @@
             until: self.outgoing.deadline,
         };
         let link = self.entry.links.of(self.to.key);
-        let Some(mut connection) = link.acquire(wanted).await else {
-            return Outcome::failure(Ended::NotSent, "no_connection");
+        let mut connection = match link.acquire(wanted).await {
+            Ok(connection) => connection,
+            Err(NoConnection::Unreachable) => {
+                return Some(Outcome::failure(Ended::NotSent, Cause::Unreachable));
+            }
+            Err(NoConnection::Late) => {
+                return Some(Outcome::failure(Ended::NotSent, Cause::NoConnection));
+            }
         };
         let Some(request) = self.request() else {
-            return Outcome::failure(Ended::NotSent, "bad_request");
-        };
-        let Some(sender) = connection.sender.as_mut() else {
-            return Outcome::failure(Ended::NotSent, "no_connection");
+            return Some(Outcome::failure(Ended::NotSent, Cause::Unspeakable));
         };
+        let sender = connection.sender.as_mut()?;
         let sent = Instant::now();
         let response = match sender.try_send_request(request).await {
             Ok(response) => response,
-            Err(mut error) => {
-                return match error.take_message() {
-                    Some(_) => Outcome::failure(Ended::NotSent, "closed"),
-                    None => Outcome::failure(Ended::Unknown, "broken"),
-                };
-            }
+            Err(error) if error.message().is_some() => return None,
+            Err(_) => return Some(Outcome::failure(Ended::Unknown, Cause::Broken)),
         };
         let (head, body) = response.into_parts();
         let body = Limited::new(body, settings.answer_bytes);
         let Ok(body) = body.collect().await else {
-            return Outcome::failure(Ended::Unknown, "cut_short");
+            return Some(Outcome::failure(Ended::Unknown, Cause::CutShort));
         };
         let reply = Reply { status: head.status, headers: head.headers, body: body.to_bytes() };
+        let keep = keep_alive(&reply.headers);
         let mut outcome = self.judge(reply);
-        if outcome.cause == "other_request" {
-            return outcome;
+        if outcome.cause != Cause::OtherRequest {
+            outcome.latency = (outcome.ended == Ended::Answer).then(|| sent.elapsed());
+            connection.give_back(keep);
         }
-        outcome.latency = (outcome.ended == Ended::Answer).then(|| sent.elapsed());
-        let keep = outcome.reply.as_ref().and_then(|reply| keep_alive(&reply.headers));
-        connection.give_back(keep);
-        outcome
+        Some(outcome)
     }
 
     /// The request as it goes to the searcher.
@@ -231,24 +268,24 @@
     fn judge(&self, reply: Reply) -> Outcome {
         let echoed = reply.headers.get(headers::REQUEST_ID);
         if echoed.is_none_or(|id| id.as_bytes() != self.outgoing.id.as_bytes()) {
-            return Outcome::failure(Ended::Unknown, "other_request");
+            return Outcome::failure(Ended::Unknown, Cause::OtherRequest);
         }
         if reply.status == StatusCode::MISDIRECTED_REQUEST {
-            return Outcome::failure(Ended::Refused, "moved");
+            return Outcome::failure(Ended::Refused, Cause::Moved);
         }
         if reply.headers.contains_key(headers::NOT_RUN) {
-            return Outcome::failure(Ended::Refused, "shed");
+            return Outcome::failure(Ended::Refused, Cause::Shed);
         }
         if reply.headers.contains_key(header::CONTENT_ENCODING) {
-            return Outcome::failure(Ended::Unknown, "encoded");
+            return Outcome::failure(Ended::Unknown, Cause::Encoded);
         }
         let signed = reply.headers.contains_key(headers::SIGNATURE);
         let (ended, cause) = match (reply.status.is_success(), signed) {
-            (true, true) => (Ended::Answer, "answered"),
-            (true, false) => return Outcome::failure(Ended::Unknown, "unsigned"),
-            (false, _) if self.outgoing.gather => (Ended::Failed, "status"),
-            (false, _) if reply.status.is_client_error() => (Ended::Answer, "status"),
-            (false, _) => (Ended::Failed, "status"),
+            (true, true) => (Ended::Answer, Cause::Answered),
+            (true, false) => return Outcome::failure(Ended::Unknown, Cause::Unsigned),
+            (false, _) if self.outgoing.gather => (Ended::Failed, Cause::Status),
+            (false, _) if reply.status.is_client_error() => (Ended::Answer, Cause::Status),
+            (false, _) => (Ended::Failed, Cause::Status),
         };
         Outcome { ended, cause, reply: Some(reply), latency: None }
     }
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -174,11 +174,27 @@
         let now = self.now();
         let mut members = lock(&self.members);
         for vm in listed {
-            if vm.name != self.vm.name {
-                members.list(vm, now);
+            if vm.name == self.vm.name {
+                continue;
             }
+            let name = vm.name.clone();
+            if members.list(vm, now) {
+                log::info!("member: vm={name} state=listed sharers={}", members.sharers(now));
+            }
+        }
+        for name in members.expire(now) {
+            log::info!("member: vm={name} state=forgotten sharers={}", members.sharers(now));
+        }
+    }
+
+    /// Notes a heartbeat of another daemon.
+    pub(crate) fn note_heartbeat(&self, vm: Vm, open: bool, version: u64) {
+        let now = self.now();
+        let name = vm.name.clone();
+        let mut members = lock(&self.members);
+        if members.hear(vm, open, version, now) {
+            log::info!("member: vm={name} state=heard sharers={}", members.sharers(now));
         }
-        members.expire(now);
     }
 
     pub(crate) fn sharers(&self) -> usize {
--- a/crates/front/src/links.rs
+++ b/crates/front/src/links.rs
@@ -57,8 +57,15 @@
 pub(crate) struct Connection {
     link: Arc<Link>,
     pub(crate) sender: Option<SendRequest<Full<Bytes>>>,
-    /// Whether it has carried an earlier request.
-    pub(crate) reused: bool,
+}
+
+/// Why there is no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoConnection {
+    /// The searcher refuses it or does not answer.
+    Unreachable,
+    /// The request ended before.
+    Late,
 }
 
 /// How a connection is asked for.
@@ -95,29 +102,33 @@
 }
 
 impl Link {
-    /// An idle connection, or a new one while there are fewer than allowed. `None` if the
-    /// searcher can't be reached in time.
-    pub(crate) async fn acquire(self: &Arc<Link>, wanted: Wanted) -> Option<Connection> {
+    /// An idle connection, or a new one while there are fewer than allowed.
+    pub(crate) async fn acquire(
+        self: &Arc<Link>,
+        wanted: Wanted,
+    ) -> Result<Connection, NoConnection> {
         loop {
             let freed = self.freed.notified();
             match self.reserve(&wanted) {
                 Reserved::Idle(sender) => {
-                    return Some(Connection {
-                        link: self.clone(),
-                        sender: Some(sender),
-                        reused: true,
-                    });
+                    return Ok(Connection { link: self.clone(), sender: Some(sender) });
                 }
                 Reserved::Place => {
                     // Gives its place back when dropped.
-                    let mut connection =
-                        Connection { link: self.clone(), sender: None, reused: false };
+                    let mut connection = Connection { link: self.clone(), sender: None };
                     let open = timeout(wanted.connect, open(wanted.address));
-                    let sender = timeout_at(wanted.until, open).await.ok()?.ok()??;
-                    connection.sender = Some(sender);
-                    return Some(connection);
+                    return match timeout_at(wanted.until, open).await {
+                        Ok(Ok(Some(sender))) => {
+                            connection.sender = Some(sender);
+                            Ok(connection)
+                        }
+                        Ok(_) => Err(NoConnection::Unreachable),
+                        Err(_) => Err(NoConnection::Late),
+                    };
+                }
+                Reserved::Full => {
+                    timeout_at(wanted.until, freed).await.map_err(|_| NoConnection::Late)?;
                 }
-                Reserved::Full => timeout_at(wanted.until, freed).await.ok()?,
             }
         }
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -151,7 +151,7 @@
             continue;
         }
         let peer = vm.peer;
-        lock(&entry.members).hear(vm, open, version, now);
+        entry.note_heartbeat(vm, open, version);
         if hello {
             send(&entry, &socket, peer, false).await;
         }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -23,6 +23,7 @@
 use crate::answer;
 use crate::answer::Body;
 use crate::attempt::Attempt;
+use crate::attempt::Cause;
 use crate::attempt::Outgoing;
 use crate::attempt::Reply;
 use crate::attempt::Report;
@@ -118,7 +119,7 @@
     parts: Vec<Reply>,
     /// The newest failure that a searcher answered with.
     failed: Option<Reply>,
-    last_cause: &'static str,
+    last_cause: Option<Cause>,
 }
 
 impl Work {
@@ -189,6 +190,7 @@
     ) -> Response<Body> {
         let now = self.entry.now();
         let took = now.saturating_sub(self.started);
+        let last = replies.last_cause;
         let (outcome, response) = match verdict {
             Verdict::Answer => ("answered", self.success(outgoing, query, replies)),
             Verdict::Fail(failure) => self.failure(failure, replies, now),
@@ -197,7 +199,7 @@
         };
         log::info!(
             "request: id={} route={} version={} outcome={outcome} status={} took_ms={:.1} \
-             shards={} answered={} hedges={} goal_ms={} left_ms={}",
+             shards={} answered={} hedges={} goal_ms={} left_ms={} last={:?}",
             outgoing.id,
             outgoing.route,
             self.in_force.table.version,
@@ -208,6 +210,7 @@
             query.hedges(),
             self.route.route.goal.as_millis(),
             self.limit.saturating_sub(now).as_millis(),
+            last,
         );
         response
     }
@@ -282,7 +285,6 @@
                 entry: entry.clone(),
                 outgoing: self.outgoing.clone(),
                 shard,
-                pool,
                 cap: self.work.in_force.table.connections(
                     pool,
                     sharers,
@@ -324,7 +326,7 @@
             ended = Ended::Unknown;
             reply = None;
         }
-        replies.last_cause = cause;
+        replies.last_cause = Some(cause);
         let before = query.answered();
         let extra = |pool| entry.take_extra(pool);
         let more = query.ended(shard, ended, &mut lock(&entry.fleet), extra, entry.now());
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -53,6 +53,10 @@
     pub eject_most: Duration,
     /// Failures in a row that eject a searcher.
     pub failures: u32,
+    /// Time without work for a searcher that refuses connections.
+    pub unreachable: Duration,
+    /// Time without work for a searcher that shed a request, while there are others.
+    pub shed: Duration,
 }
 
 impl Default for FleetSettings {
@@ -66,6 +70,8 @@
             eject: Duration::from_millis(400),
             eject_most: Duration::from_secs(3),
             failures: 2,
+            unreachable: Duration::from_millis(300),
+            shed: Duration::from_millis(30),
         }
     }
 }
@@ -101,7 +107,16 @@
     slowness: f64,
     observed: Time,
     failures: u32,
+    /// Until when it is used only if there is no other.
     ejected_until: Time,
+    /// Until when it is not used at all.
+    closed_until: Time,
+}
+
+impl Entry {
+    fn is_open(&self, now: Time) -> bool {
+        self.searcher.ready && self.closed_until <= now
+    }
 }
 
 /// All searchers.
@@ -155,16 +170,21 @@
                 observed: Time::ZERO,
                 failures: 0,
                 ejected_until: Time::ZERO,
+                closed_until: Time::ZERO,
             },
         );
         key
     }
 
-    /// Changes what a searcher says of itself. Its pool and id stay.
-    pub fn update(&mut self, key: SearcherKey, ready: bool, cold_until: Time) {
+    /// Changes what a searcher says of itself. Its pool and id stay. With `alive` it has said so
+    /// later than before.
+    pub fn update(&mut self, key: SearcherKey, ready: bool, cold_until: Time, alive: bool) {
         if let Some(entry) = self.entries.get_mut(&key) {
             entry.searcher.ready = ready;
             entry.searcher.cold_until = cold_until;
+            if alive && entry.closed_until == Time::MAX {
+                entry.closed_until = Time::ZERO;
+            }
         }
     }
 
@@ -182,7 +202,7 @@
 
     /// Whether the pool has a searcher that takes work.
     pub fn is_served(&self, pool: PoolKey, now: Time) -> bool {
-        self.members(pool).any(|(_, entry)| entry.searcher.ready && entry.ejected_until <= now)
+        self.members(pool).any(|(_, entry)| entry.is_open(now))
     }
 
     /// Whether the pool has a searcher in `domain` that takes work.
@@ -203,7 +223,7 @@
         let turn = self.turn;
         let best = self
             .members(pool)
-            .filter(|(key, entry)| entry.searcher.ready && !tried.contains(key))
+            .filter(|(key, entry)| entry.is_open(now) && !tried.contains(key))
             .map(|(key, entry)| {
                 let (class, cost) = self.rank(entry, patience, now);
                 (class, cost, (u64::from(key.0) + turn) % 7, key)
@@ -275,20 +295,36 @@
         }
     }
 
-    /// Learns that a searcher takes no work for `pause`: it is full, or nothing listens there.
-    pub fn hold_back(&mut self, key: SearcherKey, pause: Duration, now: Time) {
+    /// Learns that a searcher is full.
+    pub fn shed(&mut self, key: SearcherKey, now: Time) {
+        let pause = self.settings.shed;
         if let Some(entry) = self.entries.get_mut(&key) {
             entry.ejected_until = entry.ejected_until.max(now + pause);
         }
     }
 
+    /// Learns that nothing accepts connections at the address of a searcher.
+    pub fn unreachable(&mut self, key: SearcherKey, now: Time) {
+        let pause = self.settings.unreachable;
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.closed_until = entry.closed_until.max(now + pause);
+        }
+    }
+
+    /// Learns that another searcher has the address of this one.
+    pub fn moved(&mut self, key: SearcherKey) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.closed_until = Time::MAX;
+        }
+    }
+
     /// All searchers, for operators.
     pub fn views(&self, now: Time) -> impl Iterator<Item = SearcherView<'_>> {
         self.entries.values().map(move |entry| SearcherView {
             searcher: &entry.searcher,
             outstanding: entry.outstanding.len(),
             slowness: self.slowness(entry, now),
-            ejected: entry.ejected_until > now,
+            ejected: entry.ejected_until.max(entry.closed_until) > now,
         })
     }
 
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -72,18 +72,22 @@
         Members { settings, others: BTreeMap::new() }
     }
 
-    /// Notes a daemon in the store's list.
-    pub fn list(&mut self, vm: Vm, now: Time) {
+    /// Notes a daemon in the store's list. Returns whether it is new.
+    pub fn list(&mut self, vm: Vm, now: Time) -> bool {
+        let new = !self.others.contains_key(&vm.name);
         let member = self.entry(vm);
         member.listed = Some(now);
+        new
     }
 
-    /// Notes a heartbeat.
-    pub fn hear(&mut self, vm: Vm, open: bool, version: u64, now: Time) {
+    /// Notes a heartbeat. Returns whether the daemon is new.
+    pub fn hear(&mut self, vm: Vm, open: bool, version: u64, now: Time) -> bool {
+        let new = !self.others.contains_key(&vm.name);
         let member = self.entry(vm);
         member.open = open;
         member.version = version;
         member.heard = Some(now);
+        new
     }
 
     fn entry(&mut self, vm: Vm) -> &mut Member {
@@ -98,12 +102,13 @@
         member
     }
 
-    /// Forgets daemons that have been away for long.
-    pub fn expire(&mut self, now: Time) {
+    /// Forgets daemons that have been away for long, and returns their names.
+    pub fn expire(&mut self, now: Time) -> Vec<String> {
         let forget = self.settings.forget;
-        self.others.retain(|_, member| {
-            member.heard.max(member.listed).is_some_and(|last| now < last + forget)
+        let gone = self.others.extract_if(.., |_, member| {
+            member.heard.max(member.listed).is_none_or(|last| now >= last + forget)
         });
+        gone.map(|(name, _)| name).collect()
     }
 
     /// All other daemons that are known.
--- a/crates/serve/src/registry.rs
+++ b/crates/serve/src/registry.rs
@@ -125,7 +125,8 @@
                         ));
                     }
                     let ready = sighting.state == SearcherState::Ready;
-                    fleet.update(known.key, ready, now + sighting.cold_left);
+                    let alive = sighting.sequence > known.sighting.sequence;
+                    fleet.update(known.key, ready, now + sighting.cold_left, alive);
                     known.sighting = sighting;
                     return;
                 }
--- /dev/null
+++ b/crates/serve/tests/common/mod.rs
@@ -0,0 +1,52 @@
+//! Searchers and listings for the tests.
+
+use std::time::Duration;
+
+use tt_serve::Fleet;
+use tt_serve::FleetSettings;
+use tt_serve::PoolKey;
+use tt_serve::Searcher;
+use tt_serve::SearcherKey;
+use tt_serve::SearcherState;
+use tt_serve::Sighting;
+use tt_serve::Time;
+
+/// Time in milliseconds.
+pub fn ms(value: u64) -> Time {
+    Duration::from_millis(value)
+}
+
+/// A fleet seen from the failure domain `home`.
+pub fn fleet() -> Fleet {
+    Fleet::new(FleetSettings::default(), "home".to_owned())
+}
+
+/// Adds a ready searcher.
+pub fn add(fleet: &mut Fleet, pool: PoolKey, id: &str, domain: &str) -> SearcherKey {
+    fleet.add(Searcher {
+        id: id.to_owned(),
+        pool,
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        domain: domain.to_owned(),
+        slots: 2,
+        cold_until: Time::ZERO,
+        ready: true,
+    })
+}
+
+/// A registration of a ready searcher.
+#[allow(dead_code)]
+pub fn sighting(id: &str, sequence: u64) -> Sighting {
+    Sighting {
+        id: id.to_owned(),
+        pool: "pool".to_owned(),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        domain: "home".to_owned(),
+        slots: 2,
+        state: SearcherState::Ready,
+        cold_left: Duration::ZERO,
+        born: Some(1000),
+        sequence,
+        created: 7,
+    }
+}
--- /dev/null
+++ b/crates/serve/tests/fleet.rs
@@ -0,0 +1,118 @@
+//! The choice of a searcher.
+
+mod common;
+
+use std::time::Duration;
+
+use common::add;
+use common::fleet;
+use common::ms;
+
+use tt_serve::Fleet;
+use tt_serve::PoolKey;
+use tt_serve::SearcherKey;
+use tt_serve::Time;
+
+const PATIENCE: Duration = Duration::from_millis(30);
+
+fn chosen(fleet: &mut Fleet, pool: PoolKey, now: Time) -> Option<SearcherKey> {
+    fleet.choose(pool, &[], PATIENCE, now).map(|choice| choice.key)
+}
+
+// Guards against bytes between failure domains while a near searcher is free.
+#[test]
+fn a_near_searcher_is_preferred() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let near = add(&mut fleet, pool, "near", "home");
+    add(&mut fleet, pool, "far", "away");
+    for step in 0..10 {
+        assert_eq!(chosen(&mut fleet, pool, ms(step)), Some(near));
+    }
+}
+
+// Guards against sends to an address that another searcher has taken: each of them arrives at a
+// pool that it is not meant for, and counts there as an extra send.
+#[test]
+fn a_searcher_whose_address_was_taken_is_never_chosen() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let moved = add(&mut fleet, pool, "moved", "home");
+    fleet.moved(moved);
+    assert_eq!(chosen(&mut fleet, pool, ms(60_000)), None);
+    assert!(!fleet.is_served(pool, ms(60_000)));
+}
+
+// Guards against a searcher that is lost for good after one misleading answer.
+#[test]
+fn a_later_heartbeat_shows_that_the_address_is_still_its_own() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let searcher = add(&mut fleet, pool, "s", "home");
+    fleet.moved(searcher);
+    fleet.update(searcher, true, Time::ZERO, true);
+    assert_eq!(chosen(&mut fleet, pool, ms(10)), Some(searcher));
+}
+
+// Guards against waiting for searchers that refuse connections: the shard is given up at once.
+#[test]
+fn a_searcher_that_refuses_connections_is_passed_over_for_a_while() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let down = add(&mut fleet, pool, "down", "home");
+    fleet.unreachable(down, ms(0));
+    assert_eq!(chosen(&mut fleet, pool, ms(10)), None);
+    assert_eq!(chosen(&mut fleet, pool, ms(5000)), Some(down));
+}
+
+// Guards against starving a shard whose searchers are all suspect.
+#[test]
+fn a_failing_searcher_is_used_if_there_is_no_other() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let failing = add(&mut fleet, pool, "failing", "home");
+    for _ in 0..5 {
+        fleet.failed(failing, ms(0));
+    }
+    assert_eq!(chosen(&mut fleet, pool, ms(10)), Some(failing));
+    let sound = add(&mut fleet, pool, "sound", "away");
+    assert_eq!(chosen(&mut fleet, pool, ms(10)), Some(sound));
+}
+
+// Guards against sending to a searcher that pauses while its replica is free.
+#[test]
+fn a_searcher_with_an_old_request_is_avoided() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let paused = add(&mut fleet, pool, "paused", "home");
+    let other = add(&mut fleet, pool, "other", "away");
+    fleet.sent(paused, 1, ms(0));
+    assert_eq!(chosen(&mut fleet, pool, ms(10)), Some(paused));
+    assert_eq!(chosen(&mut fleet, pool, ms(31)), Some(other));
+    fleet.ended(paused, 1);
+    assert_eq!(chosen(&mut fleet, pool, ms(32)), Some(paused));
+}
+
+// Guards against work for a searcher that has slowed down, and against forgetting it for good.
+#[test]
+fn a_slow_searcher_is_avoided_until_the_memory_fades() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let slow = add(&mut fleet, pool, "slow", "home");
+    let other = add(&mut fleet, pool, "other", "away");
+    for _ in 0..4 {
+        fleet.answered(slow, Some(9.0), ms(0));
+    }
+    assert_eq!(chosen(&mut fleet, pool, ms(10)), Some(other));
+    assert_eq!(chosen(&mut fleet, pool, ms(30_000)), Some(slow));
+}
+
+// Guards against new work for a searcher that is leaving.
+#[test]
+fn a_draining_searcher_is_not_chosen() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let leaving = add(&mut fleet, pool, "leaving", "home");
+    fleet.update(leaving, false, Time::ZERO, true);
+    assert_eq!(chosen(&mut fleet, pool, ms(10)), None);
+}
