feat: leave shards to a daemon that is near to their searchers

Change: the entry leaves such shards to one daemon in a domain that covers most of them, which asks the searchers, hedges there and returns the merged records with all signatures.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderValue;
 
 use crate::attempt::Reply;
+use crate::parts::Parts;
 use tt_adapter::headers;
 use tt_serve::RECORD_BYTES;
 use tt_serve::merge;
@@ -55,18 +56,14 @@
 }
 
 /// The answer to a query over `shards` shards from the parts that came.
-pub(crate) fn gathered(id: &str, parts: &[Reply], shards: usize, top: usize) -> Response<Body> {
-    let body = merge(parts.iter().map(|part| part.body.as_ref()), top);
+pub(crate) fn gathered(id: &str, parts: &Parts, shards: usize, top: usize) -> Response<Body> {
+    let body = merge(parts.records.iter().map(Bytes::as_ref), top);
     debug_assert_eq!(body.len() % RECORD_BYTES, 0);
     let mut response = Response::new(Full::new(Bytes::from(body)));
     let headers = response.headers_mut();
-    let signatures: Vec<&[u8]> = parts
-        .iter()
-        .filter_map(|part| part.headers.get(headers::SIGNATURE))
-        .map(HeaderValue::as_bytes)
-        .collect();
+    let signatures: Vec<&[u8]> = parts.signatures.iter().map(HeaderValue::as_bytes).collect();
     insert(headers, headers::PART_SIGNATURES, &signatures.join(&b", "[..]));
-    headers.insert(headers::MISSING_PARTS, HeaderValue::from((shards - parts.len()) as u64));
+    headers.insert(headers::MISSING_PARTS, HeaderValue::from((shards - signatures.len()) as u64));
     insert(headers, headers::REQUEST_ID, id.as_bytes());
     response
 }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -23,6 +23,7 @@
 use crate::links::NoConnection;
 use crate::links::Wanted;
 use crate::sync::lock;
+use crate::work::Event;
 use tt_adapter::headers;
 use tt_serve::Choice;
 use tt_serve::Ended;
@@ -111,7 +112,7 @@
     pub(crate) cap: usize,
     pub(crate) to: Choice,
     pub(crate) token: u64,
-    pub(crate) reports: UnboundedSender<Report>,
+    pub(crate) events: UnboundedSender<Event>,
 }
 
 #[derive(Debug)]
@@ -141,12 +142,13 @@
         self.learn(&outcome);
         let Outcome { ended, cause, reply, .. } = outcome;
         // The request may have ended without this send.
-        let _ = self.reports.send(Report { shard: self.shard, ended, cause, reply });
+        let report = Report { shard: self.shard, ended, cause, reply };
+        let _ = self.events.send(Event::Sent(report));
     }
 
     /// Ends some time after the request has.
     async fn abandoned(&self) {
-        self.reports.closed().await;
+        self.events.closed().await;
         sleep(self.entry.settings.linger).await;
     }
 
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -6,6 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -15,12 +19,15 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::answer;
+use crate::answer::Body;
 use crate::callers;
 use crate::callers::Open;
 use crate::callers::Stop;
 use crate::directory;
 use crate::entry::Entry;
 use crate::peers;
+use crate::relay;
 use crate::settings::FrontSettings;
 use crate::watch as store;
 use tt_adapter::Boot;
@@ -88,12 +95,19 @@
     }));
     let view = callers::listen(boot.peer)?;
     let state = entry.clone();
-    tokio::spawn(callers::serve_plain(view, move |request| {
-        peers::serve_view(state.clone(), request)
-    }));
+    tokio::spawn(callers::serve_plain(view, move |request| serve_peer(state.clone(), request)));
     Ok(())
 }
 
+/// Answers another daemon.
+async fn serve_peer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        relay::PATH => relay::serve(entry, request).await,
+        peers::VIEW_PATH => peers::serve_view(&entry),
+        _ => answer::refusal(StatusCode::NOT_FOUND, "no such page", None),
+    }
+}
+
 fn start_following(entry: &Arc<Entry>, boot: &Boot, heartbeats: &Arc<UdpSocket>) {
     let platform = Platform::new(boot.store, HttpSettings::default());
     tokio::spawn(store::follow_config(entry.clone(), platform.clone()));
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -1,6 +1,7 @@
 //! The state of the daemon that its parts share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::RwLock;
@@ -23,6 +24,7 @@
 use tt_serve::PoolKey;
 use tt_serve::Registry;
 use tt_serve::RouteTable;
+use tt_serve::SearcherKey;
 use tt_serve::Sighting;
 use tt_serve::Time;
 use tt_serve::Vm;
@@ -35,7 +37,10 @@
     pub(crate) vm: Vm,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) members: Mutex<Members>,
-    pub(crate) links: Links,
+    /// Connections to searchers.
+    pub(crate) links: Links<SearcherKey>,
+    /// Connections to other daemons.
+    pub(crate) peers: Links<SocketAddr>,
     boot: RwLock<Boot>,
     table: RwLock<Option<Arc<InForce>>>,
     registry: Mutex<Listing>,
@@ -74,6 +79,7 @@
             fleet: Mutex::new(Fleet::new(settings.fleet, boot.domain.clone())),
             members: Mutex::new(Members::new(settings.members)),
             links: Links::default(),
+            peers: Links::default(),
             vm,
             boot: RwLock::new(boot),
             table: RwLock::new(None),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,9 +1,11 @@
 //! The entry daemon on the users' platform: callers connect to it, it connects to searchers.
 //!
 //! [`run`] starts it. `watch` follows the store, `peers` the other daemons; both change the
-//! shared [`entry::Entry`]. `callers` accepts connections, `request` takes one request through a
-//! [`tt_serve::Query`], `attempt` makes one send over a connection of `links`, and `answer`
-//! builds what the caller gets. `directory` tells callers where to connect.
+//! shared [`entry::Entry`]. `callers` accepts connections and `request` finds the route of a
+//! request. `work` takes it through a [`tt_serve::Query`]: `attempt` makes one send over a
+//! connection of `links`, `relay` leaves shards to a daemon that is nearer to them, `parts`
+//! collects what comes back and `answer` builds what the caller gets. `directory` tells callers
+//! where to connect.
 
 mod answer;
 mod attempt;
@@ -14,11 +16,14 @@
 mod entry;
 mod links;
 mod logs;
+mod parts;
 mod peers;
+mod relay;
 mod request;
 mod settings;
 mod sync;
 mod watch;
+mod work;
 
 pub use daemon::run;
 pub use logs::start as start_logs;
--- a/crates/front/src/links.rs
+++ b/crates/front/src/links.rs
@@ -1,6 +1,7 @@
-//! Connections to searchers, a bounded number to each.
+//! Connections to searchers and other daemons, a bounded number to each.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,7 +19,6 @@
 use tokio::time::timeout_at;
 
 use crate::sync::lock;
-use tt_serve::SearcherKey;
 
 /// Time after which the kernel gives up on bytes that a peer does not acknowledge.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
@@ -26,13 +26,13 @@
 /// Longest head of an answer.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 
-/// Connections to all searchers.
-#[derive(Debug, Default)]
-pub(crate) struct Links {
-    by_searcher: Mutex<HashMap<SearcherKey, Arc<Link>>>,
+/// Connections to servers of one kind.
+#[derive(Debug)]
+pub(crate) struct Links<K> {
+    by_server: Mutex<HashMap<K, Arc<Link>>>,
 }
 
-/// Connections to one searcher.
+/// Connections to one server.
 #[derive(Debug, Default)]
 pub(crate) struct Link {
     state: Mutex<LinkState>,
@@ -82,22 +82,26 @@
     pub(crate) until: Instant,
 }
 
-impl Links {
-    pub(crate) fn of(&self, key: SearcherKey) -> Arc<Link> {
-        lock(&self.by_searcher).entry(key).or_default().clone()
+impl<K> Default for Links<K> {
+    fn default() -> Self {
+        Links { by_server: Mutex::new(HashMap::new()) }
     }
+}
 
-    /// Closes the idle connections of searchers that are not in use any more.
+impl<K> Links<K>
+where
+    K: Copy + Eq + Hash,
+{
+    pub(crate) fn of(&self, key: K) -> Arc<Link> {
+        lock(&self.by_server).entry(key).or_default().clone()
+    }
+
+    /// Closes the idle connections to servers that are not in use any more.
     pub(crate) fn retain<F>(&self, keep: F)
     where
-        F: Fn(SearcherKey) -> bool,
+        F: Fn(K) -> bool,
     {
-        lock(&self.by_searcher).retain(|&key, _| keep(key));
-    }
-
-    /// Open connections to all searchers.
-    pub(crate) fn open(&self) -> usize {
-        lock(&self.by_searcher).values().map(|link| lock(&link.state).open).sum()
+        lock(&self.by_server).retain(|&key, _| keep(key));
     }
 }
 
@@ -217,7 +221,7 @@
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
-            log::debug!("link: searcher={address} closed=\"{error}\"");
+            log::debug!("link: server={address} closed=\"{error}\"");
         }
     });
     Some(sender)
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -12,7 +12,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
@@ -36,7 +35,7 @@
 const HEARTBEAT_BYTES: usize = 1024;
 
 /// Path of what a daemon has read at the store.
-const VIEW_PATH: &str = "/v1/view";
+pub(crate) const VIEW_PATH: &str = "/v1/view";
 
 /// Longest view of another daemon.
 const VIEW_BYTES: usize = 4 * 1024 * 1024;
@@ -224,13 +223,10 @@
 }
 
 /// Answers other daemons that ask for this one's view.
-pub(crate) async fn serve_view(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
-    if request.uri().path() != VIEW_PATH {
-        return answer::refusal(StatusCode::NOT_FOUND, "no such page", None);
-    }
+pub(crate) fn serve_view(entry: &Entry) -> Response<Body> {
     let (searchers, read) = entry.listing();
     let config = entry.in_force().and_then(|it| String::from_utf8(it.bytes.to_vec()).ok());
-    let view = View { config, searchers, listing_age: read.map(|read| age(&entry, read)) };
+    let view = View { config, searchers, listing_age: read.map(|read| age(entry, read)) };
     match serde_json::to_vec(&view) {
         Ok(bytes) => Response::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -1,8 +1,6 @@
 //! One request of a caller, from its head to its answer.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,30 +12,24 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header;
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
 use crate::answer;
 use crate::answer::Body;
-use crate::attempt::Attempt;
-use crate::attempt::Cause;
 use crate::attempt::Outgoing;
-use crate::attempt::Reply;
-use crate::attempt::Report;
 use crate::entry::Entry;
 use crate::entry::InForce;
-use crate::sync::lock;
+use crate::parts::Replies;
+use crate::work::Finished;
+use crate::work::Relays;
+use crate::work::Work;
 use tt_adapter::headers;
 use tt_serve::CompiledRoute;
 use tt_serve::CompiledTarget;
-use tt_serve::Ended;
 use tt_serve::Failure;
 use tt_serve::Plan;
 use tt_serve::Query;
-use tt_serve::Send;
 use tt_serve::Time;
 use tt_serve::Verdict;
 
@@ -45,9 +37,6 @@
 /// than a third.
 const COME_BACK_SHARE: f64 = 0.3;
 
-/// Distinguishes the sends of this process.
-static NEXT_TOKEN: AtomicU64 = AtomicU64::new(0);
-
 /// Answers a request.
 pub(crate) async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     let started = entry.now();
@@ -83,8 +72,8 @@
         Ok(Err(_)) => return refuse(&entry, StatusCode::BAD_REQUEST, "the body is cut", None),
         Err(_) => return refuse(&entry, StatusCode::REQUEST_TIMEOUT, "the body is late", None),
     };
-    let work = Work { entry, in_force, route, started, limit };
-    work.run(id, head, body, deadline).await
+    let asked = Asked { entry, in_force, route, started, limit };
+    asked.run(id, head, body, deadline).await
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -104,25 +93,15 @@
 
 /// A request whose route is known.
 #[derive(Debug)]
-struct Work {
+struct Asked {
     entry: Arc<Entry>,
-    /// Pinned: all shards of an answer come from one version.
     in_force: Arc<InForce>,
     route: Arc<CompiledRoute>,
     started: Time,
     limit: Time,
 }
 
-/// What came of the sends.
-#[derive(Debug, Default)]
-struct Replies {
-    parts: Vec<Reply>,
-    /// The newest failure that a searcher answered with.
-    failed: Option<Reply>,
-    last_cause: Option<Cause>,
-}
-
-impl Work {
+impl Asked {
     async fn run(
         self,
         id: String,
@@ -133,7 +112,6 @@
         let Some(plan) = self.plan() else {
             return refuse(&self.entry, StatusCode::SERVICE_UNAVAILABLE, "no searchers", None);
         };
-        self.entry.count_requests(&plan.pools);
         let mut headers = head.headers;
         answer::remove_connection_headers(&mut headers);
         headers.remove(header::EXPECT);
@@ -148,15 +126,14 @@
             gather: matches!(self.route.target, CompiledTarget::Gather { .. }),
             deadline,
         });
-        let pools = plan.pools.clone();
-        let mut query = Query::new(plan);
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let sends = Sends { work: &self, outgoing: &outgoing, pools: &pools, sender };
-        let first = query.start(&mut lock(&self.entry.fleet), self.entry.now());
-        sends.spawn(first);
-        let mut replies = Replies::default();
-        let verdict = drive(&sends, &mut query, receiver, &mut replies).await;
-        self.finish(&outgoing, &query, verdict, replies)
+        let work = Work {
+            entry: self.entry.clone(),
+            in_force: self.in_force.clone(),
+            outgoing: outgoing.clone(),
+            plan,
+        };
+        let finished = work.run(Relays::Allowed).await;
+        self.finish(&outgoing, finished)
     }
 
     fn plan(&self) -> Option<Plan> {
@@ -181,18 +158,13 @@
         })
     }
 
-    fn finish(
-        &self,
-        outgoing: &Outgoing,
-        query: &Query,
-        verdict: Verdict,
-        replies: Replies,
-    ) -> Response<Body> {
+    fn finish(&self, outgoing: &Outgoing, finished: Finished) -> Response<Body> {
+        let Finished { verdict, query, replies } = finished;
         let now = self.entry.now();
         let took = now.saturating_sub(self.started);
-        let last = replies.last_cause;
+        let last = replies.last;
         let (outcome, response) = match verdict {
-            Verdict::Answer => ("answered", self.success(outgoing, query, replies)),
+            Verdict::Answer => ("answered", self.success(outgoing, &query, replies)),
             Verdict::Fail(failure) => self.failure(failure, replies, now),
             // A request is only finished with a verdict.
             Verdict::Wait(_) => self.failure(Failure::Timeout, replies, now),
@@ -215,15 +187,13 @@
         response
     }
 
-    fn success(&self, outgoing: &Outgoing, query: &Query, mut replies: Replies) -> Response<Body> {
-        match &self.route.target {
-            CompiledTarget::Gather { top, .. } => {
+    fn success(&self, outgoing: &Outgoing, query: &Query, replies: Replies) -> Response<Body> {
+        match (&self.route.target, replies.answer) {
+            (CompiledTarget::Gather { top, .. }, _) => {
                 answer::gathered(&outgoing.id, &replies.parts, query.shards(), *top)
             }
-            CompiledTarget::One(_) | CompiledTarget::Split(_) => match replies.parts.pop() {
-                Some(reply) => answer::pass_on(reply),
-                None => answer::refusal(StatusCode::BAD_GATEWAY, "no answer", None),
-            },
+            (_, Some(reply)) => answer::pass_on(reply),
+            (_, None) => answer::refusal(StatusCode::BAD_GATEWAY, "no answer", None),
         }
     }
 
@@ -262,88 +232,3 @@
             | StatusCode::MISDIRECTED_REQUEST
     )
 }
-
-/// The sends of one request.
-#[derive(Debug)]
-struct Sends<'a> {
-    work: &'a Work,
-    outgoing: &'a Arc<Outgoing>,
-    pools: &'a [tt_serve::PoolKey],
-    sender: UnboundedSender<Report>,
-}
-
-impl Sends<'_> {
-    fn spawn(&self, sends: Vec<Send>) {
-        let entry = &self.work.entry;
-        let sharers = entry.sharers();
-        let now = entry.now();
-        for Send { shard, to } in sends {
-            let token = NEXT_TOKEN.fetch_add(1, Ordering::Relaxed);
-            lock(&entry.fleet).sent(to.key, token, now);
-            let pool = self.pools[shard];
-            let attempt = Attempt {
-                entry: entry.clone(),
-                outgoing: self.outgoing.clone(),
-                shard,
-                cap: self.work.in_force.table.connections(
-                    pool,
-                    sharers,
-                    entry.settings.connection_share,
-                ),
-                to,
-                token,
-                reports: self.sender.clone(),
-            };
-            tokio::spawn(attempt.run());
-        }
-    }
-}
-
-async fn drive(
-    sends: &Sends<'_>,
-    query: &mut Query,
-    mut reports: UnboundedReceiver<Report>,
-    replies: &mut Replies,
-) -> Verdict {
-    let entry = &sends.work.entry;
-    loop {
-        let wake = match query.verdict(entry.now()) {
-            Verdict::Wait(wake) => wake,
-            verdict => return verdict,
-        };
-        let report = match timeout_at(entry.clock.at(wake), reports.recv()).await {
-            Ok(Some(report)) => report,
-            Ok(None) => return Verdict::Fail(Failure::Unknown),
-            Err(_) => {
-                let extra = |pool| entry.take_extra(pool);
-                let more = query.hedge(&mut lock(&entry.fleet), extra, entry.now());
-                sends.spawn(more);
-                continue;
-            }
-        };
-        let Report { shard, mut ended, cause, mut reply, .. } = report;
-        if ended == Ended::Answer && !replies.takes(reply.as_ref()) {
-            ended = Ended::Unknown;
-            reply = None;
-        }
-        replies.last_cause = Some(cause);
-        let before = query.answered();
-        let extra = |pool| entry.take_extra(pool);
-        let more = query.ended(shard, ended, &mut lock(&entry.fleet), extra, entry.now());
-        if query.answered() > before {
-            replies.parts.extend(reply);
-        } else if ended == Ended::Failed {
-            replies.failed = reply;
-        }
-        sends.spawn(more.into_iter().collect());
-    }
-}
-
-impl Replies {
-    /// Whether a reply may join the others: no signature may come twice.
-    fn takes(&self, reply: Option<&Reply>) -> bool {
-        let signature = reply.and_then(|reply| reply.headers.get(headers::SIGNATURE));
-        signature.is_none()
-            || self.parts.iter().all(|part| part.headers.get(headers::SIGNATURE) != signature)
-    }
-}
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -210,6 +210,16 @@
         self.members(pool).any(|(_, entry)| entry.searcher.ready && entry.searcher.domain == domain)
     }
 
+    /// Whether the pool has a searcher in `domain` that is worth asking before one elsewhere.
+    pub fn is_usable_in(&self, pool: PoolKey, domain: &str, now: Time) -> bool {
+        self.members(pool).any(|(_, entry)| {
+            entry.searcher.domain == domain
+                && entry.is_open(now)
+                && entry.ejected_until <= now
+                && self.slowness(entry, now) < self.settings.away
+        })
+    }
+
     /// Picks a searcher of `pool` that is not in `tried`. A searcher with a request older than
     /// `patience` counts as stalled and is picked only if all are.
     pub fn choose(
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -18,6 +18,7 @@
 mod pace;
 mod query;
 mod registry;
+mod relays;
 mod routes;
 
 pub use budget::Budget;
@@ -57,6 +58,8 @@
 pub use registry::RegistrySettings;
 pub use registry::SearcherState;
 pub use registry::Sighting;
+pub use relays::Delegation;
+pub use relays::delegate;
 pub use routes::CompiledRoute;
 pub use routes::CompiledTarget;
 pub use routes::RouteTable;
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -32,6 +32,8 @@
     pub heard: Option<Time>,
     /// When it was last in the store's list.
     pub listed: Option<Time>,
+    /// Until when it is not asked for shards.
+    pub avoided: Time,
 }
 
 /// When a daemon counts as there.
@@ -97,6 +99,7 @@
             version: 0,
             heard: None,
             listed: None,
+            avoided: Time::ZERO,
         });
         member.vm = vm;
         member
@@ -122,6 +125,18 @@
         if now < self.settings.settle { known.max(self.settings.least) } else { known }
     }
 
+    /// The other daemons that may be asked for shards of `version`.
+    pub fn relays(&self, version: u64, now: Time) -> impl Iterator<Item = &Member> {
+        self.open(now).filter(move |member| member.version == version && member.avoided <= now)
+    }
+
+    /// Asks a daemon for no shards for a while, since it has not answered.
+    pub fn avoid(&mut self, name: &str, until: Time) {
+        if let Some(member) = self.others.get_mut(name) {
+            member.avoided = until;
+        }
+    }
+
     /// The other daemons that take callers.
     pub fn open(&self, now: Time) -> impl Iterator<Item = &Member> {
         let silence = self.settings.silence;
--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -103,6 +103,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Open,
+    /// Another daemon asks for it.
+    Delegated,
     Answered,
     Lost,
 }
@@ -144,27 +146,90 @@
         self.answered
     }
 
+    /// Whether a shard has answered.
+    pub fn is_answered(&self, shard: usize) -> bool {
+        self.shards[shard].phase == Phase::Answered
+    }
+
     /// Shards in all.
     pub fn shards(&self) -> usize {
         self.shards.len()
     }
 
+    /// Leaves shards to another daemon.
+    pub fn delegate(&mut self, shards: &[usize]) {
+        for &shard in shards {
+            self.shards[shard].phase = Phase::Delegated;
+        }
+    }
+
+    /// Takes what another daemon has brought of the shards that were left to it: `answered` of
+    /// them, and no answer of the others.
+    pub fn returned(&mut self, shards: &[usize], answered: &[usize]) {
+        for &shard in shards {
+            let state = &mut self.shards[shard];
+            if state.phase != Phase::Delegated {
+                continue;
+            }
+            // It was sent, whatever came of it.
+            state.runs = self.plan.attempts;
+            if answered.contains(&shard) {
+                state.phase = Phase::Answered;
+                self.answered += 1;
+            } else {
+                state.phase = Phase::Open;
+                self.worst = Failure::Unknown;
+                self.lose(shard);
+            }
+        }
+    }
+
+    /// Takes back shards that another daemon does not ask for. It has run none of them twice:
+    /// `runs` sends of each may have left.
+    pub fn take_back(
+        &mut self,
+        shards: &[usize],
+        runs: u32,
+        fleet: &mut Fleet,
+        now: Time,
+    ) -> Vec<Send> {
+        let mut sends = Vec::new();
+        for &shard in shards {
+            let state = &mut self.shards[shard];
+            if state.phase != Phase::Delegated {
+                continue;
+            }
+            state.phase = Phase::Open;
+            state.runs = runs;
+            let sent = if runs < self.plan.attempts { self.pick(shard, fleet, now) } else { None };
+            match sent {
+                Some(send) => sends.push(send),
+                None => self.lose(shard),
+            }
+        }
+        sends
+    }
+
     /// The first sends. Nothing is sent if too few shards have a searcher.
     pub fn start(&mut self, fleet: &mut Fleet, now: Time) -> Vec<Send> {
         let mut sends = Vec::with_capacity(self.shards.len());
         for shard in 0..self.shards.len() {
+            if self.shards[shard].phase == Phase::Delegated {
+                continue;
+            }
             match self.pick(shard, fleet, now) {
                 Some(send) => sends.push(send),
                 None => self.lose(shard),
             }
         }
-        if sends.len() < self.plan.need {
+        if self.shards.len() - self.lost < self.plan.need {
             for send in &sends {
                 let state = &mut self.shards[send.shard];
                 state.waiting = 0;
                 state.runs = 0;
                 self.lose(send.shard);
             }
+            self.recall();
             sends.clear();
         }
         sends
@@ -286,7 +351,8 @@
     /// Why there is no answer. A refusal must be true: it stands only if no send is left that
     /// may have run.
     fn failure(&self) -> Failure {
-        let quiet = self.answered == 0 && self.shards.iter().all(|it| it.runs == 0);
+        let idle = |shard: &Shard| shard.runs == 0 && shard.phase != Phase::Delegated;
+        let quiet = self.answered == 0 && self.shards.iter().all(idle);
         match self.worst {
             Failure::NotRun if !quiet => Failure::Unknown,
             worst => worst,
@@ -304,6 +370,16 @@
         Some(Send { shard, to })
     }
 
+    /// Nothing has been left to another daemon yet, and nothing will be.
+    fn recall(&mut self) {
+        for shard in 0..self.shards.len() {
+            if self.shards[shard].phase == Phase::Delegated {
+                self.shards[shard].phase = Phase::Open;
+                self.lose(shard);
+            }
+        }
+    }
+
     fn lose(&mut self, shard: usize) {
         let state = &mut self.shards[shard];
         if state.phase == Phase::Open {
