fix: let a relay leave out its part of the missing shards, rounded down

Cause: a relay with 6 of 20 shards needed all 6 for a coverage of 0.89 and waited for the last beyond the cutoff, so that the whole answer was late.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -320,8 +320,8 @@
     let hedge =
         entry.pace(&route.route.name, |pace| pace.hedge_delay(&settings.pace, route.route.goal));
     let limit = now + Duration::from_millis(u64::from(message.limit_ms));
-    // Each daemon brings its part of the coverage, so that together they bring enough.
-    let need = (shards.len() * need).div_ceil(pools.len());
+    // Rounded down: the daemon that asked may cover what is missing with its own shards.
+    let need = (shards.len() * need / pools.len()).max(1);
     let plan = Plan {
         pools: shards,
         need,
