--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use tt_serve::Time;
 
 /// Time in milliseconds.
+#[allow(dead_code)]
 pub fn ms(value: u64) -> Time {
     Duration::from_millis(value)
 }
@@ -22,6 +23,7 @@
 }
 
 /// Adds a ready searcher.
+#[allow(dead_code)]
 pub fn add(fleet: &mut Fleet, pool: PoolKey, id: &str, domain: &str) -> SearcherKey {
     fleet.add(Searcher {
         id: id.to_owned(),
--- /dev/null
+++ b/crates/serve/tests/limits.rs
@@ -0,0 +1,260 @@
+//! The budget, the records of an answer, the routes and the daemons that share limits.
+
+mod common;
+
+use std::time::Duration;
+
+use common::add;
+use common::fleet;
+use common::ms;
+use proptest::prelude::*;
+use proptest::test_runner::Config as TestConfig;
+use proptest::test_runner::RngSeed;
+
+use tt_serve::Budget;
+use tt_serve::BudgetSettings;
+use tt_serve::CallerLimits;
+use tt_serve::Candidate;
+use tt_serve::CompiledTarget;
+use tt_serve::Config;
+use tt_serve::Gather;
+use tt_serve::Member;
+use tt_serve::MemberSettings;
+use tt_serve::Members;
+use tt_serve::Pace;
+use tt_serve::PaceSettings;
+use tt_serve::PoolSpec;
+use tt_serve::Repeat;
+use tt_serve::Route;
+use tt_serve::RouteTable;
+use tt_serve::Share;
+use tt_serve::Target;
+use tt_serve::Vm;
+use tt_serve::delegate;
+use tt_serve::merge;
+use tt_serve::named;
+
+fn fixed(cases: u32) -> TestConfig {
+    TestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..TestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(256))]
+
+    // Guards against more extra sends in any window than the tier may make.
+    #[test]
+    fn no_window_holds_more_extra_sends_than_allowed(
+        steps in prop::collection::vec((0_u64..400, prop::bool::weighted(0.4)), 1..400),
+        daemons in 1_usize..6,
+    ) {
+        let settings = BudgetSettings { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) };
+        let mut budget = Budget::default();
+        let mut now = ms(0);
+        let (mut requests, mut extras) = (Vec::new(), Vec::new());
+        for (pause, is_request) in steps {
+            now += ms(pause);
+            if is_request {
+                budget.count_request(&settings, now);
+                requests.push(now);
+            } else if budget.take(&settings, daemons, now) {
+                extras.push(now);
+            }
+        }
+        for &start in &extras {
+            let end = start + settings.window;
+            let used = extras.iter().filter(|&&at| start <= at && at < end).count();
+            // The window that ends with the last send in it is the one that had to allow it.
+            let last = extras.iter().rfind(|&&at| at < end).copied().unwrap_or(start);
+            let from = last.saturating_sub(settings.window + settings.window / 50);
+            let earned = requests.iter().filter(|&&at| from <= at && at <= last).count();
+            let allowed = 0.2 * earned as f64 + 58.0 / daemons as f64;
+            prop_assert!(used as f64 <= allowed, "{used} of {allowed}");
+        }
+    }
+
+    // Guards against records that are lost, doubled, cut or out of order.
+    #[test]
+    fn merged_records_are_the_greatest_in_falling_order(
+        bodies in prop::collection::vec(prop::collection::vec(0_u8..4, 0..120), 0..6),
+        top in 0_usize..12,
+    ) {
+        let mut all: Vec<Vec<u8>> = Vec::new();
+        for body in &bodies {
+            for record in 0..body.len() / 16 {
+                all.push(body[record * 16..record * 16 + 16].to_vec());
+            }
+        }
+        all.sort();
+        all.reverse();
+        let expect: Vec<u8> = all.into_iter().take(top).flatten().collect();
+        prop_assert_eq!(merge(bodies.iter().map(Vec::as_slice), top), expect);
+    }
+}
+
+fn route(prefix: &str, target: Target) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        target,
+        repeat: Repeat::Idempotent,
+        timeout: ms(600),
+        goal: ms(100),
+        attempts: 2,
+        priority: 1,
+    }
+}
+
+fn config(routes: Vec<Route>) -> Config {
+    let pools = vec![PoolSpec { name: "p0".to_owned(), connections: 26 }];
+    Config { version: 7, routes, pools, limits: CallerLimits::default() }
+}
+
+// Guards against a request on the route of a shorter prefix or of another host.
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let mut fleet = fleet();
+    let one = || Target::One("p0".to_owned());
+    let table =
+        RouteTable::new(&config(vec![route("/a/", one()), route("/a/b/", one())]), &mut fleet);
+    let found = |host: &str, path: &str| table.find(host, path).map(|it| it.route.prefix.clone());
+    assert_eq!(found("a.example", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(found("A.EXAMPLE:8104", "/a/bc").as_deref(), Some("/a/"));
+    assert_eq!(found("a.example", "/b/"), None);
+    assert_eq!(found("b.example", "/a/"), None);
+}
+
+// Guards against answers below the least coverage through rounding.
+#[test]
+fn the_fewest_shards_reach_the_coverage() {
+    for (count, coverage, expect) in [(20, 0.89, 18), (20, 0.75, 15), (30, 0.89, 27), (3, 0.0, 1)] {
+        let pools = (0..count).map(|pool| format!("p{pool}")).collect();
+        let target = Target::Gather(Gather { pools, top: 10, coverage });
+        let table = RouteTable::new(&config(vec![route("/a/", target)]), &mut fleet());
+        let found = table.find("a.example", "/a/").expect("a route");
+        let CompiledTarget::Gather { need, .. } = found.target else { panic!("a gather route") };
+        assert_eq!(need, expect, "{count} {coverage}");
+    }
+}
+
+// Guards against parts of a split that get more or less than their weight.
+#[test]
+fn a_split_follows_its_weights() {
+    let mut fleet = fleet();
+    let shares = vec![
+        Share { pool: "p0".to_owned(), weight: 3.0 },
+        Share { pool: "p1".to_owned(), weight: 1.0 },
+    ];
+    let table = RouteTable::new(&config(vec![route("/a/", Target::Split(shares))]), &mut fleet);
+    let found = table.find("a.example", "/a/").expect("a route");
+    let CompiledTarget::Split(rotation) = &found.target else { panic!("a split route") };
+    let first = fleet.pool("p0");
+    let count = (0..400).filter(|_| rotation.next() == Some(first)).count();
+    assert_eq!(count, 300);
+}
+
+// Guards against more connections to a searcher than it accepts from all daemons together.
+#[test]
+fn connections_are_divided_among_the_daemons() {
+    let mut fleet = fleet();
+    let table = RouteTable::new(&config(Vec::new()), &mut fleet);
+    let pool = fleet.pool("p0");
+    assert_eq!(table.connections(pool, 5, 0.9), 4);
+    assert_eq!(table.connections(pool, 100, 0.9), 1);
+}
+
+fn vm(name: &str, domain: &str) -> Vm {
+    let address = |port| format!("127.0.0.1:{port}").parse().expect("an address");
+    Vm { name: name.to_owned(), front: address(1), peer: address(2), domain: domain.to_owned() }
+}
+
+// Guards against callers that are sent to a daemon that is silent or stopping.
+#[test]
+fn a_daemon_is_open_while_it_is_heard_and_says_so() {
+    let mut members = Members::new(MemberSettings::default());
+    members.list(vm("listed", "d"), ms(0));
+    members.hear(vm("heard", "d"), true, 1, ms(0));
+    members.hear(vm("stopping", "d"), false, 1, ms(0));
+    let open = |now| members.open(now).map(|it| it.vm.name.clone()).collect::<Vec<_>>();
+    assert_eq!(open(ms(1500)), ["heard"]);
+    assert!(open(ms(1700)).is_empty());
+}
+
+// Guards against shares of the limits that add up to more than the limits when daemons lose
+// sight of one another, or when one has just started.
+#[test]
+fn a_silent_daemon_keeps_its_part_of_the_limits_for_a_while() {
+    let mut members = Members::new(MemberSettings::default());
+    assert_eq!(members.sharers(ms(0)), 4);
+    for name in ["a", "b", "c", "d"] {
+        members.hear(vm(name, "d"), true, 1, ms(100));
+    }
+    assert_eq!(members.sharers(ms(11_000)), 5);
+    assert!(members.expire(ms(11_000)).is_empty());
+    assert_eq!(members.expire(ms(12_200)).len(), 4);
+    assert_eq!(members.sharers(ms(12_200)), 1);
+}
+
+// Guards against callers in front of daemons that must cross domains for every shard.
+#[test]
+fn callers_are_sent_near_the_shards_if_a_daemon_is_there() {
+    let mut fleet = fleet();
+    let pools: Vec<String> = (0..4).map(|pool| format!("p{pool}")).collect();
+    let target = Target::Gather(Gather { pools: pools.clone(), top: 1, coverage: 0.5 });
+    let table = RouteTable::new(&config(vec![route("/a/", target)]), &mut fleet);
+    for name in &pools {
+        let pool = fleet.pool(name);
+        add(&mut fleet, pool, name, "near");
+    }
+    let candidate = |domain: &str, port: u16| Candidate {
+        front: format!("127.0.0.1:{port}").parse().expect("an address"),
+        domain: domain.to_owned(),
+    };
+    let both = [candidate("near", 1), candidate("far", 2)];
+    assert_eq!(named(&both, &table, &fleet), [both[0].front]);
+    assert_eq!(named(&both[1..], &table, &fleet), [both[1].front]);
+}
+
+// Guards against shards that are asked across domains one by one, and against relays for shards
+// that have a searcher here.
+#[test]
+fn shards_without_a_near_searcher_are_left_to_a_daemon_that_has_one() {
+    let mut fleet = fleet();
+    let mut pools = Vec::new();
+    for (shard, domain) in ["home", "east", "east", "west", "east"].iter().enumerate() {
+        let pool = fleet.pool(&format!("p{shard}"));
+        add(&mut fleet, pool, &format!("s{shard}"), domain);
+        pools.push(pool);
+    }
+    let mut members = Members::new(MemberSettings::default());
+    members.hear(vm("e", "east"), true, 7, ms(0));
+    members.hear(vm("w", "west"), true, 7, ms(0));
+    let relays: Vec<&Member> = members.relays(7, ms(0)).collect();
+    let delegations = delegate(&pools, &fleet, "home", &relays, 0, ms(0));
+    assert_eq!(delegations.len(), 1, "one shard alone is not worth a relay");
+    assert_eq!(delegations[0].relay.name, "e");
+    assert_eq!(delegations[0].shards, [1, 2, 4]);
+    assert_eq!(members.relays(8, ms(0)).count(), 0, "another version numbers shards differently");
+    members.avoid("e", ms(1500));
+    assert_eq!(members.relays(7, ms(100)).count(), 1);
+    assert_eq!(members.relays(7, ms(1500)).count(), 2);
+}
+
+// Guards against hedges that follow pauses upwards, and against a hedge at once.
+#[test]
+fn the_hedge_delay_follows_the_usual_latency_only() {
+    let settings = PaceSettings::default();
+    let mut pace = Pace::default();
+    assert_eq!(pace.hedge_delay(&settings, ms(100)), ms(35));
+    for step in 0..200 {
+        let pause = step % 25 == 24;
+        pace.observe(&settings, if pause { ms(160) } else { ms(10 + step % 4) });
+    }
+    let delay = pace.hedge_delay(&settings, ms(100));
+    assert!(delay > ms(14) && delay < ms(35), "{delay:?}");
+}
--- /dev/null
+++ b/crates/serve/tests/query.rs
@@ -0,0 +1,245 @@
+//! One request from its first send to its verdict.
+
+mod common;
+
+use std::time::Duration;
+
+use common::add;
+use common::fleet;
+use common::ms;
+
+use tt_serve::Ended;
+use tt_serve::Failure;
+use tt_serve::Fleet;
+use tt_serve::Plan;
+use tt_serve::PoolKey;
+use tt_serve::Query;
+use tt_serve::Repeat;
+use tt_serve::Verdict;
+
+const HEDGE: Duration = Duration::from_millis(20);
+
+/// Shards with two searchers each.
+fn shards(fleet: &mut Fleet, count: usize) -> Vec<PoolKey> {
+    (0..count)
+        .map(|shard| {
+            let pool = fleet.pool(&format!("shard-{shard}"));
+            add(fleet, pool, &format!("{shard}-a"), "home");
+            add(fleet, pool, &format!("{shard}-b"), "away");
+            pool
+        })
+        .collect()
+}
+
+fn plan(pools: Vec<PoolKey>, need: usize) -> Plan {
+    Plan {
+        pools,
+        need,
+        attempts: 2,
+        repeat: Repeat::Idempotent,
+        hedge: HEDGE,
+        cutoff: ms(88),
+        limit: ms(590),
+    }
+}
+
+fn allowed(_: PoolKey) -> bool {
+    true
+}
+
+fn denied(_: PoolKey) -> bool {
+    false
+}
+
+// Guards against answers that hold back complete results.
+#[test]
+fn an_answer_is_given_as_soon_as_all_shards_are_in() {
+    let mut fleet = fleet();
+    let pools = shards(&mut fleet, 3);
+    let mut query = Query::new(plan(pools, 2));
+    assert_eq!(query.start(&mut fleet, ms(0)).len(), 3);
+    for shard in 0..3 {
+        assert!(matches!(query.verdict(ms(10)), Verdict::Wait(_)));
+        assert_eq!(query.ended(shard, Ended::Answer, &mut fleet, denied, ms(10)), None);
+    }
+    assert_eq!(query.verdict(ms(10)), Verdict::Answer);
+}
+
+// Guards against late answers for the sake of a straggler, and against answers that cover less
+// than the route asks for.
+#[test]
+fn stragglers_are_left_out_at_the_cutoff_if_enough_is_covered() {
+    let mut fleet = fleet();
+    let pools = shards(&mut fleet, 3);
+    let mut query = Query::new(plan(pools, 2));
+    query.start(&mut fleet, ms(0));
+    query.ended(0, Ended::Answer, &mut fleet, denied, ms(10));
+    assert_eq!(query.verdict(ms(88)), Verdict::Wait(ms(20)), "the hedge is due");
+    query.ended(1, Ended::Answer, &mut fleet, denied, ms(12));
+    assert_eq!(query.verdict(ms(88)), Verdict::Answer);
+    assert!(query.is_answered(0) && query.is_answered(1) && !query.is_answered(2));
+}
+
+// Guards against one of two stragglers being hedged at the searcher that is late.
+#[test]
+fn a_straggler_is_hedged_at_another_searcher_once() {
+    let mut fleet = fleet();
+    let pools = shards(&mut fleet, 3);
+    let mut query = Query::new(plan(pools, 3));
+    let first = query.start(&mut fleet, ms(0));
+    query.ended(0, Ended::Answer, &mut fleet, denied, ms(10));
+    query.ended(1, Ended::Answer, &mut fleet, denied, ms(10));
+    assert!(query.hedge(&mut fleet, allowed, ms(19)).is_empty(), "too early");
+    let hedges = query.hedge(&mut fleet, allowed, ms(20));
+    assert_eq!(hedges.len(), 1);
+    assert_eq!(hedges[0].shard, 2);
+    assert_ne!(hedges[0].to.key, first[2].to.key);
+    assert!(query.hedge(&mut fleet, allowed, ms(60)).is_empty(), "the attempts are used up");
+}
+
+// Guards against extra load when everything is slow: that is no straggler.
+#[test]
+fn nothing_is_hedged_while_most_shards_are_late() {
+    let mut fleet = fleet();
+    let pools = shards(&mut fleet, 9);
+    let mut query = Query::new(plan(pools, 9));
+    query.start(&mut fleet, ms(0));
+    assert!(query.hedge(&mut fleet, allowed, ms(30)).is_empty());
+}
+
+// Guards against hedges beyond the budget, and against giving up for good when it is used up.
+#[test]
+fn a_hedge_waits_for_the_budget() {
+    let mut fleet = fleet();
+    let pools = shards(&mut fleet, 1);
+    let mut query = Query::new(plan(pools, 1));
+    query.start(&mut fleet, ms(0));
+    assert!(query.hedge(&mut fleet, denied, ms(20)).is_empty());
+    let Verdict::Wait(wake) = query.verdict(ms(20)) else { panic!("it waits") };
+    assert_eq!(query.hedge(&mut fleet, allowed, wake).len(), 1);
+}
+
+// Guards against a second run of a request that may run only once.
+#[test]
+fn a_request_that_may_run_once_is_sent_again_only_after_proof() {
+    let cases = [
+        (Ended::Unknown, false),
+        (Ended::Failed, false),
+        (Ended::Refused, true),
+        (Ended::NotSent, true),
+    ];
+    for (ended, again) in cases {
+        let mut fleet = fleet();
+        let pools = shards(&mut fleet, 1);
+        let plan = Plan { repeat: Repeat::Once, ..plan(pools, 1) };
+        let mut query = Query::new(plan);
+        query.start(&mut fleet, ms(0));
+        assert!(query.hedge(&mut fleet, allowed, ms(30)).is_empty());
+        let more = query.ended(0, ended, &mut fleet, allowed, ms(40));
+        assert_eq!(more.is_some(), again, "{ended:?}");
+    }
+}
+
+// Guards against "has not run" for a request that may have run.
+#[test]
+fn a_refusal_is_given_only_if_no_send_may_have_run() {
+    let cases = [
+        (Ended::NotSent, Failure::NotRun),
+        (Ended::Refused, Failure::NotRun),
+        (Ended::Failed, Failure::Failed),
+        (Ended::Unknown, Failure::Unknown),
+    ];
+    for (ended, failure) in cases {
+        let mut fleet = fleet();
+        let pools = shards(&mut fleet, 1);
+        let plan = Plan { repeat: Repeat::Once, ..plan(pools, 1) };
+        let mut query = Query::new(plan);
+        query.start(&mut fleet, ms(0));
+        while query.ended(0, ended, &mut fleet, allowed, ms(5)).is_some() {}
+        assert_eq!(query.verdict(ms(5)), Verdict::Fail(failure), "{ended:?}");
+    }
+}
+
+// Guards against a refusal while one of two sends is still out.
+#[test]
+fn a_refusal_of_the_hedge_proves_nothing_about_the_first_send() {
+    let mut fleet = fleet();
+    let pools = shards(&mut fleet, 1);
+    let mut query = Query::new(plan(pools, 1));
+    query.start(&mut fleet, ms(0));
+    assert_eq!(query.hedge(&mut fleet, allowed, ms(20)).len(), 1);
+    query.ended(0, Ended::Refused, &mut fleet, denied, ms(22));
+    assert!(matches!(query.verdict(ms(22)), Verdict::Wait(_)));
+    assert_eq!(query.verdict(ms(590)), Verdict::Fail(Failure::Timeout));
+}
+
+// Guards against sends that can't make an answer, and against holding such a request.
+#[test]
+fn a_request_that_can_not_be_covered_is_refused_without_a_send() {
+    let mut fleet = fleet();
+    let mut pools = shards(&mut fleet, 2);
+    pools.push(fleet.pool("empty"));
+    let mut query = Query::new(plan(pools, 3));
+    assert!(query.start(&mut fleet, ms(0)).is_empty());
+    assert_eq!(query.verdict(ms(0)), Verdict::Fail(Failure::NotRun));
+}
+
+// Guards against waiting for a shard that has no searcher.
+#[test]
+fn a_shard_without_searchers_is_left_out_at_once() {
+    let mut fleet = fleet();
+    let mut pools = shards(&mut fleet, 2);
+    pools.push(fleet.pool("empty"));
+    let mut query = Query::new(plan(pools, 2));
+    assert_eq!(query.start(&mut fleet, ms(0)).len(), 2);
+    query.ended(0, Ended::Answer, &mut fleet, denied, ms(9));
+    query.ended(1, Ended::Answer, &mut fleet, denied, ms(9));
+    assert_eq!(query.verdict(ms(9)), Verdict::Answer);
+}
+
+// Guards against shards that are counted twice, or never, when another daemon asks for them.
+#[test]
+fn delegated_shards_count_when_they_come_back() {
+    let mut fleet = fleet();
+    let pools = shards(&mut fleet, 4);
+    let mut query = Query::new(plan(pools, 3));
+    query.delegate(&[2, 3]);
+    assert_eq!(query.start(&mut fleet, ms(0)).len(), 2);
+    query.ended(0, Ended::Answer, &mut fleet, denied, ms(9));
+    query.ended(1, Ended::Answer, &mut fleet, denied, ms(9));
+    assert!(matches!(query.verdict(ms(10)), Verdict::Wait(_)));
+    query.returned(&[2, 3], &[3]);
+    query.returned(&[2, 3], &[2, 3]);
+    assert_eq!(query.answered(), 3);
+    assert_eq!(query.verdict(ms(10)), Verdict::Answer);
+}
+
+// Guards against more searchers for one shard than the route allows when a daemon fails that may
+// have sent to some.
+#[test]
+fn shards_are_taken_back_with_the_sends_that_may_have_left() {
+    for (runs, sends) in [(0, 2), (1, 2), (2, 0), (u32::MAX, 0)] {
+        let mut fleet = fleet();
+        let pools = shards(&mut fleet, 4);
+        let mut query = Query::new(plan(pools, 4));
+        query.delegate(&[2, 3]);
+        query.start(&mut fleet, ms(0));
+        let back = query.take_back(&[2, 3], runs, &mut fleet, ms(5));
+        assert_eq!(back.len(), sends, "{runs}");
+        if runs >= 1 {
+            assert!(query.hedge(&mut fleet, allowed, ms(30)).iter().all(|it| it.shard < 2));
+        }
+    }
+}
+
+// Guards against a refusal that is not true while another daemon may have sent.
+#[test]
+fn a_failure_with_delegated_shards_out_is_no_refusal() {
+    let mut fleet = fleet();
+    let pools = shards(&mut fleet, 4);
+    let mut query = Query::new(plan(pools, 4));
+    query.delegate(&[2, 3]);
+    query.start(&mut fleet, ms(0));
+    while query.ended(0, Ended::NotSent, &mut fleet, allowed, ms(5)).is_some() {}
+    assert_eq!(query.verdict(ms(5)), Verdict::Fail(Failure::Unknown));
+}
