perf: read the store once for each failure domain, and let delegates speak between domains

Change: the first daemon of a domain reads; heartbeats carry a digest of the searchers, by which others see that they are up to date or fetch from it; if its listing is overdue they read themselves. Two delegates of each domain exchange heartbeats for it with those of the others.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -69,7 +69,7 @@
     let began = Instant::now();
     log::info!("daemon: state=draining connections={}", open.count());
     entry.drain();
-    peers::beat(&entry, &heartbeats, false).await;
+    peers::beat(&entry, &heartbeats).await;
     let grace = entry.boot().bounds.grace.saturating_sub(settings.stop_margin);
     sleep_until(began + settings.drain.min(grace)).await;
     // Without a receiver all connections have ended.
@@ -115,6 +115,7 @@
     tokio::spawn(store::follow_members(entry.clone(), platform));
     tokio::spawn(peers::send_heartbeats(entry.clone(), heartbeats.clone()));
     tokio::spawn(peers::hear(entry.clone(), heartbeats.clone()));
+    tokio::spawn(peers::compare(entry.clone()));
 }
 
 /// Reads the settings again on SIGHUP, and now and then.
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -19,6 +19,7 @@
 use tt_serve::BudgetSettings;
 use tt_serve::Config;
 use tt_serve::Fleet;
+use tt_serve::MemberState;
 use tt_serve::Members;
 use tt_serve::Pace;
 use tt_serve::PoolKey;
@@ -26,8 +27,10 @@
 use tt_serve::RouteTable;
 use tt_serve::SearcherKey;
 use tt_serve::Sighting;
+use tt_serve::Standing;
 use tt_serve::Time;
 use tt_serve::Vm;
+use tt_serve::digest;
 
 /// The daemon.
 #[derive(Debug)]
@@ -63,6 +66,9 @@
     newest: Vec<Sighting>,
     /// When the newest listing was read at the store, by this daemon or another.
     read: Option<Time>,
+    digest: u64,
+    /// When the store came back after it had been away from whoever read the listing.
+    restored: Option<Time>,
 }
 
 impl Entry {
@@ -77,7 +83,7 @@
             clock: Clock::start(),
             settings,
             fleet: Mutex::new(Fleet::new(settings.fleet, boot.domain.clone())),
-            members: Mutex::new(Members::new(settings.members)),
+            members: Mutex::new(Members::new(settings.members, vm.clone())),
             links: Links::default(),
             peers: Links::default(),
             vm,
@@ -87,6 +93,8 @@
                 registry: Registry::new(settings.registry),
                 newest: Vec::new(),
                 read: None,
+                digest: 0,
+                restored: None,
             }),
             budgets: Mutex::new(HashMap::new()),
             paces: Mutex::new(HashMap::new()),
@@ -141,20 +149,42 @@
         if state.read.is_some_and(|newest| read <= newest) {
             return;
         }
-        state.newest.clone_from(&listing);
+        state.digest = digest(&listing);
+        state.newest = listing;
         state.read = Some(read);
+        state.restored = restored;
+        self.register(&mut state, source);
+    }
+
+    /// Notes that the newest listing was still true at `read`.
+    pub(crate) fn confirm_listing(&self, read: Time) {
+        let mut state = lock(&self.registry);
+        if state.read.is_some_and(|newest| read <= newest) {
+            return;
+        }
+        state.read = Some(read);
+        if state.registry.has_lapsed(&state.newest) {
+            self.register(&mut state, "confirmed");
+        }
+    }
+
+    fn register(&self, state: &mut Listing, source: &str) {
         let now = self.now();
-        let changes = state.registry.adopt(&mut lock(&self.fleet), listing, restored, now);
-        drop(state);
-        for change in changes {
+        let listing = state.newest.clone();
+        let mut fleet = lock(&self.fleet);
+        let changes = state.registry.adopt(&mut fleet, listing, state.restored, now);
+        for change in &changes {
             log::info!("fleet: {change} source={source}");
         }
+        if !changes.is_empty() {
+            self.links.retain(|key| fleet.get(key).is_some());
+        }
     }
 
-    /// The newest listing, and when it was read.
-    pub(crate) fn listing(&self) -> (Vec<Sighting>, Option<Time>) {
+    /// The newest listing, when it was read, and when the store came back before that.
+    pub(crate) fn listing(&self) -> (Vec<Sighting>, Option<Time>, Option<Time>) {
         let state = lock(&self.registry);
-        (state.newest.clone(), state.read)
+        (state.newest.clone(), state.read, state.restored)
     }
 
     /// When the newest listing was read.
@@ -162,6 +192,18 @@
         lock(&self.registry).read
     }
 
+    /// What this daemon says of itself.
+    pub(crate) fn standing(&self) -> Standing {
+        let state = match (self.is_draining(), self.is_open()) {
+            (true, _) => MemberState::Stopping,
+            (false, true) => MemberState::Open,
+            (false, false) => MemberState::Starting,
+        };
+        let listing = lock(&self.registry);
+        let (digest, listed) = (listing.digest, listing.read);
+        Standing { state, version: self.version(), digest, listed }
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
@@ -184,8 +226,8 @@
                 continue;
             }
             let name = vm.name.clone();
-            if members.list(vm, now) {
-                log::info!("member: vm={name} state=listed sharers={}", members.sharers(now));
+            if members.store(vm, now) {
+                log::info!("member: vm={name} state=stored sharers={}", members.sharers(now));
             }
         }
         for name in members.expire(now) {
@@ -193,12 +235,15 @@
         }
     }
 
-    /// Notes a heartbeat of another daemon.
-    pub(crate) fn note_heartbeat(&self, vm: Vm, open: bool, version: u64) {
+    /// Notes what another daemon said at the time `heard`.
+    pub(crate) fn note_standing(&self, vm: Vm, standing: Standing, heard: Time) {
         let now = self.now();
+        if vm.name == self.vm.name {
+            return;
+        }
         let name = vm.name.clone();
         let mut members = lock(&self.members);
-        if members.hear(vm, open, version, now) {
+        if members.hear(vm, standing, heard) {
             log::info!("member: vm={name} state=heard sharers={}", members.sharers(now));
         }
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -1,6 +1,7 @@
 //! What daemons tell one another: heartbeats, and what one has read at the store.
 
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,10 +15,12 @@
 use hyper::StatusCode;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use prost::Message;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -25,14 +28,19 @@
 use crate::answer::Body;
 use crate::entry::Entry;
 use crate::sync::lock;
-use tt_adapter::MemberRecord;
 use tt_adapter::decode_config;
+use tt_serve::Member;
+use tt_serve::MemberState;
+use tt_serve::Members;
+use tt_serve::News;
 use tt_serve::Sighting;
+use tt_serve::Standing;
 use tt_serve::Time;
 use tt_serve::Vm;
+use tt_serve::news;
 
-/// Longest heartbeat.
-const HEARTBEAT_BYTES: usize = 1024;
+/// Longest datagram.
+const DATAGRAM_BYTES: usize = 65_000;
 
 /// Path of what a daemon has read at the store.
 pub(crate) const VIEW_PATH: &str = "/v1/view";
@@ -44,18 +52,92 @@
 const VIEW_LIMIT: Duration = Duration::from_millis(800);
 
 /// Time between two looks at whether another daemon knows more.
-const COMPARE_EVERY: Duration = Duration::from_millis(300);
+const COMPARE_EVERY: Duration = Duration::from_millis(150);
 
-/// What a daemon says of itself.
-#[derive(Debug, Serialize, Deserialize)]
+/// Time between two looks at whether the configuration has changed.
+const VERSION_POLL: Duration = Duration::from_millis(50);
+
+/// What a daemon says of itself and others.
+#[derive(Clone, PartialEq, Message)]
 struct Heartbeat {
-    member: MemberRecord,
-    open: bool,
+    /// The daemon that speaks comes first.
+    #[prost(message, repeated, tag = "1")]
+    records: Vec<Record>,
+    /// Whether it wants all that the other knows at once.
+    #[prost(bool, tag = "2")]
+    hello: bool,
+}
+
+/// The standing of one daemon.
+#[derive(Clone, PartialEq, Message)]
+struct Record {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(string, tag = "2")]
+    domain: String,
+    #[prost(string, tag = "3")]
+    ip: String,
+    #[prost(uint32, tag = "4")]
+    front_port: u32,
+    #[prost(uint32, tag = "5")]
+    peer_port: u32,
+    /// 0 starting, 1 open, 2 stopping.
+    #[prost(uint32, tag = "6")]
+    state: u32,
+    #[prost(uint64, tag = "7")]
     version: u64,
+    #[prost(fixed64, tag = "8")]
+    digest: u64,
     /// Age of its listing of searchers, in milliseconds.
+    #[prost(uint64, optional, tag = "9")]
     listing_age: Option<u64>,
-    /// Whether it wants one back at once.
-    hello: bool,
+    /// Time since it said so, in milliseconds.
+    #[prost(uint64, tag = "10")]
+    age: u64,
+}
+
+impl Record {
+    fn new(vm: &Vm, standing: &Standing, heard: Time, now: Time) -> Record {
+        let age = |at: Time| now.saturating_sub(at).as_millis() as u64;
+        Record {
+            name: vm.name.clone(),
+            domain: vm.domain.clone(),
+            ip: vm.front.ip().to_string(),
+            front_port: u32::from(vm.front.port()),
+            peer_port: u32::from(vm.peer.port()),
+            state: match standing.state {
+                MemberState::Starting => 0,
+                MemberState::Open => 1,
+                MemberState::Stopping => 2,
+            },
+            version: standing.version,
+            digest: standing.digest,
+            listing_age: standing.listed.map(age),
+            age: age(heard),
+        }
+    }
+
+    /// The daemon, what it said, and when.
+    fn decode(self, now: Time) -> Option<(Vm, Standing, Time)> {
+        let ip: IpAddr = self.ip.parse().ok()?;
+        let port = |port: u32| u16::try_from(port).ok().map(|port| SocketAddr::new(ip, port));
+        let at = |age: u64| now.saturating_sub(Duration::from_millis(age));
+        let vm = Vm {
+            name: self.name,
+            front: port(self.front_port)?,
+            peer: port(self.peer_port)?,
+            domain: self.domain,
+        };
+        let state = match self.state {
+            0 => MemberState::Starting,
+            1 => MemberState::Open,
+            2 => MemberState::Stopping,
+            _ => return None,
+        };
+        let listed = self.listing_age.map(at);
+        let standing = Standing { state, version: self.version, digest: self.digest, listed };
+        Some((vm, standing, at(self.age)))
+    }
 }
 
 /// What a daemon has read at the store.
@@ -64,14 +146,8 @@
     config: Option<String>,
     searchers: Vec<Sighting>,
     listing_age: Option<u64>,
-}
-
-/// A daemon that knows more than this one.
-#[derive(Debug)]
-struct Ahead {
-    peer: SocketAddr,
-    version: u64,
-    listed: Option<Time>,
+    /// Time since the store came back to whoever read the listing.
+    restored_age: Option<u64>,
 }
 
 /// Opens the socket for heartbeats.
@@ -79,54 +155,71 @@
     UdpSocket::bind(entry.vm.peer).await
 }
 
-/// Sends heartbeats to all daemons that are known, and to the first ones while none is.
+/// Sends heartbeats, and to the first daemons while none is heard.
 pub(crate) async fn send_heartbeats(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
-    let mut hello = true;
     loop {
-        beat(&entry, &socket, hello).await;
-        hello = lock(&entry.members).others().next().is_none();
-        sleep(entry.settings.heartbeat).await;
+        let version = entry.version();
+        beat(&entry, &socket).await;
+        let hello = lock(&entry.members).is_alone(entry.now());
+        if hello {
+            for seed in entry.boot().seeds.into_iter().filter(|seed| *seed != entry.vm.peer) {
+                send(&entry, &socket, seed, "", true).await;
+            }
+        }
+        let end = Instant::now() + entry.settings.heartbeat;
+        // A new version is told at once.
+        while Instant::now() < end && entry.version() == version {
+            sleep(VERSION_POLL).await;
+        }
     }
 }
 
-/// Sends one heartbeat to everybody.
-pub(crate) async fn beat(entry: &Entry, socket: &UdpSocket, hello: bool) {
-    let mut targets: Vec<SocketAddr> =
-        lock(&entry.members).others().map(|member| member.vm.peer).collect();
-    if hello {
-        targets.extend(entry.boot().seeds.iter().filter(|seed| **seed != entry.vm.peer));
-    }
-    for target in targets {
-        send(entry, socket, target, hello).await;
+/// Sends one heartbeat to all that this daemon speaks to.
+pub(crate) async fn beat(entry: &Entry, socket: &UdpSocket) {
+    let now = entry.now();
+    let targets: Vec<(SocketAddr, String)> = lock(&entry.members)
+        .targets(now)
+        .iter()
+        .map(|member| (member.vm.peer, member.vm.domain.clone()))
+        .collect();
+    for (target, domain) in targets {
+        send(entry, socket, target, &domain, false).await;
     }
 }
 
-async fn send(entry: &Entry, socket: &UdpSocket, target: SocketAddr, hello: bool) {
-    let heartbeat = Heartbeat {
-        member: MemberRecord::from(&entry.vm),
-        open: entry.is_open(),
-        version: entry.version(),
-        listing_age: entry.listed().map(|read| age(entry, read)),
-        hello,
-    };
-    let sent = match serde_json::to_vec(&heartbeat) {
-        Ok(bytes) => socket.send_to(&bytes, target).await,
-        Err(error) => Err(error.into()),
-    };
-    if let Err(error) = sent {
+/// Sends a heartbeat with what a daemon in `domain` is told of others.
+async fn send(entry: &Entry, socket: &UdpSocket, target: SocketAddr, domain: &str, hello: bool) {
+    let now = entry.now();
+    let mut records = vec![Record::new(&entry.vm, &entry.standing(), now, now)];
+    records.extend(lock(&entry.members).news(domain, now).into_iter().map(|it| record(it, now)));
+    let bytes = Heartbeat { records, hello }.encode_to_vec();
+    if let Err(error) = socket.send_to(&bytes, target).await {
         log::debug!("peer: target={target} heartbeat=\"{error}\"");
     }
 }
 
+fn record(member: &Member, now: Time) -> Record {
+    Record::new(&member.vm, &member.standing, member.heard.unwrap_or_default(), now)
+}
+
+/// Sends all that is known to a daemon that has just started.
+async fn welcome(entry: &Entry, socket: &UdpSocket, target: SocketAddr) {
+    let now = entry.now();
+    let mut records = vec![Record::new(&entry.vm, &entry.standing(), now, now)];
+    records.extend(lock(&entry.members).heard(now).map(|it| record(it, now)));
+    let bytes = Heartbeat { records, hello: false }.encode_to_vec();
+    if let Err(error) = socket.send_to(&bytes, target).await {
+        log::debug!("peer: target={target} welcome=\"{error}\"");
+    }
+}
+
 fn age(entry: &Entry, read: Time) -> u64 {
     entry.now().saturating_sub(read).as_millis() as u64
 }
 
-/// Takes heartbeats, and reads from daemons that know more.
+/// Takes heartbeats.
 pub(crate) async fn hear(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
-    let mut buffer = [0; HEARTBEAT_BYTES];
-    let ahead = Arc::new(tokio::sync::Mutex::new(None));
-    tokio::spawn(compare(entry.clone(), ahead.clone()));
+    let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -136,7 +229,7 @@
                 continue;
             }
         };
-        let heartbeat: Heartbeat = match serde_json::from_slice(&buffer[..length]) {
+        let heartbeat = match Heartbeat::decode(&buffer[..length]) {
             Ok(heartbeat) => heartbeat,
             Err(error) => {
                 log::warn!("peer: from={from} malformed=\"{error}\"");
@@ -144,48 +237,72 @@
             }
         };
         let now = entry.now();
-        let Heartbeat { member, open, version, listing_age, hello } = heartbeat;
-        let vm = Vm::from(member);
-        if vm.name == entry.vm.name {
-            continue;
-        }
-        let peer = vm.peer;
-        entry.note_heartbeat(vm, open, version);
-        if hello {
-            send(&entry, &socket, peer, false).await;
+        for record in heartbeat.records {
+            match record.decode(now) {
+                Some((vm, standing, heard)) => entry.note_standing(vm, standing, heard),
+                None => log::warn!("peer: from={from} malformed=record"),
+            }
         }
-        let listed = listing_age.map(|age| now.saturating_sub(Duration::from_millis(age)));
-        if version > entry.version() || is_newer(&entry, listed, now) {
-            *ahead.lock().await = Some(Ahead { peer, version, listed });
+        if heartbeat.hello {
+            welcome(&entry, &socket, from).await;
         }
     }
 }
 
-/// Whether a listing of another daemon replaces one that this daemon failed to renew.
-fn is_newer(entry: &Entry, listed: Option<Time>, now: Time) -> bool {
-    let Some(listed) = listed else { return false };
-    let old = entry.settings.list_old;
-    entry.listed().is_none_or(|own| own + old < now && own + old / 2 < listed)
-}
-
-/// Reads from a daemon that knows more, if this one doesn't learn it from the store meanwhile.
-async fn compare(entry: Arc<Entry>, ahead: Arc<tokio::sync::Mutex<Option<Ahead>>>) {
+/// Reads from a daemon that knows more.
+pub(crate) async fn compare(entry: Arc<Entry>) {
+    let mut behind_since = None;
     loop {
         sleep(COMPARE_EVERY).await;
-        let Some(found) = ahead.lock().await.take() else { continue };
-        if entry.version() > 0 {
-            sleep(entry.settings.peer_wait).await;
-        }
         let now = entry.now();
-        if found.version <= entry.version() && !is_newer(&entry, found.listed, now) {
-            continue;
+        let own = entry.standing();
+        let late = behind_since.is_some_and(|since| since + entry.settings.peer_wait < now);
+        let (confirmed, source, behind) = {
+            let members = lock(&entry.members);
+            survey(&entry, &members, &own, late, now)
+        };
+        behind_since = if behind { behind_since.or(Some(now)) } else { None };
+        if let Some(read) = confirmed {
+            entry.confirm_listing(read);
         }
-        match timeout(VIEW_LIMIT, fetch(found.peer)).await {
+        let Some(peer) = source else { continue };
+        match timeout(VIEW_LIMIT, fetch(peer)).await {
             Ok(Ok(view)) => adopt(&entry, view),
-            Ok(Err(error)) => log::info!("peer: view of={} error=\"{error}\"", found.peer),
-            Err(_) => log::info!("peer: view of={} error=\"no answer in time\"", found.peer),
+            Ok(Err(error)) => log::info!("peer: view of={peer} error=\"{error}\""),
+            Err(_) => log::info!("peer: view of={peer} error=\"no answer in time\""),
+        }
+    }
+}
+
+/// What the other daemons know: until when the own listing is confirmed, whom to read from, and
+/// whether any has a later configuration.
+fn survey(
+    entry: &Entry,
+    members: &Members,
+    own: &Standing,
+    late: bool,
+    now: Time,
+) -> (Option<Time>, Option<SocketAddr>, bool) {
+    let domain = entry.vm.domain.as_str();
+    let mut confirmed = None;
+    let mut best: Option<&Member> = None;
+    let mut behind = false;
+    let order = |member: &Member| {
+        let standing = &member.standing;
+        (member.vm.domain == domain, standing.version, standing.listed)
+    };
+    for member in members.heard(now) {
+        behind |= member.standing.version > own.version;
+        match news(member, domain, own, &entry.settings.listing, late, now) {
+            News::None => {}
+            News::Confirmed(read) => confirmed = confirmed.max(Some(read)),
+            News::Fetch if best.is_none_or(|best| order(best) < order(member)) => {
+                best = Some(member);
+            }
+            News::Fetch => {}
         }
     }
+    (confirmed, best.map(|member| member.vm.peer), behind)
 }
 
 fn adopt(entry: &Entry, view: View) {
@@ -198,9 +315,8 @@
         }
     }
     if let Some(age) = view.listing_age {
-        let read = entry.now().saturating_sub(Duration::from_millis(age));
-        // Registrations that have lapsed are not known to have ended while the store is away.
-        entry.adopt_listing(view.searchers, Some(entry.now()), read, "peer");
+        let at = |age: u64| entry.now().saturating_sub(Duration::from_millis(age));
+        entry.adopt_listing(view.searchers, view.restored_age.map(at), at(age), "peer");
     }
 }
 
@@ -224,9 +340,14 @@
 
 /// Answers other daemons that ask for this one's view.
 pub(crate) fn serve_view(entry: &Entry) -> Response<Body> {
-    let (searchers, read) = entry.listing();
+    let (searchers, read, restored) = entry.listing();
     let config = entry.in_force().and_then(|it| String::from_utf8(it.bytes.to_vec()).ok());
-    let view = View { config, searchers, listing_age: read.map(|read| age(entry, read)) };
+    let view = View {
+        config,
+        searchers,
+        listing_age: read.map(|read| age(entry, read)),
+        restored_age: restored.map(|at| age(entry, at)),
+    };
     match serde_json::to_vec(&view) {
         Ok(bytes) => Response::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tt_serve::FleetSettings;
+use tt_serve::ListingSettings;
 use tt_serve::MemberSettings;
 use tt_serve::PaceSettings;
 use tt_serve::RegistrySettings;
@@ -18,8 +19,8 @@
     pub members: MemberSettings,
     /// How the usual latency is learned.
     pub pace: PaceSettings,
-    /// Time between two reads of the searchers' registrations.
-    pub list_every: Duration,
+    /// When the store is read.
+    pub listing: ListingSettings,
     /// Time that a watch for the configuration waits at the store. A connection that has gone
     /// silent is noticed after it.
     pub watch_wait: Duration,
@@ -29,8 +30,6 @@
     pub lease: Duration,
     /// Time between two heartbeats to other daemons.
     pub heartbeat: Duration,
-    /// Age of the searchers' listing from which one of another daemon is asked for.
-    pub list_old: Duration,
     /// Time that a daemon waits for its own watch before it asks another for a version.
     pub peer_wait: Duration,
     /// Time for a connection to a searcher.
@@ -66,12 +65,11 @@
             registry: RegistrySettings::default(),
             members: MemberSettings::default(),
             pace: PaceSettings::default(),
-            list_every: Duration::from_millis(900),
+            listing: ListingSettings::default(),
             watch_wait: Duration::from_millis(1500),
             store_pause: Duration::from_millis(250),
-            lease: Duration::from_secs(4),
+            lease: Duration::from_secs(6),
             heartbeat: Duration::from_millis(400),
-            list_old: Duration::from_millis(2500),
             peer_wait: Duration::from_millis(400),
             connect: Duration::from_millis(250),
             linger: Duration::from_millis(350),
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 use tokio::time::sleep;
 
 use crate::entry::Entry;
@@ -14,10 +12,18 @@
 use tt_adapter::LeaseId;
 use tt_adapter::Platform;
 use tt_adapter::PlatformError;
+use tt_serve::Next;
 use tt_serve::Time;
+use tt_serve::next;
 
 /// Renewals in the lifetime of a lease.
-const RENEWALS: u32 = 4;
+const RENEWALS: u32 = 3;
+
+/// Renewals for each read of the list of daemons, which heartbeats keep up to date.
+const RENEWALS_A_LIST: u32 = 3;
+
+/// Time between two looks at whether this daemon reads the store itself.
+const READ_POLL: Duration = Duration::from_millis(50);
 
 /// Whether the calls of one kind reach the store; a change is logged.
 #[derive(Debug)]
@@ -53,6 +59,12 @@
     let mut reach = Reach::new("config");
     let mut at = None;
     loop {
+        if !watches(&entry) {
+            // What happens meanwhile may be too much for a watch to tell.
+            at = None;
+            sleep(READ_POLL).await;
+            continue;
+        }
         let read = match at {
             Some(after) => platform.watch_config(after, entry.settings.watch_wait).await,
             None => platform.read_config().await,
@@ -85,14 +97,15 @@
     }
 }
 
-/// Follows the registrations of searchers.
+/// Follows the registrations of searchers, while this daemon is the one that reads them.
 pub(crate) async fn follow_searchers(entry: Arc<Entry>, platform: Platform) {
     let mut reach = Reach::new("searchers");
-    let mut ticks = interval(entry.settings.list_every);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut ignored_before = Vec::new();
     loop {
-        ticks.tick().await;
+        if !reads_now(&entry) {
+            sleep(READ_POLL).await;
+            continue;
+        }
         let asked = entry.now();
         match platform.list_searchers().await {
             Ok(list) => {
@@ -104,25 +117,45 @@
                     ignored_before = list.ignored;
                 }
                 entry.adopt_listing(list.searchers, reach.restored, asked, "store");
-                let fleet = lock(&entry.fleet);
-                entry.links.retain(|key| fleet.get(key).is_some());
             }
-            Err(error) => reach.failed(&error),
+            Err(error) => {
+                reach.failed(&error);
+                sleep(entry.settings.store_pause).await;
+            }
         }
     }
 }
 
+fn reads_now(entry: &Entry) -> bool {
+    let listed = entry.listed();
+    let members = lock(&entry.members);
+    next(&members, &entry.settings.listing, listed, entry.now()) == Next::Read
+}
+
+/// Whether this daemon follows the configuration at the store itself: it is the first of its
+/// failure domain, or what the first one reads has not come for some time.
+fn watches(entry: &Entry) -> bool {
+    let now = entry.now();
+    let overdue = entry.settings.listing.overdue;
+    lock(&entry.members).rank(now) == 0
+        || entry.version() == 0
+        || entry.listed().is_none_or(|listed| listed + overdue < now)
+}
+
 /// Keeps this daemon in the list of daemons, and reads that list.
 pub(crate) async fn follow_members(entry: Arc<Entry>, platform: Platform) {
     let mut reach = Reach::new("members");
     let mut lease = None;
     let every = entry.settings.lease / RENEWALS;
+    let mut round = 0;
     loop {
         if entry.is_draining() {
             leave(&platform, lease).await;
             return;
         }
-        match renew(&entry, &platform, &mut lease).await {
+        let list = round % RENEWALS_A_LIST == 0;
+        round += 1;
+        match renew(&entry, &platform, &mut lease, list).await {
             Ok(()) => reach.worked(entry.now()),
             Err(error) => reach.failed(&error),
         }
@@ -134,6 +167,7 @@
     entry: &Entry,
     platform: &Platform,
     lease: &mut Option<LeaseId>,
+    list: bool,
 ) -> Result<(), PlatformError> {
     let held = match *lease {
         Some(held) => held,
@@ -151,6 +185,9 @@
         }
         kept => kept?,
     }
+    if !list {
+        return Ok(());
+    }
     let listed = platform.list_members().await?;
     let present = listed.iter().any(|vm| vm.name == entry.vm.name);
     entry.note_members(listed);
--- /dev/null
+++ b/crates/serve/src/listing.rs
@@ -0,0 +1,98 @@
+//! Whether a daemon reads the store itself or follows another one.
+
+use std::time::Duration;
+
+use crate::Time;
+use crate::members::Member;
+use crate::members::Members;
+use crate::members::Standing;
+
+/// When a daemon reads for itself.
+#[derive(Debug, Clone, Copy)]
+pub struct ListingSettings {
+    /// Time between two reads of the first daemon of a failure domain.
+    pub every: Duration,
+    /// Age of the newest listing from which another daemon of the domain reads too.
+    pub overdue: Duration,
+    /// Further age for each daemon that comes before it, so that not all read at once.
+    pub stagger: Duration,
+    /// Age of a listing from which one of another failure domain is taken.
+    pub old: Duration,
+}
+
+impl Default for ListingSettings {
+    fn default() -> Self {
+        ListingSettings {
+            every: Duration::from_millis(900),
+            overdue: Duration::from_millis(1500),
+            stagger: Duration::from_millis(150),
+            old: Duration::from_millis(2500),
+        }
+    }
+}
+
+/// What a daemon does about the searchers and the configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// It knows what there is to know.
+    Rest,
+    /// It reads the store.
+    Read,
+}
+
+/// Whether a daemon whose newest listing was read at `listed` reads the store now.
+pub fn next(
+    members: &Members,
+    settings: &ListingSettings,
+    listed: Option<Time>,
+    now: Time,
+) -> Next {
+    let Some(listed) = listed else { return Next::Read };
+    let rank = members.rank(now);
+    let age = now.saturating_sub(listed);
+    let limit = match rank {
+        0 => settings.every,
+        // A few steps are enough: at most these many read at once.
+        rank => settings.overdue + settings.stagger * (rank.min(6) as u32 - 1),
+    };
+    if age >= limit { Next::Read } else { Next::Rest }
+}
+
+/// What another daemon knows that this one does not.
+#[derive(Debug, Clone, PartialEq)]
+pub enum News {
+    /// Nothing.
+    None,
+    /// The same searchers, read at a later time.
+    Confirmed(Time),
+    /// A later listing or configuration, to be fetched from it.
+    Fetch,
+}
+
+/// Compares what `member` knows with `own`. One of another failure domain is asked only if the
+/// own listing is old, or with `late` if its configuration has not come otherwise.
+pub fn news(
+    member: &Member,
+    domain: &str,
+    own: &Standing,
+    settings: &ListingSettings,
+    late: bool,
+    now: Time,
+) -> News {
+    let here = member.vm.domain == domain;
+    let theirs = &member.standing;
+    let later = match (theirs.listed, own.listed) {
+        (Some(theirs), Some(own)) => theirs > own,
+        (Some(_), None) => true,
+        (None, _) => false,
+    };
+    let old = own.listed.is_none_or(|listed| listed + settings.old < now);
+    if theirs.version > own.version && (here || late || own.version == 0) {
+        return News::Fetch;
+    }
+    match theirs.listed {
+        Some(listed) if later && theirs.digest == own.digest => News::Confirmed(listed),
+        Some(_) if later && (here || old) => News::Fetch,
+        _ => News::None,
+    }
+}
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -1,4 +1,7 @@
 //! The daemons of the tier as one of them sees the others.
+//!
+//! Daemons of one failure domain tell one another everything. Two delegates of each domain
+//! exchange with those of other domains, since bytes between domains are dear.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -6,6 +9,9 @@
 
 use crate::Time;
 
+/// Delegates of a failure domain. The second one keeps the exchange going when the first fails.
+const DELEGATES: usize = 2;
+
 /// A VM that runs a daemon.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Vm {
@@ -19,19 +25,41 @@
     pub domain: String,
 }
 
+/// Whether a daemon takes callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberState {
+    /// It does not know enough yet.
+    Starting,
+    /// It does.
+    Open,
+    /// It will end.
+    Stopping,
+}
+
+/// What a daemon says of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Standing {
+    /// Whether it takes callers.
+    pub state: MemberState,
+    /// Version of its configuration; 0 if it has none.
+    pub version: u64,
+    /// Identifies the searchers that it knows and their states.
+    pub digest: u64,
+    /// When its listing of searchers was read at the store, on the clock of this daemon.
+    pub listed: Option<Time>,
+}
+
 /// What is known of another daemon.
 #[derive(Debug, Clone)]
 pub struct Member {
     /// Its VM.
     pub vm: Vm,
-    /// Whether it takes new callers.
-    pub open: bool,
-    /// Version of its configuration; 0 if it has none.
-    pub version: u64,
-    /// When it was last heard.
+    /// What it last said.
+    pub standing: Standing,
+    /// When it said so.
     pub heard: Option<Time>,
     /// When it was last in the store's list.
-    pub listed: Option<Time>,
+    pub stored: Option<Time>,
     /// Until when it is not asked for shards.
     pub avoided: Time,
 }
@@ -53,8 +81,8 @@
 impl Default for MemberSettings {
     fn default() -> Self {
         MemberSettings {
-            silence: Duration::from_millis(1600),
-            forget: Duration::from_secs(12),
+            silence: Duration::from_millis(1700),
+            forget: Duration::from_secs(15),
             least: 4,
             settle: Duration::from_secs(5),
         }
@@ -65,40 +93,45 @@
 #[derive(Debug)]
 pub struct Members {
     settings: MemberSettings,
+    me: Vm,
     others: BTreeMap<String, Member>,
 }
 
 impl Members {
-    /// Knows no other daemon.
-    pub fn new(settings: MemberSettings) -> Members {
-        Members { settings, others: BTreeMap::new() }
+    /// Knows no other daemon than `me`.
+    pub fn new(settings: MemberSettings, me: Vm) -> Members {
+        Members { settings, me, others: BTreeMap::new() }
     }
 
     /// Notes a daemon in the store's list. Returns whether it is new.
-    pub fn list(&mut self, vm: Vm, now: Time) -> bool {
+    pub fn store(&mut self, vm: Vm, now: Time) -> bool {
         let new = !self.others.contains_key(&vm.name);
-        let member = self.entry(vm);
-        member.listed = Some(now);
+        self.entry(vm).stored = Some(now);
         new
     }
 
-    /// Notes a heartbeat. Returns whether the daemon is new.
-    pub fn hear(&mut self, vm: Vm, open: bool, version: u64, now: Time) -> bool {
+    /// Notes what a daemon said at the time `heard`. Returns whether the daemon is new.
+    pub fn hear(&mut self, vm: Vm, standing: Standing, heard: Time) -> bool {
         let new = !self.others.contains_key(&vm.name);
         let member = self.entry(vm);
-        member.open = open;
-        member.version = version;
-        member.heard = Some(now);
+        if member.heard.is_none_or(|before| before <= heard) {
+            member.standing = standing;
+            member.heard = Some(heard);
+        }
         new
     }
 
     fn entry(&mut self, vm: Vm) -> &mut Member {
         let member = self.others.entry(vm.name.clone()).or_insert_with(|| Member {
             vm: vm.clone(),
-            open: true,
-            version: 0,
+            standing: Standing {
+                state: MemberState::Starting,
+                version: 0,
+                digest: 0,
+                listed: None,
+            },
             heard: None,
-            listed: None,
+            stored: None,
             avoided: Time::ZERO,
         });
         member.vm = vm;
@@ -109,14 +142,14 @@
     pub fn expire(&mut self, now: Time) -> Vec<String> {
         let forget = self.settings.forget;
         let gone = self.others.extract_if(.., |_, member| {
-            member.heard.max(member.listed).is_none_or(|last| now >= last + forget)
+            member.heard.max(member.stored).is_none_or(|last| now >= last + forget)
         });
         gone.map(|(name, _)| name).collect()
     }
 
-    /// All other daemons that are known.
-    pub fn others(&self) -> impl Iterator<Item = &Member> {
-        self.others.values()
+    /// Whether no other daemon has been heard.
+    pub fn is_alone(&self, now: Time) -> bool {
+        !self.others.values().any(|member| self.is_heard(member, now))
     }
 
     /// Daemons, this one included, among which shared limits are divided.
@@ -125,9 +158,17 @@
         if now < self.settings.settle { known.max(self.settings.least) } else { known }
     }
 
+    /// The other daemons that take callers.
+    pub fn open(&self, now: Time) -> impl Iterator<Item = &Member> {
+        self.others.values().filter(move |member| {
+            member.standing.state == MemberState::Open && self.is_heard(member, now)
+        })
+    }
+
     /// The other daemons that may be asked for shards of `version`.
     pub fn relays(&self, version: u64, now: Time) -> impl Iterator<Item = &Member> {
-        self.open(now).filter(move |member| member.version == version && member.avoided <= now)
+        self.open(now)
+            .filter(move |member| member.standing.version == version && member.avoided <= now)
     }
 
     /// Asks a daemon for no shards for a while, since it has not answered.
@@ -137,11 +178,55 @@
         }
     }
 
-    /// The other daemons that take callers.
-    pub fn open(&self, now: Time) -> impl Iterator<Item = &Member> {
-        let silence = self.settings.silence;
-        self.others.values().filter(move |member| {
-            member.open && member.heard.is_some_and(|last| now < last + silence)
-        })
+    /// Daemons of this one's failure domain that come before it. The first one reads the store
+    /// for all of them.
+    pub fn rank(&self, now: Time) -> usize {
+        let me = &self.me;
+        self.open(now).filter(|it| it.vm.domain == me.domain && it.vm.name < me.name).count()
+    }
+
+    /// The daemons to speak to: all of this domain, and if this one is a delegate, one of each
+    /// other domain.
+    pub fn targets(&self, now: Time) -> Vec<&Member> {
+        let here = self.others.values().filter(|it| it.vm.domain == self.me.domain);
+        let mut targets: Vec<&Member> = here.collect();
+        let rank = self.rank(now);
+        if rank >= DELEGATES {
+            return targets;
+        }
+        let mut domains: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
+        for member in self.others.values().filter(|it| it.vm.domain != self.me.domain) {
+            domains.entry(&member.vm.domain).or_default().push(member);
+        }
+        for members in domains.values_mut() {
+            // Those that were heard first: a silent one is spoken to if there is no other.
+            members.sort_by_key(|member| !self.is_heard(member, now));
+            let heard = members.iter().filter(|member| self.is_heard(member, now)).count();
+            let choice = if heard > 0 { rank % heard } else { rank % members.len() };
+            targets.push(members[choice]);
+        }
+        targets
+    }
+
+    /// What to tell a daemon in `domain` of others: in this domain a delegate passes on what it
+    /// has heard from elsewhere, and elsewhere it speaks for its domain.
+    pub fn news(&self, domain: &str, now: Time) -> Vec<&Member> {
+        let here = domain == self.me.domain;
+        if here && self.rank(now) >= DELEGATES {
+            return Vec::new();
+        }
+        let fits = |member: &&Member| {
+            self.is_heard(member, now) && (member.vm.domain == self.me.domain) != here
+        };
+        self.others.values().filter(fits).collect()
+    }
+
+    /// All daemons that have been heard lately.
+    pub fn heard(&self, now: Time) -> impl Iterator<Item = &Member> {
+        self.others.values().filter(move |member| self.is_heard(member, now))
+    }
+
+    fn is_heard(&self, member: &Member, now: Time) -> bool {
+        member.heard.is_some_and(|last| now < last + self.settings.silence)
     }
 }
--- a/crates/serve/src/registry.rs
+++ b/crates/serve/src/registry.rs
@@ -1,11 +1,14 @@
 //! Which registered searchers are there, from listings that may lag, lapse or be forged.
 
 use std::collections::HashMap;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::Time;
 use crate::fleet::Fleet;
@@ -71,18 +74,17 @@
 pub struct Registry {
     settings: RegistrySettings,
     known: HashMap<String, Known>,
-    listed: Option<Time>,
 }
 
 impl Registry {
     /// Knows no searcher.
     pub fn new(settings: RegistrySettings) -> Registry {
-        Registry { settings, known: HashMap::new(), listed: None }
+        Registry { settings, known: HashMap::new() }
     }
 
-    /// Time of the newest listing.
-    pub fn listed(&self) -> Option<Time> {
-        self.listed
+    /// Searchers that are kept though the newest listing lacks them.
+    pub fn has_lapsed(&self, listing: &[Sighting]) -> bool {
+        self.known.len() > listing.len()
     }
 
     /// Adopts a whole listing, read at `now`. `restored` is when the store last came back after
@@ -109,7 +111,6 @@
                 }
             }
         }
-        self.listed = Some(now);
         changes
     }
 
@@ -151,6 +152,17 @@
     }
 }
 
+/// Identifies the searchers of a listing and their states. Heartbeats alone don't change it.
+pub fn digest(listing: &[Sighting]) -> u64 {
+    // Listings may come in any order.
+    listing.iter().fold(0, |sum, it| {
+        let state = (&it.id, &it.pool, it.address, it.state == SearcherState::Ready, it.born);
+        let mut hasher = Xxh3::new();
+        state.hash(&mut hasher);
+        sum ^ hasher.finish()
+    })
+}
+
 #[derive(Debug)]
 enum Age {
     Stale,
