--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -157,7 +157,7 @@
         let now = entry.now();
         let key = self.to.key;
         let usual = entry.pace(&self.outgoing.route, |pace| {
-            let usual = pace.usual(&entry.settings.pace);
+            let usual = pace.usual();
             if let Some(latency) = outcome.latency {
                 pace.observe(&entry.settings.pace, latency);
             }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -276,9 +276,9 @@
         self.avoid("broken");
         let now = self.entry.now();
         let settings = &self.entry.settings;
-        let delay = self.entry.pace(&self.outgoing.route, |pace| {
-            pace.usual(&settings.pace).unwrap_or(settings.pace.floor)
-        });
+        let delay = self
+            .entry
+            .pace(&self.outgoing.route, |pace| pace.usual().unwrap_or(settings.pace.floor));
         let runs = if now < sent + delay { 1 } else { u32::MAX };
         Brought::Unknown { runs }
     }
@@ -316,8 +316,20 @@
     };
     match prepare(entry, &message) {
         Some((work, top)) => {
+            let started = work.entry.now();
+            let entry = work.entry.clone();
             let reach = if message.share { Reach::Domain } else { Reach::Nobody };
             let finished = work.run(reach).await;
+            log::info!(
+                "relay: id={} version={} shards={} answered={} hedges={} took_ms={:.1} cutoff_ms={}",
+                message.id,
+                message.version,
+                finished.query.shards(),
+                finished.query.answered(),
+                finished.query.hedges(),
+                entry.now().saturating_sub(started).as_secs_f64() * 1000.0,
+                message.cutoff_ms
+            );
             respond(&message, finished, top)
         }
         // The daemon that asked has another version.
--- a/crates/serve/src/pace.rs
+++ b/crates/serve/src/pace.rs
@@ -1,20 +1,22 @@
 //! The usual latency of the sub-requests of a route, from which the hedge delay follows.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// How the usual latency is learned.
 #[derive(Debug, Clone, Copy)]
 pub struct PaceSettings {
-    /// Weight of a new observation.
-    pub weight: f64,
-    /// Mean deviations above the mean at which a sub-request counts as a straggler.
-    pub deviations: f64,
-    /// Least distance of a straggler from the mean, in means.
-    pub stretch: f64,
+    /// Observations that are remembered.
+    pub memory: usize,
     /// Observations before the estimate replaces the share of the objective.
-    pub samples: u32,
+    pub samples: usize,
+    /// Share of the sub-requests that are faster than a straggler; the rest must fit the budget.
+    pub quantile: f64,
     /// Part of the objective after which a hedge is sent while nothing is known.
     pub share: f64,
+    /// Part of the objective after which a hedge is sent at the latest, since its answer must
+    /// come in time too.
+    pub most: f64,
     /// Shortest hedge delay.
     pub floor: Duration,
 }
@@ -22,56 +24,61 @@
 impl Default for PaceSettings {
     fn default() -> Self {
         PaceSettings {
-            weight: 0.03,
-            deviations: 4.0,
-            stretch: 1.7,
+            memory: 200,
             samples: 20,
-            share: 0.35,
+            quantile: 0.92,
+            share: 0.3,
+            most: 0.4,
             floor: Duration::from_millis(6),
         }
     }
 }
 
+/// Observations between two estimates.
+const ESTIMATE_EVERY: usize = 10;
+
 /// Estimate of the usual latency on one route.
 #[derive(Debug, Default)]
 pub struct Pace {
-    mean: f64,
-    deviation: f64,
-    samples: u32,
+    recent: VecDeque<Duration>,
+    since: usize,
+    median: Option<Duration>,
+    slow: Duration,
 }
 
 impl Pace {
     /// Learns from the latency of a sub-request.
     pub fn observe(&mut self, settings: &PaceSettings, latency: Duration) {
-        let mut value = latency.as_secs_f64();
-        self.samples = self.samples.saturating_add(1);
-        if self.samples == 1 {
-            self.mean = value;
-            self.deviation = value / 4.0;
-            return;
+        self.recent.push_back(latency);
+        if self.recent.len() > settings.memory {
+            self.recent.pop_front();
         }
-        if self.samples > settings.samples {
-            // Pauses and slow spells must not move what counts as usual.
-            value = value.min(self.mean + settings.deviations * self.deviation);
+        self.since += 1;
+        if self.recent.len() >= settings.samples && self.since >= ESTIMATE_EVERY {
+            self.since = 0;
+            self.estimate(settings);
         }
-        let weight = settings.weight.max(1.0 / f64::from(self.samples));
-        self.deviation += weight * ((value - self.mean).abs() - self.deviation);
-        self.mean += weight * (value - self.mean);
+    }
+
+    fn estimate(&mut self, settings: &PaceSettings) {
+        let mut sorted: Vec<Duration> = self.recent.iter().copied().collect();
+        sorted.sort_unstable();
+        let last = sorted.len() - 1;
+        self.median = Some(sorted[last / 2]);
+        self.slow = sorted[(last as f64 * settings.quantile) as usize];
     }
 
     /// The usual latency, if it is known.
-    pub fn usual(&self, settings: &PaceSettings) -> Option<Duration> {
-        (self.samples >= settings.samples).then(|| Duration::from_secs_f64(self.mean))
+    pub fn usual(&self) -> Option<Duration> {
+        self.median
     }
 
     /// Delay after which a sub-request counts as a straggler.
     pub fn hedge_delay(&self, settings: &PaceSettings, goal: Duration) -> Duration {
-        let start = goal.mul_f64(settings.share);
-        if self.samples < settings.samples {
-            return start.max(settings.floor);
-        }
-        let spread =
-            (settings.deviations * self.deviation).max((settings.stretch - 1.0) * self.mean);
-        Duration::from_secs_f64(self.mean + spread).max(settings.floor)
+        let delay = match self.median {
+            Some(_) => self.slow.min(goal.mul_f64(settings.most)),
+            None => goal.mul_f64(settings.share),
+        };
+        delay.max(settings.floor)
     }
 }
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -20,14 +20,17 @@
 use tt_serve::Gather;
 use tt_serve::Member;
 use tt_serve::MemberSettings;
+use tt_serve::MemberState;
 use tt_serve::Members;
 use tt_serve::Pace;
 use tt_serve::PaceSettings;
 use tt_serve::PoolSpec;
+use tt_serve::Reach;
 use tt_serve::Repeat;
 use tt_serve::Route;
 use tt_serve::RouteTable;
 use tt_serve::Share;
+use tt_serve::Standing;
 use tt_serve::Target;
 use tt_serve::Vm;
 use tt_serve::delegate;
@@ -173,15 +176,23 @@
     Vm { name: name.to_owned(), front: address(1), peer: address(2), domain: domain.to_owned() }
 }
 
+fn members() -> Members {
+    Members::new(MemberSettings::default(), vm("me", "home"))
+}
+
+fn standing(state: MemberState, version: u64) -> Standing {
+    Standing { state, version, digest: 0, listed: Some(ms(0)) }
+}
+
 // Guards against callers that are sent to a daemon that is silent or stopping.
 #[test]
 fn a_daemon_is_open_while_it_is_heard_and_says_so() {
-    let mut members = Members::new(MemberSettings::default());
-    members.list(vm("listed", "d"), ms(0));
-    members.hear(vm("heard", "d"), true, 1, ms(0));
-    members.hear(vm("stopping", "d"), false, 1, ms(0));
+    let mut members = members();
+    members.store(vm("listed", "d"), ms(0));
+    members.hear(vm("heard", "d"), standing(MemberState::Open, 1), ms(0));
+    members.hear(vm("stopping", "d"), standing(MemberState::Stopping, 1), ms(0));
     let open = |now| members.open(now).map(|it| it.vm.name.clone()).collect::<Vec<_>>();
-    assert_eq!(open(ms(1500)), ["heard"]);
+    assert_eq!(open(ms(1600)), ["heard"]);
     assert!(open(ms(1700)).is_empty());
 }
 
@@ -189,15 +200,15 @@
 // sight of one another, or when one has just started.
 #[test]
 fn a_silent_daemon_keeps_its_part_of_the_limits_for_a_while() {
-    let mut members = Members::new(MemberSettings::default());
+    let mut members = members();
     assert_eq!(members.sharers(ms(0)), 4);
     for name in ["a", "b", "c", "d"] {
-        members.hear(vm(name, "d"), true, 1, ms(100));
+        members.hear(vm(name, "d"), standing(MemberState::Open, 1), ms(100));
     }
-    assert_eq!(members.sharers(ms(11_000)), 5);
-    assert!(members.expire(ms(11_000)).is_empty());
-    assert_eq!(members.expire(ms(12_200)).len(), 4);
-    assert_eq!(members.sharers(ms(12_200)), 1);
+    assert_eq!(members.sharers(ms(14_000)), 5);
+    assert!(members.expire(ms(14_000)).is_empty());
+    assert_eq!(members.expire(ms(15_100)).len(), 4);
+    assert_eq!(members.sharers(ms(15_100)), 1);
 }
 
 // Guards against callers in front of daemons that must cross domains for every shard.
@@ -231,11 +242,11 @@
         add(&mut fleet, pool, &format!("s{shard}"), domain);
         pools.push(pool);
     }
-    let mut members = Members::new(MemberSettings::default());
-    members.hear(vm("e", "east"), true, 7, ms(0));
-    members.hear(vm("w", "west"), true, 7, ms(0));
+    let mut members = members();
+    members.hear(vm("e", "east"), standing(MemberState::Open, 7), ms(0));
+    members.hear(vm("w", "west"), standing(MemberState::Open, 7), ms(0));
     let relays: Vec<&Member> = members.relays(7, ms(0)).collect();
-    let delegations = delegate(&pools, &fleet, "home", &relays, 0, ms(0));
+    let delegations = delegate(&pools, &fleet, "home", &relays, Reach::Everywhere, 0, ms(0));
     assert_eq!(delegations.len(), 1, "one shard alone is not worth a relay");
     assert_eq!(delegations[0].relay.name, "e");
     assert_eq!(delegations[0].shards, [1, 2, 4]);
@@ -245,16 +256,21 @@
     assert_eq!(members.relays(7, ms(1500)).count(), 2);
 }
 
-// Guards against hedges that follow pauses upwards, and against a hedge at once.
+// Guards against hedges that follow pauses upwards, against a hedge at once, and against one whose
+// answer can't come in time.
 #[test]
 fn the_hedge_delay_follows_the_usual_latency_only() {
     let settings = PaceSettings::default();
     let mut pace = Pace::default();
-    assert_eq!(pace.hedge_delay(&settings, ms(100)), ms(35));
+    assert_eq!(pace.hedge_delay(&settings, ms(100)), ms(30));
     for step in 0..200 {
         let pause = step % 25 == 24;
         pace.observe(&settings, if pause { ms(160) } else { ms(10 + step % 4) });
     }
-    let delay = pace.hedge_delay(&settings, ms(100));
-    assert!(delay > ms(14) && delay < ms(35), "{delay:?}");
+    assert_eq!(pace.usual(), Some(ms(12)));
+    assert_eq!(pace.hedge_delay(&settings, ms(100)), ms(13));
+    for _ in 0..200 {
+        pace.observe(&settings, ms(300));
+    }
+    assert_eq!(pace.hedge_delay(&settings, ms(100)), ms(40));
 }
--- /dev/null
+++ b/crates/serve/tests/members.rs
@@ -0,0 +1,121 @@
+//! Who reads the store, and what daemons tell one another.
+
+mod common;
+
+use common::ms;
+use common::sighting;
+
+use tt_serve::ListingSettings;
+use tt_serve::MemberSettings;
+use tt_serve::MemberState;
+use tt_serve::Members;
+use tt_serve::News;
+use tt_serve::Next;
+use tt_serve::SearcherState;
+use tt_serve::Sighting;
+use tt_serve::Standing;
+use tt_serve::Time;
+use tt_serve::Vm;
+use tt_serve::digest;
+use tt_serve::news;
+use tt_serve::next;
+
+fn vm(name: &str, domain: &str) -> Vm {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    Vm { name: name.to_owned(), front: address, peer: address, domain: domain.to_owned() }
+}
+
+fn standing(version: u64, digest: u64, listed: Option<Time>) -> Standing {
+    Standing { state: MemberState::Open, version, digest, listed }
+}
+
+/// The view of `c` in the domain `x` with `a` and `b`; the domain `y` has `d` to `g`.
+fn tier() -> Members {
+    let mut members = Members::new(MemberSettings::default(), vm("c", "x"));
+    for (name, domain) in [("a", "x"), ("b", "x"), ("d", "y"), ("e", "y"), ("f", "y"), ("g", "y")] {
+        members.hear(vm(name, domain), standing(1, 0, Some(ms(0))), ms(0));
+    }
+    members
+}
+
+// Guards against each daemon reading the store, and against none reading it when the first fails.
+#[test]
+fn the_first_of_a_domain_reads_and_the_others_step_in_when_it_is_overdue() {
+    let settings = ListingSettings::default();
+    let members = tier();
+    assert_eq!(members.rank(ms(100)), 2);
+    let read = |listed, now| next(&members, &settings, listed, now) == Next::Read;
+    assert!(read(None, ms(0)));
+    assert!(!read(Some(ms(0)), ms(1600)));
+    assert!(read(Some(ms(0)), ms(1650)));
+    // All others are silent by now, so that this one is the first.
+    assert_eq!(members.rank(ms(1800)), 0);
+    assert!(read(Some(ms(900)), ms(1800)));
+}
+
+// Guards against heartbeats of all to all, which grow with the square of the fleet.
+#[test]
+fn only_two_daemons_of_a_domain_speak_to_others() {
+    let members = tier();
+    let names = |members: &Members| -> Vec<String> {
+        members.targets(ms(100)).iter().map(|it| it.vm.name.clone()).collect()
+    };
+    assert_eq!(names(&members), ["a", "b"], "the third of its domain");
+    let mut second = Members::new(MemberSettings::default(), vm("b", "x"));
+    for (name, domain) in [("a", "x"), ("c", "x"), ("d", "y"), ("e", "y"), ("f", "y")] {
+        second.hear(vm(name, domain), standing(1, 0, None), ms(0));
+    }
+    assert_eq!(names(&second), ["a", "c", "e"], "the second speaks to the second");
+    let news = |domain| -> Vec<String> {
+        second.news(domain, ms(100)).iter().map(|it| it.vm.name.clone()).collect()
+    };
+    assert_eq!(news("x"), ["d", "e", "f"]);
+    assert_eq!(news("y"), ["a", "c"]);
+}
+
+// Guards against what was passed on late taking back what was heard directly.
+#[test]
+fn an_older_report_changes_nothing() {
+    let mut members = tier();
+    let stopping = Standing { state: MemberState::Stopping, ..standing(1, 0, None) };
+    members.hear(vm("a", "x"), stopping, ms(500));
+    members.hear(vm("a", "x"), standing(1, 0, None), ms(400));
+    assert!(members.open(ms(600)).all(|member| member.vm.name != "a"));
+}
+
+// Guards against reads of what is known already, and against reads across domains.
+#[test]
+fn a_view_is_fetched_only_if_it_brings_something() {
+    let settings = ListingSettings::default();
+    let own = standing(5, 7, Some(ms(1000)));
+    let cases = [
+        ("x", standing(5, 7, Some(ms(900))), false, News::None),
+        ("x", standing(5, 7, Some(ms(1500))), false, News::Confirmed(ms(1500))),
+        ("x", standing(5, 8, Some(ms(1500))), false, News::Fetch),
+        ("x", standing(6, 7, Some(ms(900))), false, News::Fetch),
+        ("y", standing(5, 8, Some(ms(1500))), false, News::None),
+        ("y", standing(6, 7, Some(ms(900))), false, News::None),
+        ("y", standing(6, 7, Some(ms(900))), true, News::Fetch),
+    ];
+    for (domain, theirs, late, expect) in cases {
+        let mut members = Members::new(MemberSettings::default(), vm("c", "x"));
+        members.hear(vm("a", domain), theirs.clone(), ms(2000));
+        let member = members.heard(ms(2000)).next().expect("it was heard");
+        assert_eq!(news(member, "x", &own, &settings, late, ms(2000)), expect, "{theirs:?}");
+    }
+    let mut members = Members::new(MemberSettings::default(), vm("c", "x"));
+    members.hear(vm("a", "y"), standing(5, 8, Some(ms(3900))), ms(4000));
+    let member = members.heard(ms(4000)).next().expect("it was heard");
+    let old = news(member, "x", &own, &settings, false, ms(4000));
+    assert_eq!(old, News::Fetch, "the own listing is old");
+}
+
+// Guards against a digest that changes with each heartbeat of a searcher, or misses a change.
+#[test]
+fn the_digest_tells_states_and_not_heartbeats() {
+    let before = digest(&[sighting("a", 1), sighting("b", 1)]);
+    assert_eq!(before, digest(&[sighting("b", 9), sighting("a", 9)]));
+    let draining = Sighting { state: SearcherState::Draining, ..sighting("a", 2) };
+    assert_ne!(before, digest(&[draining, sighting("b", 1)]));
+    assert_ne!(before, digest(&[sighting("a", 1)]));
+}
