perf: give each shard an owner in a domain, and let late shards follow the first answer of a relay

Cause: on the grown sites any daemon asked any searcher about once a second, so that none knew which searchers pause or are slow, and each part of a query held its answer back for its own share of the coverage. Change: within a domain each shard has one daemon (rendezvous hash) that asks for it and may hold more connections to it; a relay answers at its cutoff with what it has, what comes later follows on the same answer.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -1,24 +1,40 @@
 //! Answers to callers.
 
+use std::convert::Infallible;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::Either;
 use http_body_util::Full;
+use http_body_util::StreamBody;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Frame;
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use tokio_stream::wrappers::ReceiverStream;
 
 use crate::attempt::Reply;
-use crate::parts::Parts;
+use crate::parts::Part;
 use tt_adapter::headers;
 use tt_serve::RECORD_BYTES;
 use tt_serve::merge;
 
 /// The body of an answer.
-pub(crate) type Body = Full<Bytes>;
+pub(crate) type Body = Either<Full<Bytes>, StreamBody<Frames>>;
+
+/// Pieces of a body that is sent as it comes.
+pub(crate) type Frames = ReceiverStream<Result<Frame<Bytes>, Infallible>>;
+
+/// A body that is there as a whole.
+pub(crate) fn whole<B>(body: B) -> Body
+where
+    B: Into<Bytes>,
+{
+    Either::Left(Full::new(body.into()))
+}
 
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
@@ -48,7 +64,7 @@
 
 /// A searcher's answer, unchanged.
 pub(crate) fn pass_on(reply: Reply) -> Response<Body> {
-    let mut response = Response::new(Full::new(reply.body));
+    let mut response = Response::new(whole(reply.body));
     *response.status_mut() = reply.status;
     *response.headers_mut() = reply.headers;
     remove_connection_headers(response.headers_mut());
@@ -56,12 +72,13 @@
 }
 
 /// The answer to a query over `shards` shards from the parts that came.
-pub(crate) fn gathered(id: &str, parts: &Parts, shards: usize, top: usize) -> Response<Body> {
-    let body = merge(parts.records.iter().map(Bytes::as_ref), top);
+pub(crate) fn gathered(id: &str, parts: &[Part], shards: usize, top: usize) -> Response<Body> {
+    let body = merge(parts.iter().map(|part| part.records.as_ref()), top);
     debug_assert_eq!(body.len() % RECORD_BYTES, 0);
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(whole(body));
     let headers = response.headers_mut();
-    let signatures: Vec<&[u8]> = parts.signatures.iter().map(HeaderValue::as_bytes).collect();
+    let signatures: Vec<&[u8]> =
+        parts.iter().flat_map(|part| &part.signatures).map(HeaderValue::as_bytes).collect();
     insert(headers, headers::PART_SIGNATURES, &signatures.join(&b", "[..]));
     headers.insert(headers::MISSING_PARTS, HeaderValue::from((shards - signatures.len()) as u64));
     insert(headers, headers::REQUEST_ID, id.as_bytes());
@@ -86,7 +103,7 @@
     come_back: Option<Duration>,
 ) -> Response<Body> {
     let body = serde_json::json!({ "error": text }).to_string();
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(whole(body));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -1,6 +1,8 @@
 //! One send of a request to a searcher.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -49,6 +51,8 @@
     pub(crate) gather: bool,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
+    /// Whether it ended with an answer, and not because the caller left.
+    pub(crate) finished: AtomicBool,
 }
 
 /// A searcher's answer.
@@ -149,7 +153,10 @@
     /// Ends some time after the request has.
     async fn abandoned(&self) {
         self.events.closed().await;
-        sleep(self.entry.settings.linger).await;
+        // The searcher of a caller that has left must stop soon.
+        let gone = !self.outgoing.finished.load(Ordering::Relaxed);
+        let settings = &self.entry.settings;
+        sleep(if gone { settings.gone_linger } else { settings.linger }).await;
     }
 
     fn learn(&self, outcome: &Outcome) {
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -26,7 +25,7 @@
         return answer::refusal(StatusCode::NOT_FOUND, "no such page", None);
     }
     if entry.is_open() {
-        Response::new(Full::new(Bytes::new()))
+        Response::new(answer::whole(Bytes::new()))
     } else {
         answer::refusal(StatusCode::SERVICE_UNAVAILABLE, "not ready", None)
     }
@@ -42,7 +41,7 @@
         return answer::refusal(StatusCode::SERVICE_UNAVAILABLE, "no daemon is ready", None);
     }
     let body = paths::directory_answer(&addresses, entry.settings.directory_ttl_s);
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(answer::whole(body));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
     response
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -26,6 +26,7 @@
 use tt_serve::Registry;
 use tt_serve::RouteTable;
 use tt_serve::SearcherKey;
+use tt_serve::Sharers;
 use tt_serve::Sighting;
 use tt_serve::Standing;
 use tt_serve::Time;
@@ -227,11 +228,17 @@
             }
             let name = vm.name.clone();
             if members.store(vm, now) {
-                log::info!("member: vm={name} state=stored sharers={}", members.sharers(now));
+                log::info!(
+                    "member: vm={name} state=stored sharers={}",
+                    members.sharers(now).daemons
+                );
             }
         }
         for name in members.expire(now) {
-            log::info!("member: vm={name} state=forgotten sharers={}", members.sharers(now));
+            log::info!(
+                "member: vm={name} state=forgotten sharers={}",
+                members.sharers(now).daemons
+            );
         }
     }
 
@@ -244,11 +251,11 @@
         let name = vm.name.clone();
         let mut members = lock(&self.members);
         if members.hear(vm, standing, heard) {
-            log::info!("member: vm={name} state=heard sharers={}", members.sharers(now));
+            log::info!("member: vm={name} state=heard sharers={}", members.sharers(now).daemons);
         }
     }
 
-    pub(crate) fn sharers(&self) -> usize {
+    pub(crate) fn sharers(&self) -> Sharers {
         lock(&self.members).sharers(self.now())
     }
 
@@ -264,9 +271,9 @@
     /// Takes one extra send to `pool` from this daemon's part of the budget.
     pub(crate) fn take_extra(&self, pool: PoolKey) -> bool {
         let settings = self.budget_settings();
-        let sharers = self.sharers();
+        let daemons = self.sharers().daemons;
         let mut budgets = lock(&self.budgets);
-        budgets.entry(pool).or_default().take(&settings, sharers, self.now())
+        budgets.entry(pool).or_default().take(&settings, daemons, self.now())
     }
 
     fn budget_settings(&self) -> BudgetSettings {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -349,7 +349,7 @@
         restored_age: restored.map(|at| age(entry, at)),
     };
     match serde_json::to_vec(&view) {
-        Ok(bytes) => Response::new(Full::new(Bytes::from(bytes))),
+        Ok(bytes) => Response::new(answer::whole(bytes)),
         Err(error) => {
             log::error!("peer: view=\"{error}\"");
             answer::refusal(StatusCode::INTERNAL_SERVER_ERROR, "no view", None)
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -1,43 +1,53 @@
 //! Shards that one daemon asks for another: one request and one merged answer in place of many.
 
+use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use http_body_util::StreamBody;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use prost::Message;
+use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
+use tokio_stream::wrappers::ReceiverStream;
 
 use crate::answer;
 use crate::answer::Body;
 use crate::attempt::Outgoing;
 use crate::entry::Entry;
 use crate::links::Wanted;
+use crate::parts::Part;
 use crate::sync::lock;
 use crate::work::Event;
-use crate::work::Finished;
+use crate::work::Running;
 use crate::work::Work;
 use tt_adapter::headers;
 use tt_serve::CompiledTarget;
 use tt_serve::Plan;
 use tt_serve::Reach;
 use tt_serve::Time;
+use tt_serve::Verdict;
 use tt_serve::Vm;
 use tt_serve::merge;
 
@@ -47,6 +57,9 @@
 /// Longest request or answer between daemons.
 const MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
+/// Late answers that wait to be sent.
+const WAITING_FRAMES: usize = 4;
+
 /// Connections to one other daemon at most.
 const CONNECTIONS: usize = 64;
 
@@ -64,7 +77,7 @@
 
 /// Time that an answer which is no longer needed may still take, so that its connection can be
 /// used again.
-const LINGER: Duration = Duration::from_millis(80);
+const LINGER: Duration = Duration::from_millis(150);
 
 /// A request for shards.
 #[derive(Clone, PartialEq, Message)]
@@ -139,42 +152,47 @@
     pub(crate) numbers: Option<Arc<[u32]>>,
     pub(crate) reach: Reach,
     pub(crate) events: UnboundedSender<Event>,
+    /// Whether it has brought anything.
+    pub(crate) answered: AtomicBool,
 }
 
-/// What another daemon has brought.
-#[derive(Debug)]
-pub(crate) enum Brought {
-    /// Parts of the shards that answered.
-    Parts { answered: Vec<usize>, signatures: Vec<HeaderValue>, records: Bytes },
+/// Why a daemon brings no more shards.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RelayEnd {
+    /// It has brought what it could.
+    Done,
     /// It has asked no searcher.
     Refused,
-    /// It did not answer; it may have sent to this many searchers of each shard.
-    Unknown { runs: u32 },
+    /// It may have sent to this many searchers of each shard.
+    Unknown {
+        /// Sends.
+        runs: u32,
+    },
 }
 
-/// Asks another daemon for shards and reports what it brought.
+/// Asks another daemon for shards and reports what it brings.
 pub(crate) async fn ask(ask: Ask) {
-    let brought = tokio::select! {
-        brought = ask.exchange_or_avoid() => brought,
+    let end = tokio::select! {
+        end = ask.exchange_or_avoid() => end,
         () = sleep_until(ask.entry.clock.at(ask.limit)) => ask.silent(),
         () = ask.abandoned() => return,
     };
     let Ask { shards, events, .. } = ask;
     // The request may have ended without these shards.
-    let _ = events.send(Event::Relayed { shards, brought });
+    let _ = events.send(Event::Ended { shards, end });
 }
 
 impl Ask {
-    /// The other daemon answers at its cutoff, or later if it covers too little by then. One
-    /// that is late may be cut off: no more shards are left to it meanwhile.
-    async fn exchange_or_avoid(&self) -> Brought {
+    /// The other daemon answers at its cutoff, with what it has by then. One that is late may be
+    /// cut off: no more shards are left to it meanwhile.
+    async fn exchange_or_avoid(&self) -> RelayEnd {
         let exchange = self.exchange();
         tokio::pin!(exchange);
         let late = self.entry.clock.at(self.cutoff + LATE);
         match timeout_at(late, exchange.as_mut()).await {
-            Ok(brought) => brought,
+            Ok(end) => end,
             Err(_) => {
-                self.avoid("late");
+                self.avoid_if_silent();
                 exchange.await
             }
         }
@@ -182,10 +200,12 @@
 
     async fn abandoned(&self) {
         self.events.closed().await;
-        sleep(LINGER).await;
+        if self.outgoing.finished.load(Ordering::Relaxed) {
+            sleep(LINGER).await;
+        }
     }
 
-    async fn exchange(&self) -> Brought {
+    async fn exchange(&self) -> RelayEnd {
         let link = self.entry.peers.of(self.relay.peer);
         let wanted = Wanted {
             address: self.relay.peer,
@@ -195,25 +215,44 @@
             until: self.outgoing.deadline,
         };
         let Ok(mut connection) = link.acquire(wanted).await else {
-            return self.refused("unreachable");
+            self.avoid("unreachable");
+            return RelayEnd::Refused;
         };
         let (Some(sender), Some(request)) = (connection.sender.as_mut(), self.request()) else {
-            return Brought::Refused;
+            return RelayEnd::Refused;
         };
         let sent = self.entry.now();
         let response = match sender.try_send_request(request).await {
             Ok(response) => response,
-            Err(error) if error.message().is_some() => return Brought::Refused,
+            Err(error) if error.message().is_some() => return RelayEnd::Refused,
             Err(_) => return self.broken(sent),
         };
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MESSAGE_BYTES);
-        let Ok(body) = body.collect().await else { return self.broken(sent) };
-        connection.give_back(None);
-        if status != StatusCode::OK {
-            return Brought::Refused;
+        if response.status() != StatusCode::OK {
+            return RelayEnd::Refused;
+        }
+        match self.read(response.into_body()).await {
+            Some(()) => {
+                connection.give_back(None);
+                RelayEnd::Done
+            }
+            None => self.broken(sent),
         }
-        self.decode(body.to_bytes()).unwrap_or_else(|| self.broken(sent))
+    }
+
+    /// Takes the shards as they come. `None` if the answer is not whole.
+    async fn read(&self, mut body: Incoming) -> Option<()> {
+        let mut received = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else { continue };
+            received.extend_from_slice(&data);
+            while let Some(message) = next_message(&mut received)? {
+                self.answered.store(true, Ordering::Relaxed);
+                let part = self.decode(message)?;
+                // The request may have ended without these shards.
+                let _ = self.events.send(Event::Arrived(part));
+            }
+        }
+        received.is_empty().then_some(())
     }
 
     fn request(&self) -> Option<Request<Full<Bytes>>> {
@@ -253,40 +292,39 @@
         self.numbers.as_ref().map_or(shard as u32, |numbers| numbers[shard])
     }
 
-    fn decode(&self, body: Bytes) -> Option<Brought> {
-        let message = GatherResponse::decode(body).ok()?;
+    fn decode(&self, message: GatherResponse) -> Option<Part> {
         let place = |number: &u32| self.shards.iter().find(|&&it| self.number(it) == *number);
-        let answered: Option<Vec<usize>> =
+        let shards: Option<Vec<usize>> =
             message.shards.iter().map(|number| place(number).copied()).collect();
-        let answered = answered.filter(|it| it.len() == message.signatures.len())?;
+        let shards = shards.filter(|it| it.len() == message.signatures.len())?;
         let signatures: Result<Vec<HeaderValue>, _> =
             message.signatures.into_iter().map(HeaderValue::try_from).collect();
-        let (signatures, records) = (signatures.ok()?, Bytes::from(message.records));
-        Some(Brought::Parts { answered, signatures, records })
-    }
-
-    /// Nothing has reached the other daemon.
-    fn refused(&self, cause: &str) -> Brought {
-        self.avoid(cause);
-        Brought::Refused
+        Some(Part { shards, signatures: signatures.ok()?, records: message.records.into() })
     }
 
     /// The connection broke. Until the first hedge delay each shard has one send at most.
-    fn broken(&self, sent: Time) -> Brought {
+    fn broken(&self, sent: Time) -> RelayEnd {
         self.avoid("broken");
         let now = self.entry.now();
         let settings = &self.entry.settings;
         let delay = self
             .entry
             .pace(&self.outgoing.route, |pace| pace.usual().unwrap_or(settings.pace.floor));
-        let runs = if now < sent + delay { 1 } else { u32::MAX };
-        Brought::Unknown { runs }
+        let answered = self.answered.load(Ordering::Relaxed);
+        let runs = if now < sent + delay && !answered { 1 } else { u32::MAX };
+        RelayEnd::Unknown { runs }
     }
 
-    fn silent(&self) -> Brought {
-        self.avoid("silent");
+    fn avoid_if_silent(&self) {
+        if !self.answered.load(Ordering::Relaxed) {
+            self.avoid("late");
+        }
+    }
+
+    fn silent(&self) -> RelayEnd {
+        self.avoid_if_silent();
         self.entry.peers.of(self.relay.peer).close_idle();
-        Brought::Unknown { runs: u32::MAX }
+        RelayEnd::Unknown { runs: u32::MAX }
     }
 
     fn avoid(&self, cause: &str) {
@@ -316,21 +354,8 @@
     };
     match prepare(entry, &message) {
         Some((work, top)) => {
-            let started = work.entry.now();
-            let entry = work.entry.clone();
             let reach = if message.share { Reach::Domain } else { Reach::Nobody };
-            let finished = work.run(reach).await;
-            log::info!(
-                "relay: id={} version={} shards={} answered={} hedges={} took_ms={:.1} cutoff_ms={}",
-                message.id,
-                message.version,
-                finished.query.shards(),
-                finished.query.answered(),
-                finished.query.hedges(),
-                entry.now().saturating_sub(started).as_secs_f64() * 1000.0,
-                message.cutoff_ms
-            );
-            respond(&message, finished, top)
+            respond(message, work, reach, top).await
         }
         // The daemon that asked has another version.
         None => answer::refusal(StatusCode::CONFLICT, "not here", None),
@@ -341,7 +366,7 @@
     let in_force = entry.in_force().filter(|it| it.table.version == message.version)?;
     let uri: Uri = message.target.parse().ok()?;
     let route = in_force.table.find(&message.host, uri.path())?.clone();
-    let CompiledTarget::Gather { pools, top, need } = &route.target else { return None };
+    let CompiledTarget::Gather { pools, top, .. } = &route.target else { return None };
     let shards: Option<Vec<_>> =
         message.shards.iter().map(|&shard| pools.get(shard as usize).copied()).collect();
     let shards = shards.filter(|it| !it.is_empty())?;
@@ -350,11 +375,10 @@
     let hedge =
         entry.pace(&route.route.name, |pace| pace.hedge_delay(&settings.pace, route.route.goal));
     let limit = now + Duration::from_millis(u64::from(message.limit_ms));
-    // Rounded down: the daemon that asked may cover what is missing with its own shards.
-    let need = (shards.len() * need / pools.len()).max(1);
     let plan = Plan {
         pools: shards,
-        need,
+        // The daemon that asked knows whether enough is covered.
+        need: 0,
         attempts: route.route.attempts,
         repeat: route.route.repeat,
         hedge,
@@ -371,6 +395,7 @@
         repeat: route.route.repeat,
         gather: true,
         deadline: Instant::now() + limit.saturating_sub(now),
+        finished: AtomicBool::new(false),
     };
     let numbers = Some(message.shards.as_slice().into());
     Some((Work { entry, in_force, outgoing: Arc::new(outgoing), plan, numbers }, *top))
@@ -387,13 +412,91 @@
     Some(headers)
 }
 
-fn respond(message: &GatherRequest, finished: Finished, top: usize) -> Response<Body> {
-    let Finished { query, replies, .. } = finished;
-    let answered = (0..message.shards.len()).filter(|&index| query.is_answered(index));
-    let response = GatherResponse {
-        shards: answered.map(|index| message.shards[index]).collect(),
-        signatures: replies.parts.signatures.iter().map(|it| it.as_bytes().to_vec()).collect(),
-        records: merge(replies.parts.records.iter().map(Bytes::as_ref), top),
+/// Answers at the cutoff, or before if all shards are settled. What comes later follows.
+async fn respond(message: GatherRequest, work: Work, reach: Reach, top: usize) -> Response<Body> {
+    let entry = work.entry.clone();
+    let outgoing = work.outgoing.clone();
+    let started = entry.now();
+    let mut running = work.start(reach);
+    running.verdict().await;
+    let first = collect(&message, &mut running, top).encode_length_delimited_to_vec();
+    let query = &running.query;
+    log::info!(
+        "relay: id={} version={} shards={} answered={} hedges={} took_ms={:.1} cutoff_ms={}",
+        message.id,
+        message.version,
+        query.shards(),
+        query.answered(),
+        query.hedges(),
+        entry.now().saturating_sub(started).as_secs_f64() * 1000.0,
+        message.cutoff_ms
+    );
+    if query.is_settled() {
+        outgoing.finished.store(true, Ordering::Relaxed);
+        return Response::new(answer::whole(first));
+    }
+    let (sender, frames) = mpsc::channel(WAITING_FRAMES);
+    tokio::spawn(async move {
+        if sender.send(Ok(Frame::data(Bytes::from(first)))).await.is_ok() {
+            tokio::select! {
+                () = follow_up(message, running, top, &sender) => {
+                    outgoing.finished.store(true, Ordering::Relaxed);
+                }
+                // The caller may have left.
+                () = sender.closed() => {}
+            }
+        }
+    });
+    Response::new(Body::Right(StreamBody::new(ReceiverStream::new(frames))))
+}
+
+/// Sends the shards that come after the cutoff, until the end of the request.
+async fn follow_up(
+    message: GatherRequest,
+    mut running: Running,
+    top: usize,
+    sender: &mpsc::Sender<Result<Frame<Bytes>, Infallible>>,
+) {
+    running.query.settle();
+    let entry = running.entry();
+    while let Verdict::Wait(wake) = running.query.verdict(entry.now()) {
+        running.step(wake).await;
+        let response = collect(&message, &mut running, top);
+        if response.shards.is_empty() {
+            continue;
+        }
+        let frame = Frame::data(Bytes::from(response.encode_length_delimited_to_vec()));
+        if sender.send(Ok(frame)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// What has come since the last call.
+fn collect(message: &GatherRequest, running: &mut Running, top: usize) -> GatherResponse {
+    let parts = running.replies.parts.take();
+    let shards = parts.iter().flat_map(|part| &part.shards);
+    let signatures = parts.iter().flat_map(|part| &part.signatures);
+    GatherResponse {
+        shards: shards.map(|&index| message.shards[index]).collect(),
+        signatures: signatures.map(|it| it.as_bytes().to_vec()).collect(),
+        records: merge(parts.iter().map(|part| part.records.as_ref()), top),
+    }
+}
+
+/// Takes the next message, if it is whole. `None` if there can't be one.
+fn next_message(received: &mut BytesMut) -> Option<Option<GatherResponse>> {
+    let Ok(length) = prost::decode_length_delimiter(&received[..]) else {
+        // A length takes ten bytes at most.
+        return (received.len() < 10).then_some(None);
     };
-    Response::new(Full::new(Bytes::from(response.encode_to_vec())))
+    if length > MESSAGE_BYTES {
+        return None;
+    }
+    let head = prost::length_delimiter_len(length);
+    if received.len() < head + length {
+        return Some(None);
+    }
+    let message = received.split_to(head + length).split_off(head);
+    GatherResponse::decode(message).ok().map(Some)
 }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -1,6 +1,8 @@
 //! One request of a caller, from its head to its answer.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,7 +23,7 @@
 use crate::entry::Entry;
 use crate::entry::InForce;
 use crate::parts::Replies;
-use crate::work::Finished;
+use crate::work::Running;
 use crate::work::Work;
 use tt_adapter::headers;
 use tt_serve::CompiledRoute;
@@ -128,6 +130,7 @@
             repeat: plan.repeat,
             gather: matches!(self.route.target, CompiledTarget::Gather { .. }),
             deadline,
+            finished: AtomicBool::new(false),
         });
         let work = Work {
             entry: self.entry.clone(),
@@ -136,8 +139,11 @@
             plan,
             numbers: None,
         };
-        let finished = work.run(Reach::Everywhere).await;
-        self.finish(&outgoing, finished)
+        let mut running = work.start(Reach::Everywhere);
+        let verdict = running.verdict().await;
+        outgoing.finished.store(true, Ordering::Relaxed);
+        let Running { query, replies, .. } = running;
+        self.finish(&outgoing, verdict, &query, replies)
     }
 
     fn plan(&self) -> Option<Plan> {
@@ -162,13 +168,18 @@
         })
     }
 
-    fn finish(&self, outgoing: &Outgoing, finished: Finished) -> Response<Body> {
-        let Finished { verdict, query, replies } = finished;
+    fn finish(
+        &self,
+        outgoing: &Outgoing,
+        verdict: Verdict,
+        query: &Query,
+        replies: Replies,
+    ) -> Response<Body> {
         let now = self.entry.now();
         let took = now.saturating_sub(self.started);
         let last = replies.last;
         let (outcome, response) = match verdict {
-            Verdict::Answer => ("answered", self.success(outgoing, &query, replies)),
+            Verdict::Answer => ("answered", self.success(outgoing, query, replies)),
             Verdict::Fail(failure) => self.failure(failure, replies, now),
             // A request is only finished with a verdict.
             Verdict::Wait(_) => self.failure(Failure::Timeout, replies, now),
@@ -191,10 +202,10 @@
         response
     }
 
-    fn success(&self, outgoing: &Outgoing, query: &Query, replies: Replies) -> Response<Body> {
-        match (&self.route.target, replies.answer) {
+    fn success(&self, outgoing: &Outgoing, query: &Query, mut replies: Replies) -> Response<Body> {
+        match (&self.route.target, replies.answer.take()) {
             (CompiledTarget::Gather { top, .. }, _) => {
-                answer::gathered(&outgoing.id, &replies.parts, query.shards(), *top)
+                answer::gathered(&outgoing.id, &replies.parts.take(), query.shards(), *top)
             }
             (_, Some(reply)) => answer::pass_on(reply),
             (_, None) => answer::refusal(StatusCode::BAD_GATEWAY, "no answer", None),
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -37,6 +37,8 @@
     /// Time that a send goes on after its request has ended: its answer tells how the searcher
     /// is, and its connection can be used again.
     pub linger: Duration,
+    /// The same after the caller has left.
+    pub gone_linger: Duration,
     /// Time that the way to the caller and back takes, kept free before the objective.
     pub caller_way: Duration,
     /// Time kept free before the deadline of a request.
@@ -73,6 +75,7 @@
             peer_wait: Duration::from_millis(400),
             connect: Duration::from_millis(250),
             linger: Duration::from_millis(350),
+            gone_linger: Duration::from_millis(250),
             caller_way: Duration::from_millis(18),
             end_margin: Duration::from_millis(8),
             answer_bytes: 4 * 1024 * 1024,
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -1,6 +1,7 @@
 //! One request from its first send to its verdict.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -15,22 +16,25 @@
 use crate::attempt::Report;
 use crate::entry::Entry;
 use crate::entry::InForce;
+use crate::parts::Part;
 use crate::parts::Replies;
 use crate::relay;
 use crate::relay::Ask;
-use crate::relay::Brought;
+use crate::relay::RelayEnd;
 use crate::sync::lock;
+use tt_serve::Assignment;
 use tt_serve::Delegation;
 use tt_serve::Ended;
-use tt_serve::Failure;
 use tt_serve::Member;
 use tt_serve::Plan;
 use tt_serve::PoolKey;
 use tt_serve::Query;
 use tt_serve::Reach;
 use tt_serve::Send;
+use tt_serve::Time;
+use tt_serve::Use;
 use tt_serve::Verdict;
-use tt_serve::delegate;
+use tt_serve::assign;
 
 /// Distinguishes the sends of this process.
 static NEXT_TOKEN: AtomicU64 = AtomicU64::new(0);
@@ -50,10 +54,13 @@
     pub(crate) numbers: Option<Arc<[u32]>>,
 }
 
-/// What came of the work.
+/// A request whose first sends have left.
 #[derive(Debug)]
-pub(crate) struct Finished {
-    pub(crate) verdict: Verdict,
+pub(crate) struct Running {
+    work: Work,
+    owned: Vec<bool>,
+    sender: UnboundedSender<Event>,
+    events: UnboundedReceiver<Event>,
     pub(crate) query: Query,
     pub(crate) replies: Replies,
 }
@@ -63,14 +70,21 @@
 pub(crate) enum Event {
     /// A send to a searcher has ended.
     Sent(Report),
-    /// A daemon that was asked for shards has answered, or not.
-    Relayed { shards: Vec<usize>, brought: Brought },
+    /// A daemon has brought shards.
+    Arrived(Part),
+    /// A daemon brings no more of these shards.
+    Ended {
+        /// The shards that it was asked for.
+        shards: Vec<usize>,
+        /// Why.
+        end: RelayEnd,
+    },
 }
 
 impl Work {
-    /// Sends, hedges and retries until there is a verdict.
-    pub(crate) async fn run(self, reach: Reach) -> Finished {
-        let delegations = if self.outgoing.gather { self.delegations(reach) } else { Vec::new() };
+    /// Makes the first sends.
+    pub(crate) fn start(self, reach: Reach) -> Running {
+        let Assignment { delegations, owned } = self.assignment(reach);
         let delegated = |shard: &usize| delegations.iter().any(|it| it.shards.contains(shard));
         let own = (0..self.plan.pools.len()).filter(|shard| !delegated(shard));
         let own: Vec<PoolKey> = own.map(|shard| self.plan.pools[shard]).collect();
@@ -79,26 +93,28 @@
         for delegation in &delegations {
             query.delegate(&delegation.shards);
         }
-        let (sender, receiver) = mpsc::unbounded_channel();
+        let (sender, events) = mpsc::unbounded_channel();
         let first = query.start(&mut lock(&self.entry.fleet), self.entry.now());
         if !matches!(query.verdict(self.entry.now()), Verdict::Fail(_)) {
             self.ask(delegations, &sender);
         }
-        self.send(first, &sender);
-        let mut replies = Replies::default();
-        let verdict = self.drive(&mut query, &sender, receiver, &mut replies).await;
-        Finished { verdict, query, replies }
+        let replies = Replies::default();
+        let running = Running { work: self, owned, sender, events, query, replies };
+        running.send(first);
+        running
     }
 
-    fn delegations(&self, reach: Reach) -> Vec<Delegation> {
+    fn assignment(&self, reach: Reach) -> Assignment {
+        if !self.outgoing.gather {
+            return Assignment { delegations: Vec::new(), owned: Vec::new() };
+        }
         let entry = &self.entry;
         let now = entry.now();
         let turn = NEXT_TURN.fetch_add(1, Ordering::Relaxed);
-        let version = self.in_force.table.version;
         let members = lock(&entry.members);
-        let relays: Vec<&Member> = members.relays(version, now).collect();
+        let relays: Vec<&Member> = members.relays(self.in_force.table.version, now).collect();
         let fleet = lock(&entry.fleet);
-        delegate(&self.plan.pools, &fleet, &entry.vm.domain, &relays, reach, turn, now)
+        assign(&self.plan.pools, &fleet, &entry.vm, &relays, reach, turn, now)
     }
 
     fn ask(&self, delegations: Vec<Delegation>, sender: &UnboundedSender<Event>) {
@@ -115,101 +131,111 @@
                 numbers: self.numbers.clone(),
                 reach,
                 events: sender.clone(),
+                answered: AtomicBool::new(false),
             };
             tokio::spawn(relay::ask(ask));
         }
     }
+}
 
-    fn send(&self, sends: Vec<Send>, sender: &UnboundedSender<Event>) {
-        let entry = &self.entry;
-        let sharers = entry.sharers();
-        let now = entry.now();
-        let share = entry.settings.connection_share;
-        for Send { shard, to } in sends {
-            let token = NEXT_TOKEN.fetch_add(1, Ordering::Relaxed);
-            lock(&entry.fleet).sent(to.key, token, now);
-            let pool = self.plan.pools[shard];
-            let attempt = Attempt {
-                entry: entry.clone(),
-                outgoing: self.outgoing.clone(),
-                shard,
-                cap: self.in_force.table.connections(pool, sharers, share),
-                to,
-                token,
-                events: sender.clone(),
-            };
-            tokio::spawn(attempt.run());
-        }
+impl Running {
+    /// The daemon that runs it.
+    pub(crate) fn entry(&self) -> Arc<Entry> {
+        self.work.entry.clone()
     }
 
-    async fn drive(
-        &self,
-        query: &mut Query,
-        sender: &UnboundedSender<Event>,
-        mut events: UnboundedReceiver<Event>,
-        replies: &mut Replies,
-    ) -> Verdict {
-        let entry = &self.entry;
+    /// Sends, hedges and retries until there is a verdict.
+    pub(crate) async fn verdict(&mut self) -> Verdict {
         loop {
-            let wake = match query.verdict(entry.now()) {
-                Verdict::Wait(wake) => wake,
+            match self.query.verdict(self.work.entry.now()) {
+                Verdict::Wait(wake) => self.step(wake).await,
                 verdict => return verdict,
-            };
-            let extra = |pool| entry.take_extra(pool);
-            let more = match timeout_at(entry.clock.at(wake), events.recv()).await {
-                Ok(Some(Event::Sent(report))) => self.sent(report, query, replies),
-                Ok(Some(Event::Relayed { shards, brought })) => {
-                    self.relayed(&shards, brought, query, replies)
-                }
-                // This function holds a sender, so that the channel stays open.
-                Ok(None) => return Verdict::Fail(Failure::Unknown),
-                Err(_) => query.hedge(&mut lock(&entry.fleet), extra, entry.now()),
-            };
-            self.send(more, sender);
+            }
         }
     }
 
-    fn sent(&self, report: Report, query: &mut Query, replies: &mut Replies) -> Vec<Send> {
-        let entry = &self.entry;
+    /// Waits for the next event, or until `wake`, and acts on it.
+    pub(crate) async fn step(&mut self, wake: Time) {
+        let entry = self.work.entry.clone();
+        let event = timeout_at(entry.clock.at(wake), self.events.recv()).await;
+        let more = match event {
+            Ok(Some(Event::Sent(report))) => self.sent(report),
+            Ok(Some(Event::Arrived(part))) => {
+                let shards = part.shards.clone();
+                if self.replies.parts.add(part) {
+                    self.query.arrived(&shards);
+                }
+                Vec::new()
+            }
+            Ok(Some(Event::Ended { shards, end })) => self.relay_ended(&shards, end),
+            // This object holds a sender, so that the channel stays open.
+            Ok(None) => Vec::new(),
+            Err(_) => {
+                let extra = |pool| entry.take_extra(pool);
+                self.query.hedge(&mut lock(&entry.fleet), extra, entry.now())
+            }
+        };
+        self.send(more);
+    }
+
+    fn sent(&mut self, report: Report) -> Vec<Send> {
+        let entry = self.work.entry.clone();
         let Report { shard, mut ended, cause, reply } = report;
-        replies.last = Some(cause);
+        self.replies.last = Some(cause);
         match (ended, reply) {
-            (Ended::Answer, Some(reply)) if !query.is_answered(shard) => {
-                if !replies.take(reply, self.outgoing.gather) {
+            (Ended::Answer, Some(reply)) if !self.query.is_answered(shard) => {
+                if !self.replies.take(shard, reply, self.work.outgoing.gather) {
                     ended = Ended::Unknown;
                 }
             }
-            (Ended::Failed, Some(reply)) => replies.failed = Some(reply),
+            (Ended::Failed, Some(reply)) => self.replies.failed = Some(reply),
             _ => {}
         }
         let extra = |pool| entry.take_extra(pool);
-        let more = query.ended(shard, ended, &mut lock(&entry.fleet), extra, entry.now());
-        more.into_iter().collect()
+        let mut fleet = lock(&entry.fleet);
+        self.query.ended(shard, ended, &mut fleet, extra, entry.now()).into_iter().collect()
     }
 
-    fn relayed(
-        &self,
-        shards: &[usize],
-        brought: Brought,
-        query: &mut Query,
-        replies: &mut Replies,
-    ) -> Vec<Send> {
-        let entry = &self.entry;
-        match brought {
-            Brought::Parts { answered, signatures, records } => {
-                let answered =
-                    if replies.parts.add(&signatures, records) { answered } else { Vec::new() };
-                query.returned(shards, &answered);
-                Vec::new()
-            }
-            Brought::Refused => {
-                let pools: Vec<PoolKey> = shards.iter().map(|&it| self.plan.pools[it]).collect();
-                entry.count_requests(&pools);
-                query.take_back(shards, 0, &mut lock(&entry.fleet), entry.now())
+    fn relay_ended(&mut self, shards: &[usize], end: RelayEnd) -> Vec<Send> {
+        let entry = &self.work.entry;
+        let runs = match end {
+            RelayEnd::Done => {
+                self.query.missed(shards);
+                return Vec::new();
             }
-            Brought::Unknown { runs } => {
-                query.take_back(shards, runs, &mut lock(&entry.fleet), entry.now())
+            RelayEnd::Refused => {
+                let pool = |shard: &usize| self.work.plan.pools[*shard];
+                entry.count_requests(&shards.iter().map(pool).collect::<Vec<PoolKey>>());
+                0
             }
+            RelayEnd::Unknown { runs } => runs,
+        };
+        self.query.take_back(shards, runs, &mut lock(&entry.fleet), entry.now())
+    }
+
+    fn send(&self, sends: Vec<Send>) {
+        let Work { entry, in_force, outgoing, plan, .. } = &self.work;
+        let sharers = entry.sharers();
+        let now = entry.now();
+        let share = entry.settings.connection_share;
+        for Send { shard, to } in sends {
+            let token = NEXT_TOKEN.fetch_add(1, Ordering::Relaxed);
+            lock(&entry.fleet).sent(to.key, token, now);
+            let use_of = match self.owned.get(shard) {
+                None => Use::Alike,
+                Some(true) => Use::Owner,
+                Some(false) => Use::Guest,
+            };
+            let attempt = Attempt {
+                entry: entry.clone(),
+                outgoing: outgoing.clone(),
+                shard,
+                cap: in_force.table.connections(plan.pools[shard], sharers, use_of, share),
+                to,
+                token,
+                events: self.sender.clone(),
+            };
+            tokio::spawn(attempt.run());
         }
     }
 }
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::Time;
 
 /// A pool, for the life of the process.
@@ -125,6 +127,8 @@
     settings: FleetSettings,
     home: String,
     names: HashMap<String, PoolKey>,
+    /// Hash of the name of each pool.
+    hashes: Vec<u64>,
     pools: Vec<Vec<SearcherKey>>,
     entries: HashMap<SearcherKey, Entry>,
     next: u32,
@@ -138,6 +142,7 @@
             settings,
             home,
             names: HashMap::new(),
+            hashes: Vec::new(),
             pools: Vec::new(),
             entries: HashMap::new(),
             next: 0,
@@ -152,10 +157,16 @@
         }
         let key = PoolKey(self.pools.len() as u32);
         self.pools.push(Vec::new());
+        self.hashes.push(xxh3_64(name.as_bytes()));
         self.names.insert(name.to_owned(), key);
         key
     }
 
+    /// A hash of the name of a pool, the same on all daemons.
+    pub fn name_hash(&self, pool: PoolKey) -> u64 {
+        self.hashes[pool.0 as usize]
+    }
+
     /// Adds a new incarnation.
     pub fn add(&mut self, searcher: Searcher) -> SearcherKey {
         let key = SearcherKey(self.next);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -50,6 +50,7 @@
 pub use members::MemberSettings;
 pub use members::MemberState;
 pub use members::Members;
+pub use members::Sharers;
 pub use members::Standing;
 pub use members::Vm;
 pub use merge::RECORD_BYTES;
@@ -67,12 +68,14 @@
 pub use registry::SearcherState;
 pub use registry::Sighting;
 pub use registry::digest;
+pub use relays::Assignment;
 pub use relays::Delegation;
 pub use relays::Reach;
-pub use relays::delegate;
+pub use relays::assign;
 pub use routes::CompiledRoute;
 pub use routes::CompiledTarget;
 pub use routes::RouteTable;
+pub use routes::Use;
 
 /// Time since the start of the process, on the steady clock.
 pub type Time = std::time::Duration;
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -89,6 +89,15 @@
     }
 }
 
+/// Among whom shared limits are divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sharers {
+    /// All daemons.
+    pub daemons: usize,
+    /// Their failure domains.
+    pub domains: usize,
+}
+
 /// All other daemons.
 #[derive(Debug)]
 pub struct Members {
@@ -153,9 +162,14 @@
     }
 
     /// Daemons, this one included, among which shared limits are divided.
-    pub fn sharers(&self, now: Time) -> usize {
+    pub fn sharers(&self, now: Time) -> Sharers {
         let known = self.others.len() + 1;
-        if now < self.settings.settle { known.max(self.settings.least) } else { known }
+        let least = if now < self.settings.settle { self.settings.least } else { 1 };
+        let mut domains: Vec<&str> = self.others.values().map(|it| it.vm.domain.as_str()).collect();
+        domains.push(&self.me.domain);
+        domains.sort_unstable();
+        domains.dedup();
+        Sharers { daemons: known.max(least), domains: domains.len() }
     }
 
     /// The other daemons that take callers.
--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -151,6 +151,11 @@
         self.shards[shard].phase == Phase::Answered
     }
 
+    /// Whether each shard has answered or is given up.
+    pub fn is_settled(&self) -> bool {
+        self.answered + self.lost == self.shards.len()
+    }
+
     /// Shards in all.
     pub fn shards(&self) -> usize {
         self.shards.len()
@@ -163,20 +168,25 @@
         }
     }
 
-    /// Takes what another daemon has brought of the shards that were left to it: `answered` of
-    /// them, and no answer of the others.
-    pub fn returned(&mut self, shards: &[usize], answered: &[usize]) {
+    /// Takes shards that another daemon has brought.
+    pub fn arrived(&mut self, shards: &[usize]) {
         for &shard in shards {
             let state = &mut self.shards[shard];
-            if state.phase != Phase::Delegated {
-                continue;
-            }
-            // It was sent, whatever came of it.
-            state.runs = self.plan.attempts;
-            if answered.contains(&shard) {
+            if state.phase == Phase::Delegated {
+                // It was sent, whatever comes of it.
+                state.runs = self.plan.attempts;
                 state.phase = Phase::Answered;
                 self.answered += 1;
-            } else {
+            }
+        }
+    }
+
+    /// Gives up shards that another daemon was asked for and has not brought.
+    pub fn missed(&mut self, shards: &[usize]) {
+        for &shard in shards {
+            let state = &mut self.shards[shard];
+            if state.phase == Phase::Delegated {
+                state.runs = self.plan.attempts;
                 state.phase = Phase::Open;
                 self.worst = Failure::Unknown;
                 self.lose(shard);
@@ -184,6 +194,12 @@
         }
     }
 
+    /// From now on waits for all shards until the limit, and takes any number of them.
+    pub fn settle(&mut self) {
+        self.plan.need = 0;
+        self.plan.cutoff = Time::MAX;
+    }
+
     /// Takes back shards that another daemon does not ask for. It has run none of them twice:
     /// `runs` sends of each may have left.
     pub fn take_back(
--- a/crates/serve/src/relays.rs
+++ b/crates/serve/src/relays.rs
@@ -3,6 +3,10 @@
 //! Bytes between failure domains are dear. A daemon in the domain of the searchers asks many of
 //! them with one request and returns one merged answer.
 
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::Time;
 use crate::fleet::Fleet;
 use crate::fleet::PoolKey;
@@ -12,10 +16,6 @@
 /// Fewest shards that are worth a relay.
 const FEWEST_SHARDS: usize = 2;
 
-/// Most shards that one daemon asks for itself while there are others in its domain: the answers
-/// of many searchers come at once and wait for the processor.
-const MOST_SHARDS: usize = 12;
-
 /// Shards that one daemon asks for another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Delegation {
@@ -27,6 +27,15 @@
     pub reach: Reach,
 }
 
+/// Who asks for the shards of a query.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Assignment {
+    /// What others ask for.
+    pub delegations: Vec<Delegation>,
+    /// For each shard, whether this daemon is the one of its domain that usually asks for it.
+    pub owned: Vec<bool>,
+}
+
 /// Which daemons may be asked for shards.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reach {
@@ -38,50 +47,55 @@
     Everywhere,
 }
 
-/// Assigns shards to daemons within `reach`: those that have no usable searcher in `home` to one
-/// that is near to them, and of the others what is too much for one daemon to others in `home`.
-/// `turn` spreads the work over the daemons of a domain.
-pub fn delegate(
+/// Assigns shards to daemons within `reach`: those that have no usable searcher in the domain of
+/// `me` to one that is near to them, and each of the others to its owner in the domain, which
+/// knows its searchers best and holds connections to them. `turn` spreads the work over the
+/// daemons of another domain.
+pub fn assign(
     pools: &[PoolKey],
     fleet: &Fleet,
-    home: &str,
+    me: &Vm,
     relays: &[&Member],
     reach: Reach,
     turn: usize,
     now: Time,
-) -> Vec<Delegation> {
-    let all = 0..pools.len();
-    let (near, far): (Vec<usize>, Vec<usize>) =
-        all.partition(|&shard| fleet.is_usable_in(pools[shard], home, now));
-    match reach {
-        Reach::Nobody => Vec::new(),
-        Reach::Domain => share_out([near, far].concat(), home, relays, turn),
+) -> Assignment {
+    let mut delegations = match reach {
         Reach::Everywhere => {
-            let mut delegations = to_domains(far, pools, fleet, home, relays, turn, now);
-            let delegated = |shard: &usize| delegations.iter().any(|it| it.shards.contains(shard));
-            let own = (0..pools.len()).filter(|shard| !delegated(shard)).collect();
-            delegations.extend(share_out(own, home, relays, turn));
-            delegations
+            let far = |shard: &usize| !fleet.is_usable_in(pools[*shard], &me.domain, now);
+            let far = (0..pools.len()).filter(far).collect();
+            to_domains(far, pools, fleet, &me.domain, relays, turn, now)
+        }
+        Reach::Domain | Reach::Nobody => Vec::new(),
+    };
+    let mut owned = vec![false; pools.len()];
+    let mut others: BTreeMap<&str, (&Vm, Vec<usize>)> = BTreeMap::new();
+    let peers: Vec<&Vm> =
+        relays.iter().map(|it| &it.vm).filter(|it| it.domain == me.domain).collect();
+    for (shard, &pool) in pools.iter().enumerate() {
+        if delegations.iter().any(|it| it.shards.contains(&shard)) {
+            continue;
+        }
+        let owner = owner(fleet.name_hash(pool), me, &peers);
+        if owner.name == me.name {
+            owned[shard] = true;
+        } else if reach != Reach::Nobody {
+            others.entry(&owner.name).or_insert((owner, Vec::new())).1.push(shard);
         }
     }
+    for (owner, shards) in others.into_values() {
+        if shards.len() >= FEWEST_SHARDS {
+            delegations.push(Delegation { relay: owner.clone(), shards, reach: Reach::Domain });
+        }
+    }
+    Assignment { delegations, owned }
 }
 
-/// Divides shards between this daemon and others of its domain.
-fn share_out(own: Vec<usize>, home: &str, relays: &[&Member], turn: usize) -> Vec<Delegation> {
-    let peers: Vec<&&Member> = relays.iter().filter(|it| it.vm.domain == home).collect();
-    let parts = own.len().div_ceil(MOST_SHARDS).min(peers.len() + 1);
-    if parts <= 1 {
-        return Vec::new();
-    }
-    let size = own.len().div_ceil(parts);
-    // This daemon keeps the first part.
-    let rest = own.chunks(size).skip(1).enumerate();
-    rest.map(|(part, shards)| Delegation {
-        relay: peers[(turn + part) % peers.len()].vm.clone(),
-        shards: shards.to_vec(),
-        reach: Reach::Domain,
-    })
-    .collect()
+/// The daemon of a domain that usually asks for a shard. It changes for few shards when daemons
+/// come or go.
+fn owner<'a>(pool: u64, me: &'a Vm, peers: &[&'a Vm]) -> &'a Vm {
+    let weight = |vm: &Vm| xxh3_64_with_seed(vm.name.as_bytes(), pool);
+    peers.iter().fold(me, |best, peer| if weight(peer) > weight(best) { peer } else { best })
 }
 
 fn to_domains(
--- a/crates/serve/src/routes.rs
+++ b/crates/serve/src/routes.rs
@@ -11,6 +11,7 @@
 use crate::config::Target;
 use crate::fleet::Fleet;
 use crate::fleet::PoolKey;
+use crate::members::Sharers;
 
 /// All routes of one version.
 #[derive(Debug)]
@@ -67,11 +68,19 @@
         RouteTable { version: config.version, limits: config.limits, hosts, connections }
     }
 
-    /// Connections that one of `daemons` may have to each searcher of a pool, if the tier uses
-    /// `share` of what a searcher accepts.
-    pub fn connections(&self, pool: PoolKey, daemons: usize, share: f64) -> usize {
+    /// Connections that one daemon may have to each searcher of a pool, if the tier uses `share`
+    /// of what a searcher accepts. An owner of the pool, one in each domain, has what the others
+    /// leave, who need one each.
+    pub fn connections(&self, pool: PoolKey, sharers: Sharers, use_of: Use, share: f64) -> usize {
         let all = f64::from(self.connections.get(&pool).copied().unwrap_or(1));
-        ((all * share / daemons.max(1) as f64) as usize).max(1)
+        let all = (all * share) as usize;
+        let Sharers { daemons, domains } = sharers;
+        let cap = match use_of {
+            Use::Alike => all / daemons.max(1),
+            Use::Owner => all.saturating_sub(daemons.saturating_sub(domains)) / domains.max(1),
+            Use::Guest => 1,
+        };
+        cap.max(1)
     }
 
     /// The route with the longest prefix that starts `path`, among those of `host`.
@@ -116,6 +125,17 @@
         .max(1)
 }
 
+/// How a daemon uses a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Use {
+    /// As all daemons do.
+    Alike,
+    /// As the one of its domain that usually does.
+    Owner,
+    /// Now and then.
+    Guest,
+}
+
 /// Deals requests to pools in proportion to their weights, without bursts to one of them.
 #[derive(Debug)]
 pub struct Rotation {
