--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -76,7 +76,7 @@
             connect: Duration::from_millis(250),
             linger: Duration::from_millis(350),
             gone_linger: Duration::from_millis(250),
-            caller_way: Duration::from_millis(18),
+            caller_way: Duration::from_millis(22),
             end_margin: Duration::from_millis(8),
             answer_bytes: 4 * 1024 * 1024,
             directory_ttl_s: 4,
