--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -17,6 +17,7 @@
     Duration::from_millis(value)
 }
 
+#[allow(dead_code)]
 /// A fleet seen from the failure domain `home`.
 pub fn fleet() -> Fleet {
     Fleet::new(FleetSettings::default(), "home".to_owned())
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -30,10 +30,12 @@
 use tt_serve::Route;
 use tt_serve::RouteTable;
 use tt_serve::Share;
+use tt_serve::Sharers;
 use tt_serve::Standing;
 use tt_serve::Target;
+use tt_serve::Use;
 use tt_serve::Vm;
-use tt_serve::delegate;
+use tt_serve::assign;
 use tt_serve::merge;
 use tt_serve::named;
 
@@ -167,8 +169,17 @@
     let mut fleet = fleet();
     let table = RouteTable::new(&config(Vec::new()), &mut fleet);
     let pool = fleet.pool("p0");
-    assert_eq!(table.connections(pool, 5, 0.9), 4);
-    assert_eq!(table.connections(pool, 100, 0.9), 1);
+    let cap = |daemons, domains, use_of| {
+        table.connections(pool, Sharers { daemons, domains }, use_of, 0.9)
+    };
+    assert_eq!(cap(5, 4, Use::Alike), 4);
+    assert_eq!(cap(100, 4, Use::Alike), 1);
+    for (daemons, domains) in [(5, 4), (4, 3), (12, 3), (23, 4)] {
+        let owners = domains * cap(daemons, domains, Use::Owner);
+        let guests = (daemons - domains) * cap(daemons, domains, Use::Guest);
+        assert!(owners + guests <= 26, "{daemons} {domains}");
+        assert!(cap(daemons, domains, Use::Owner) >= cap(daemons, domains, Use::Guest));
+    }
 }
 
 fn vm(name: &str, domain: &str) -> Vm {
@@ -201,14 +212,14 @@
 #[test]
 fn a_silent_daemon_keeps_its_part_of_the_limits_for_a_while() {
     let mut members = members();
-    assert_eq!(members.sharers(ms(0)), 4);
+    assert_eq!(members.sharers(ms(0)).daemons, 4);
     for name in ["a", "b", "c", "d"] {
         members.hear(vm(name, "d"), standing(MemberState::Open, 1), ms(100));
     }
-    assert_eq!(members.sharers(ms(14_000)), 5);
+    assert_eq!(members.sharers(ms(14_000)).daemons, 5);
     assert!(members.expire(ms(14_000)).is_empty());
     assert_eq!(members.expire(ms(15_100)).len(), 4);
-    assert_eq!(members.sharers(ms(15_100)), 1);
+    assert_eq!(members.sharers(ms(15_100)).daemons, 1);
 }
 
 // Guards against callers in front of daemons that must cross domains for every shard.
@@ -246,16 +257,54 @@
     members.hear(vm("e", "east"), standing(MemberState::Open, 7), ms(0));
     members.hear(vm("w", "west"), standing(MemberState::Open, 7), ms(0));
     let relays: Vec<&Member> = members.relays(7, ms(0)).collect();
-    let delegations = delegate(&pools, &fleet, "home", &relays, Reach::Everywhere, 0, ms(0));
+    let me = vm("me", "home");
+    let all = |reach| assign(&pools, &fleet, &me, &relays, reach, 0, ms(0));
+    let delegations = all(Reach::Everywhere).delegations;
     assert_eq!(delegations.len(), 1, "one shard alone is not worth a relay");
     assert_eq!(delegations[0].relay.name, "e");
     assert_eq!(delegations[0].shards, [1, 2, 4]);
+    assert!(all(Reach::Domain).delegations.is_empty(), "no other daemon is here");
+    assert!(all(Reach::Nobody).delegations.is_empty());
     assert_eq!(members.relays(8, ms(0)).count(), 0, "another version numbers shards differently");
     members.avoid("e", ms(1500));
     assert_eq!(members.relays(7, ms(100)).count(), 1);
     assert_eq!(members.relays(7, ms(1500)).count(), 2);
 }
 
+// Guards against two daemons of a domain that both think that they own a shard, and against all
+// shards moving when a daemon leaves.
+#[test]
+fn each_shard_has_one_owner_in_a_domain() {
+    let mut fleet = fleet();
+    let pools: Vec<_> = (0..60)
+        .map(|shard| {
+            let pool = fleet.pool(&format!("p{shard}"));
+            add(&mut fleet, pool, &format!("s{shard}"), "home");
+            pool
+        })
+        .collect();
+    let names = ["a", "b", "c"];
+    let owned = |me: &str, others: &[&str]| -> Vec<bool> {
+        let mut members = Members::new(MemberSettings::default(), vm(me, "home"));
+        for name in others.iter().filter(|name| **name != me) {
+            members.hear(vm(name, "home"), standing(MemberState::Open, 7), ms(0));
+        }
+        let relays: Vec<&Member> = members.relays(7, ms(0)).collect();
+        let me = vm(me, "home");
+        let assignment = assign(&pools, &fleet, &me, &relays, Reach::Everywhere, 0, ms(0));
+        let delegated: usize = assignment.delegations.iter().map(|it| it.shards.len()).sum();
+        let own = assignment.owned.iter().filter(|&&own| own).count();
+        assert_eq!(delegated + own, pools.len());
+        assignment.owned
+    };
+    let all: Vec<Vec<bool>> = names.iter().map(|name| owned(name, &names)).collect();
+    for shard in 0..pools.len() {
+        assert_eq!(all.iter().filter(|owned| owned[shard]).count(), 1);
+    }
+    let without = owned("a", &["a", "b"]);
+    assert!((0..pools.len()).all(|shard| without[shard] || !all[0][shard]));
+}
+
 // Guards against hedges that follow pauses upwards, against a hedge at once, and against one whose
 // answer can't come in time.
 #[test]
--- a/crates/serve/tests/query.rs
+++ b/crates/serve/tests/query.rs
@@ -208,12 +208,31 @@
     query.ended(0, Ended::Answer, &mut fleet, denied, ms(9));
     query.ended(1, Ended::Answer, &mut fleet, denied, ms(9));
     assert!(matches!(query.verdict(ms(10)), Verdict::Wait(_)));
-    query.returned(&[2, 3], &[3]);
-    query.returned(&[2, 3], &[2, 3]);
+    query.arrived(&[3]);
+    query.arrived(&[3]);
     assert_eq!(query.answered(), 3);
+    query.missed(&[2, 3]);
+    query.arrived(&[2]);
+    assert_eq!(query.answered(), 3);
+    assert!(query.is_settled());
     assert_eq!(query.verdict(ms(10)), Verdict::Answer);
 }
 
+// Guards against late shards that are thrown away while the caller waits.
+#[test]
+fn after_the_first_answer_of_a_relay_late_shards_are_waited_for() {
+    let mut fleet = fleet();
+    let pools = shards(&mut fleet, 2);
+    let mut query = Query::new(plan(pools, 0));
+    query.start(&mut fleet, ms(0));
+    query.ended(0, Ended::Answer, &mut fleet, denied, ms(9));
+    assert_eq!(query.verdict(ms(88)), Verdict::Answer);
+    query.settle();
+    assert!(matches!(query.verdict(ms(89)), Verdict::Wait(_)));
+    query.ended(1, Ended::Answer, &mut fleet, denied, ms(200));
+    assert_eq!(query.verdict(ms(200)), Verdict::Answer);
+}
+
 // Guards against more searchers for one shard than the route allows when a daemon fails that may
 // have sent to some.
 #[test]
