--- a/crates/ctl/tests/tree.rs
+++ b/crates/ctl/tests/tree.rs
@@ -11,6 +11,7 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let mut files = Vec::new();
     collect(&root, &mut files);
+    collect(&root.join("../platform"), &mut files);
     assert!(files.len() > 50, "the sources are found");
     files
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -19,7 +19,7 @@
 trefoiltiller: the daemon of the query tier
 
 Usage: trefoiltiller --settings FILE [--check]
-       trefoiltiller entry [--check]
+       trefoiltiller entry [--metrics-port PORT] [--check]
 
 The second form runs an entry on the users' platform. The variable TREFOILTILLER_CONFIG names
 the settings that the platform writes for it.
@@ -27,6 +27,7 @@
 Options:
   --settings FILE  the settings, JSON with comments
   --check          check the settings and exit
+  --metrics-port   port at which an entry serves /metrics; without it none are kept
   -h, --help       print this text
   --version        print the version
 
@@ -44,7 +45,7 @@
     Check(PathBuf),
     Run(PathBuf),
     CheckEntry,
-    RunEntry,
+    RunEntry { metrics_port: Option<u16> },
 }
 
 fn main() -> ExitCode {
@@ -82,8 +83,8 @@
             }
             Err(error) => report(&error),
         },
-        Command::RunEntry => match boot() {
-            Ok((path, boot)) => run_entry(&path, boot),
+        Command::RunEntry { metrics_port } => match boot() {
+            Ok((path, boot)) => run_entry(&path, boot, metrics_port),
             Err(error) => report(&error),
         },
     }
@@ -107,8 +108,9 @@
         }
     };
     if entry {
+        let metrics_port = arguments.opt_value_from_str("--metrics-port")?;
         check_rest(arguments)?;
-        return Ok(if check { Command::CheckEntry } else { Command::RunEntry });
+        return Ok(if check { Command::CheckEntry } else { Command::RunEntry { metrics_port } });
     }
     let path: PathBuf = arguments.value_from_str("--settings")?;
     check_rest(arguments)?;
@@ -135,13 +137,14 @@
 }
 
 /// Runs an entry. One thread serves it, since its VM has a part of one core.
-fn run_entry(path: &Path, boot: Boot) -> ExitCode {
+fn run_entry(path: &Path, boot: Boot, metrics_port: Option<u16>) -> ExitCode {
     tt_front::start_logs();
+    let settings = FrontSettings { metrics_port, ..FrontSettings::default() };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return report(&error),
     };
-    match runtime.block_on(tt_front::run(path, boot, FrontSettings::default())) {
+    match runtime.block_on(tt_front::run(path, boot, settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("trefoiltiller: {error}");
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::entry::Entry;
 use crate::links::NoConnection;
 use crate::links::Wanted;
+use crate::metrics;
 use crate::sync::lock;
 use crate::work::Event;
 use tt_adapter::headers;
@@ -144,6 +145,7 @@
             }
         };
         self.learn(&outcome);
+        metrics::send(outcome.ended, outcome.cause, outcome.latency);
         let Outcome { ended, cause, reply, .. } = outcome;
         // The request may have ended without this send.
         let report = Report { shard: self.shard, ended, cause, reply };
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon from its start to its end.
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 use crate::callers::Stop;
 use crate::directory;
 use crate::entry::Entry;
+use crate::metrics;
 use crate::peers;
 use crate::relay;
 use crate::settings::FrontSettings;
@@ -59,6 +61,9 @@
     let open = Arc::new(Open::default());
     let (stop, stopping) = watch::channel(Stop::No);
     start_interfaces(&entry, &boot)?;
+    if let Some(port) = settings.metrics_port {
+        start_metrics(&entry, SocketAddr::new(boot.front.ip(), port));
+    }
     let front = callers::listen(boot.front)?;
     let accepting = tokio::spawn(callers::serve(entry.clone(), front, stopping, open.clone()));
     start_following(&entry, &boot, &heartbeats);
@@ -99,6 +104,19 @@
     Ok(())
 }
 
+/// Serves metrics. The daemon does without if it can't.
+fn start_metrics(entry: &Arc<Entry>, address: SocketAddr) {
+    metrics::install();
+    match callers::listen(address) {
+        Ok(listener) => {
+            tokio::spawn(callers::serve_plain(listener, metrics::serve));
+            let entry = entry.clone();
+            tokio::spawn(async move { metrics::update(&entry).await });
+        }
+        Err(error) => log::warn!("metrics: address={address} error=\"{error}\""),
+    }
+}
+
 /// Answers another daemon.
 async fn serve_peer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Clock;
 use crate::links::Links;
+use crate::metrics;
 use crate::settings::FrontSettings;
 use crate::sync::lock;
 use tt_adapter::Boot;
@@ -273,7 +274,11 @@
         let settings = self.budget_settings();
         let daemons = self.sharers().daemons;
         let mut budgets = lock(&self.budgets);
-        budgets.entry(pool).or_default().take(&settings, daemons, self.now())
+        let taken = budgets.entry(pool).or_default().take(&settings, daemons, self.now());
+        if !taken {
+            metrics::budget_refused();
+        }
+        taken
     }
 
     fn budget_settings(&self) -> BudgetSettings {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 mod entry;
 mod links;
 mod logs;
+mod metrics;
 mod parts;
 mod peers;
 mod relay;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -22,6 +22,7 @@
 use crate::attempt::Outgoing;
 use crate::entry::Entry;
 use crate::entry::InForce;
+use crate::metrics;
 use crate::parts::Replies;
 use crate::work::Running;
 use crate::work::Work;
@@ -49,6 +50,7 @@
     let id = text(&head.headers, headers::REQUEST_ID).unwrap_or_default().to_owned();
     let Some(in_force) = entry.in_force() else {
         log::info!("request: id={id} outcome=refused cause=no_config");
+        metrics::refused("no_config");
         return refuse(&entry, StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", None);
     };
     let host =
@@ -58,6 +60,7 @@
             "request: id={id} outcome=refused cause=no_route version={}",
             in_force.table.version
         );
+        metrics::refused("no_route");
         return refuse(&entry, StatusCode::NOT_FOUND, "no route", None);
     };
     if id.is_empty() {
@@ -184,9 +187,14 @@
             // A request is only finished with a verdict.
             Verdict::Wait(_) => self.failure(Failure::Timeout, replies, now),
         };
+        metrics::request(&outgoing.route, outcome, took);
+        if outgoing.gather {
+            let (shards, answered) = (query.shards(), query.answered());
+            metrics::coverage(&outgoing.route, shards, answered, query.hedges());
+        }
         log::info!(
             "request: id={} route={} version={} outcome={outcome} status={} took_ms={:.1} \
-             shards={} answered={} hedges={} goal_ms={} left_ms={} last={:?}",
+             shards={} answered={} hedges={} goal_ms={} left_ms={} listing_age_ms={} last={:?}",
             outgoing.id,
             outgoing.route,
             self.in_force.table.version,
@@ -197,6 +205,7 @@
             query.hedges(),
             self.route.route.goal.as_millis(),
             self.limit.saturating_sub(now).as_millis(),
+            self.entry.listed().map_or(0, |listed| now.saturating_sub(listed).as_millis()),
             last,
         );
         response
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -11,6 +11,8 @@
 /// Settings of the daemon itself.
 #[derive(Debug, Clone, Copy)]
 pub struct FrontSettings {
+    /// Port at which metrics are served; none are kept without it.
+    pub metrics_port: Option<u16>,
     /// How searchers are compared.
     pub fleet: FleetSettings,
     /// How absent searchers are treated.
@@ -63,6 +65,7 @@
 impl Default for FrontSettings {
     fn default() -> Self {
         FrontSettings {
+            metrics_port: None,
             fleet: FleetSettings::default(),
             registry: RegistrySettings::default(),
             members: MemberSettings::default(),
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -183,8 +183,9 @@
         let Report { shard, mut ended, cause, reply } = report;
         self.replies.last = Some(cause);
         match (ended, reply) {
-            (Ended::Answer, Some(reply)) if !self.query.is_answered(shard) => {
-                if !self.replies.take(shard, reply, self.work.outgoing.gather) {
+            (Ended::Answer, Some(reply)) => {
+                let wanted = !self.query.is_answered(shard);
+                if wanted && !self.replies.take(shard, reply, self.work.outgoing.gather) {
                     ended = Ended::Unknown;
                 }
             }
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -20,8 +20,6 @@
 use tt_adapter::Bounds;
 use tt_front::FrontSettings;
 
-use store::Store;
-
 /// Longest time for anything that a test waits for.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -73,7 +71,7 @@
 }
 
 /// Starts an entry and waits until it takes callers.
-pub async fn ready_entry(name: &str, domain: &str, store: &Store) -> Entry {
+pub async fn ready_entry(name: &str, domain: &str, store: &store::Store) -> Entry {
     let entry = entry(name, domain, store.address, Vec::new()).await;
     entry.wait_ready().await;
     entry
