fix: avoid searchers that shed or fail a part of their requests

Change: the share of failing requests is remembered for each searcher and raises its cost; the new test failed first.

--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -8,6 +8,9 @@
 
 use crate::Time;
 
+/// Share of failing requests from which a searcher is not worth asking before others.
+const MOST_FAULTS: f64 = 0.25;
+
 /// A pool, for the life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PoolKey(u32);
@@ -47,8 +50,13 @@
     pub weight: f64,
     /// Largest slowness that one observation may show.
     pub clip: f64,
-    /// Time in which a remembered slowness halves, so that a searcher is tried again.
+    /// Time in which a remembered slowness or unreliability halves, so that a searcher is tried
+    /// again.
     pub half_life: Duration,
+    /// Weight of a failure or refusal in the unreliability of a searcher; an answer has half.
+    pub fault_weight: f64,
+    /// Factor on the cost of a searcher of which each request fails.
+    pub fault_cost: f64,
     /// Time without work after the first failure in a row; doubles with each further one.
     pub eject: Duration,
     /// Longest time without work.
@@ -69,6 +77,8 @@
             weight: 0.3,
             clip: 8.0,
             half_life: Duration::from_millis(2500),
+            fault_weight: 0.3,
+            fault_cost: 12.0,
             eject: Duration::from_millis(400),
             eject_most: Duration::from_secs(3),
             failures: 2,
@@ -108,6 +118,10 @@
     outstanding: Vec<(u64, Time)>,
     slowness: f64,
     observed: Time,
+    /// Share of its requests that fail or are refused, as far as is known.
+    faults: f64,
+    /// When that was last learned.
+    judged: Time,
     failures: u32,
     /// Until when it is used only if there is no other.
     ejected_until: Time,
@@ -179,6 +193,8 @@
                 outstanding: Vec::new(),
                 slowness: 1.0,
                 observed: Time::ZERO,
+                faults: 0.0,
+                judged: Time::ZERO,
                 failures: 0,
                 ejected_until: Time::ZERO,
                 closed_until: Time::ZERO,
@@ -228,6 +244,7 @@
                 && entry.is_open(now)
                 && entry.ejected_until <= now
                 && self.slowness(entry, now) < self.settings.away
+                && self.faults(entry, now) < MOST_FAULTS
         })
     }
 
@@ -266,13 +283,35 @@
         let load = 1.0 + entry.outstanding.len() as f64 / f64::from(searcher.slots.max(1));
         let away = if searcher.domain == self.home { 1.0 } else { self.settings.away };
         let cold = if searcher.cold_until > now { self.settings.cold } else { 1.0 };
-        (class, self.slowness(entry, now) * load * away * cold)
+        let faults = 1.0 + self.faults(entry, now) * (self.settings.fault_cost - 1.0);
+        (class, self.slowness(entry, now) * load * away * cold * faults)
     }
 
     fn slowness(&self, entry: &Entry, now: Time) -> f64 {
-        let age = now.saturating_sub(entry.observed).as_secs_f64();
-        let kept = 0.5_f64.powf(age / self.settings.half_life.as_secs_f64());
-        1.0 + (entry.slowness - 1.0) * kept
+        1.0 + (entry.slowness - 1.0) * self.kept(entry.observed, now)
+    }
+
+    fn faults(&self, entry: &Entry, now: Time) -> f64 {
+        entry.faults * self.kept(entry.judged, now)
+    }
+
+    /// How much of what was learned at `at` still counts.
+    fn kept(&self, at: Time, now: Time) -> f64 {
+        let age = now.saturating_sub(at).as_secs_f64();
+        0.5_f64.powf(age / self.settings.half_life.as_secs_f64())
+    }
+
+    /// Learns whether a request failed.
+    fn judge(&mut self, key: SearcherKey, fault: bool, now: Time) {
+        let Some(entry) = self.entries.get(&key) else { return };
+        let known = self.faults(entry, now);
+        let weight = self.settings.fault_weight;
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        entry.faults = match fault {
+            true => known + weight * (1.0 - known),
+            false => known - weight / 2.0 * known,
+        };
+        entry.judged = now;
     }
 
     /// Notes that the request `token` is sent to a searcher.
@@ -291,6 +330,7 @@
 
     /// Learns from an answer that took `ratio` times as long as usual.
     pub fn answered(&mut self, key: SearcherKey, ratio: Option<f64>, now: Time) {
+        self.judge(key, false, now);
         let settings = self.settings;
         let Some(entry) = self.entries.get(&key) else { return };
         let known = self.slowness(entry, now);
@@ -306,6 +346,7 @@
 
     /// Learns from a failure: an error, a broken connection, or silence.
     pub fn failed(&mut self, key: SearcherKey, now: Time) {
+        self.judge(key, true, now);
         let settings = self.settings;
         let Some(entry) = self.entries.get_mut(&key) else { return };
         entry.failures += 1;
@@ -318,6 +359,7 @@
 
     /// Learns that a searcher is full.
     pub fn shed(&mut self, key: SearcherKey, now: Time) {
+        self.judge(key, true, now);
         let pause = self.settings.shed;
         if let Some(entry) = self.entries.get_mut(&key) {
             entry.ejected_until = entry.ejected_until.max(now + pause);
--- a/crates/serve/tests/fleet.rs
+++ b/crates/serve/tests/fleet.rs
@@ -116,3 +116,38 @@
     fleet.update(leaving, false, Time::ZERO, true);
     assert_eq!(chosen(&mut fleet, pool, ms(10)), None);
 }
+
+// Guards against sending on to a searcher that sheds or fails a part of its requests while it
+// looks healthy: each such send costs one of the few extra ones.
+#[test]
+fn a_searcher_that_sheds_or_fails_now_and_then_is_avoided_for_a_while() {
+    for shedding in [true, false] {
+        let mut fleet = fleet();
+        let pool = fleet.pool("pool");
+        let grey = add(&mut fleet, pool, "grey", "home");
+        let sound = add(&mut fleet, pool, "sound", "away");
+        let mut now = ms(0);
+        for round in 0..12 {
+            now += ms(40);
+            match (round % 2, shedding) {
+                (0, true) => fleet.shed(grey, now),
+                (0, false) => fleet.failed(grey, now),
+                _ => fleet.answered(grey, Some(1.0), now),
+            }
+        }
+        now += ms(100);
+        assert_eq!(chosen(&mut fleet, pool, now), Some(sound), "{shedding}");
+        assert_eq!(chosen(&mut fleet, pool, now + ms(40_000)), Some(grey), "{shedding}");
+    }
+}
+
+// Guards against losing a near searcher over a single refusal.
+#[test]
+fn a_searcher_that_shed_once_is_used_again_soon() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let near = add(&mut fleet, pool, "near", "home");
+    add(&mut fleet, pool, "far", "away");
+    fleet.shed(near, ms(0));
+    assert_eq!(chosen(&mut fleet, pool, ms(3500)), Some(near));
+}
