--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -169,7 +169,7 @@
         domains.push(&self.me.domain);
         domains.sort_unstable();
         domains.dedup();
-        Sharers { daemons: known.max(least), domains: domains.len() }
+        Sharers { daemons: known.max(least), domains: domains.len().max(least) }
     }
 
     /// The other daemons that take callers.
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -182,6 +182,18 @@
     }
 }
 
+// Guards against daemons that have just started and each take the connections of a whole domain:
+// the searchers reset what they don't accept.
+#[test]
+fn a_daemon_that_knows_no_other_takes_a_small_part_of_the_connections() {
+    let mut fleet = fleet();
+    let table = RouteTable::new(&config(Vec::new()), &mut fleet);
+    let pool = fleet.pool("p0");
+    let sharers = members().sharers(ms(100));
+    let cap = table.connections(pool, sharers, Use::Owner, 0.9);
+    assert!(cap * MemberSettings::default().least <= 26, "{cap}");
+}
+
 fn vm(name: &str, domain: &str) -> Vm {
     let address = |port| format!("127.0.0.1:{port}").parse().expect("an address");
     Vm { name: name.to_owned(), front: address(1), peer: address(2), domain: domain.to_owned() }
