feat: a soak of real entries under faults from outside, and messages between entries in files of their own

Change: real processes, stand-ins, proxies and signals; the checks see what callers and searchers see. The relay is split by concern; directory answers live no longer than the deployment allows; what was learned of routes that are gone is forgotten.

--- /dev/null
+++ b/crates/daemon/tests/soak/process.rs
@@ -0,0 +1,100 @@
+//! Entries as processes.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use serde_json::json;
+
+use crate::support::free_address;
+
+/// One machine: its addresses stay, its process may end and start again.
+#[derive(Debug)]
+pub struct Vm {
+    pub name: String,
+    pub front: SocketAddr,
+    pub directory: SocketAddr,
+    folder: PathBuf,
+    child: Option<Child>,
+}
+
+impl Vm {
+    /// Writes the settings of a machine that reaches the store at `store`.
+    pub async fn new(seed: u64, index: usize, store: SocketAddr, seeds: &[SocketAddr]) -> Vm {
+        let name = format!("vm-{index}");
+        let folder =
+            std::env::temp_dir().join(format!("tt-soak-{}-{seed}-{index}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let (front, ready) = (free_address().await, free_address().await);
+        let directory = free_address().await;
+        let settings = json!({
+            "node": name, "zone": format!("d{index}"),
+            "listen": {"front": front, "ready": ready, "directory": directory,
+                       "control": seeds[index]},
+            "seeds": seeds,
+            "platform": {"address": store, "min_ttl_ms": 1000},
+            "bounds": {"config_apply_ms": 3000, "grace_s": 6, "retry_budget_ratio": 0.2,
+                       "budget_window_s": 10, "retry_budget_extra": 58, "ttl_max_s": 5},
+        });
+        fs::write(folder.join("boot.json"), settings.to_string()).expect("settings");
+        Vm { name, front, directory, folder, child: None }
+    }
+
+    /// Starts its process.
+    pub fn start(&mut self) {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("log"))
+            .expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_trefoiltiller"))
+            .arg("entry")
+            .env("TREFOILTILLER_CONFIG", self.folder.join("boot.json"))
+            .stdout(Stdio::from(log))
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        self.child = Some(child);
+    }
+
+    /// Sends a signal to its process.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let id = i32::try_from(child.id()).expect("a process id");
+            // The process may have ended by itself.
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    /// Waits until its process has ended.
+    pub fn reap(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It has been signalled; waiting for the own child can't fail.
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether its process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
+    }
+
+    /// Where its log is.
+    pub fn log(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        self.signal(Signal::SIGKILL);
+        self.reap();
+    }
+}
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -40,7 +40,9 @@
     if addresses.is_empty() {
         return answer::refusal(StatusCode::SERVICE_UNAVAILABLE, "no daemon is ready", None);
     }
-    let body = paths::directory_answer(&addresses, entry.settings.directory_ttl_s);
+    let most = entry.boot().bounds.directory_ttl;
+    let lifetime = entry.settings.directory_ttl.min(most);
+    let body = paths::directory_answer(&addresses, lifetime);
     let mut response = Response::new(answer::whole(body));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -133,6 +133,8 @@
         if version <= before {
             return false;
         }
+        // What was learned of routes that are gone is of no use.
+        lock(&self.paces).retain(|name, _| config.routes.iter().any(|it| it.name == *name));
         *current = Some(Arc::new(InForce { table, bytes }));
         drop(current);
         log::info!("config: version={version} before={before} source={source} in_force=true");
--- /dev/null
+++ b/crates/front/src/relay/serve.rs
@@ -0,0 +1,192 @@
+//! Asks searchers for another daemon.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use http_body_util::StreamBody;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Uri;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use prost::Message;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_stream::wrappers::ReceiverStream;
+
+use super::message::GatherRequest;
+use super::message::GatherResponse;
+use super::message::Header;
+use super::message::MESSAGE_BYTES;
+use crate::answer;
+use crate::answer::Body;
+use crate::attempt::Outgoing;
+use crate::entry::Entry;
+use crate::work::Running;
+use crate::work::Work;
+use tt_adapter::headers;
+use tt_serve::CompiledTarget;
+use tt_serve::Plan;
+use tt_serve::Reach;
+use tt_serve::Verdict;
+use tt_serve::merge;
+
+/// Late answers that wait to be sent.
+const WAITING_FRAMES: usize = 4;
+
+/// Asks searchers for another daemon.
+pub(crate) async fn serve(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    let body = Limited::new(request.into_body(), MESSAGE_BYTES);
+    let Ok(body) = body.collect().await else {
+        return answer::refusal(StatusCode::BAD_REQUEST, "the body is cut", None);
+    };
+    let message = match GatherRequest::decode(body.to_bytes()) {
+        Ok(message) => message,
+        Err(error) => {
+            log::warn!("relay: malformed=\"{error}\"");
+            return answer::refusal(StatusCode::BAD_REQUEST, "malformed", None);
+        }
+    };
+    match prepare(entry, &message) {
+        Some((work, top)) => {
+            let reach = if message.share { Reach::Domain } else { Reach::Nobody };
+            respond(message, work, reach, top).await
+        }
+        // The daemon that asked has another version.
+        None => answer::refusal(StatusCode::CONFLICT, "not here", None),
+    }
+}
+
+fn prepare(entry: Arc<Entry>, message: &GatherRequest) -> Option<(Work, usize)> {
+    let in_force = entry.in_force().filter(|it| it.table.version == message.version)?;
+    let uri: Uri = message.target.parse().ok()?;
+    let route = in_force.table.find(&message.host, uri.path())?.clone();
+    let CompiledTarget::Gather { pools, top, .. } = &route.target else { return None };
+    let shards: Option<Vec<_>> =
+        message.shards.iter().map(|&shard| pools.get(shard as usize).copied()).collect();
+    let shards = shards.filter(|it| !it.is_empty())?;
+    let now = entry.now();
+    let settings = &entry.settings;
+    let hedge =
+        entry.pace(&route.route.name, |pace| pace.hedge_delay(&settings.pace, route.route.goal));
+    let limit = now + Duration::from_millis(u64::from(message.limit_ms));
+    let plan = Plan {
+        pools: shards,
+        // The daemon that asked knows whether enough is covered.
+        need: 0,
+        attempts: route.route.attempts,
+        repeat: route.route.repeat,
+        hedge,
+        cutoff: now + Duration::from_millis(u64::from(message.cutoff_ms)),
+        limit,
+    };
+    let outgoing = Outgoing {
+        id: message.id.clone(),
+        route: route.route.name.clone(),
+        method: Method::from_bytes(message.method.as_bytes()).ok()?,
+        uri,
+        headers: outgoing_headers(message)?,
+        body: Bytes::from(message.body.clone()),
+        repeat: route.route.repeat,
+        gather: true,
+        deadline: Instant::now() + limit.saturating_sub(now),
+        finished: AtomicBool::new(false),
+    };
+    let numbers = Some(message.shards.as_slice().into());
+    Some((Work { entry, in_force, outgoing: Arc::new(outgoing), plan, numbers }, *top))
+}
+
+fn outgoing_headers(message: &GatherRequest) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::HOST, HeaderValue::from_str(&message.host).ok()?);
+    headers.insert(headers::REQUEST_ID, HeaderValue::from_str(&message.id).ok()?);
+    for Header { name, value } in &message.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(headers)
+}
+
+/// Answers at the cutoff, or before if all shards are settled. What comes later follows.
+async fn respond(message: GatherRequest, work: Work, reach: Reach, top: usize) -> Response<Body> {
+    let entry = work.entry.clone();
+    let outgoing = work.outgoing.clone();
+    let started = entry.now();
+    let mut running = work.start(reach);
+    running.verdict().await;
+    let first = collect(&message, &mut running, top).encode_length_delimited_to_vec();
+    let query = &running.query;
+    log::info!(
+        "relay: id={} version={} shards={} answered={} hedges={} took_ms={:.1} cutoff_ms={}",
+        message.id,
+        message.version,
+        query.shards(),
+        query.answered(),
+        query.hedges(),
+        entry.now().saturating_sub(started).as_secs_f64() * 1000.0,
+        message.cutoff_ms
+    );
+    if query.is_settled() {
+        outgoing.finished.store(true, Ordering::Relaxed);
+        return Response::new(answer::whole(first));
+    }
+    let (sender, frames) = mpsc::channel(WAITING_FRAMES);
+    tokio::spawn(async move {
+        if sender.send(Ok(Frame::data(Bytes::from(first)))).await.is_ok() {
+            tokio::select! {
+                () = follow_up(message, running, top, &sender) => {
+                    outgoing.finished.store(true, Ordering::Relaxed);
+                }
+                // The caller may have left.
+                () = sender.closed() => {}
+            }
+        }
+    });
+    Response::new(Body::Right(StreamBody::new(ReceiverStream::new(frames))))
+}
+
+/// Sends the shards that come after the cutoff, until the end of the request.
+async fn follow_up(
+    message: GatherRequest,
+    mut running: Running,
+    top: usize,
+    sender: &mpsc::Sender<Result<Frame<Bytes>, Infallible>>,
+) {
+    running.query.settle();
+    let entry = running.entry();
+    while let Verdict::Wait(wake) = running.query.verdict(entry.now()) {
+        running.step(wake).await;
+        let response = collect(&message, &mut running, top);
+        if response.shards.is_empty() {
+            continue;
+        }
+        let frame = Frame::data(Bytes::from(response.encode_length_delimited_to_vec()));
+        if sender.send(Ok(frame)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// What has come since the last call.
+fn collect(message: &GatherRequest, running: &mut Running, top: usize) -> GatherResponse {
+    let parts = running.replies.parts.take();
+    let shards = parts.iter().flat_map(|part| &part.shards);
+    let signatures = parts.iter().flat_map(|part| &part.signatures);
+    GatherResponse {
+        shards: shards.map(|&index| message.shards[index]).collect(),
+        signatures: signatures.map(|it| it.as_bytes().to_vec()).collect(),
+        records: merge(parts.iter().map(|part| part.records.as_ref()), top),
+    }
+}
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -47,8 +47,8 @@
     pub end_margin: Duration,
     /// Longest answer of a searcher, in bytes.
     pub answer_bytes: usize,
-    /// Lifetime of an answer of the directory, in seconds.
-    pub directory_ttl_s: u64,
+    /// Lifetime of an answer of the directory, if the deployment allows as much.
+    pub directory_ttl: Duration,
     /// When callers are told to come back, if nothing better is known.
     pub come_back: Duration,
     /// Time after SIGTERM in which callers may still come with an old answer of the directory.
@@ -82,7 +82,7 @@
             caller_way: Duration::from_millis(22),
             end_margin: Duration::from_millis(8),
             answer_bytes: 4 * 1024 * 1024,
-            directory_ttl_s: 4,
+            directory_ttl: Duration::from_secs(4),
             come_back: Duration::from_millis(150),
             drain: Duration::from_millis(3400),
             stop_margin: Duration::from_millis(600),
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -54,7 +54,6 @@
         store,
         lease_min: Duration::from_secs(1),
         bounds: Bounds {
-            apply: Duration::from_secs(3),
             grace: Duration::from_secs(6),
             retry_ratio: 0.2,
             retry_extra: 50.0,
@@ -144,6 +143,36 @@
     parse(&bytes)
 }
 
+/// A connection for many requests.
+#[derive(Debug)]
+pub struct Kept {
+    stream: TcpStream,
+}
+
+impl Kept {
+    pub fn new(stream: TcpStream) -> Kept {
+        Kept { stream }
+    }
+
+    /// Sends a request and reads its answer; `None` if the connection ends before.
+    pub async fn ask(&mut self, path: &str, id: &str) -> Option<Answer> {
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\n\
+             X-Deadline-Ms: 3000\r\n\r\n"
+        );
+        self.stream.write_all(head.as_bytes()).await.ok()?;
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"\r\n\r\n") {
+            bytes.push(self.stream.read_u8().await.ok()?);
+        }
+        let mut answer = parse(&bytes)?;
+        let length = answer.header("content-length")?.parse().ok()?;
+        answer.body = vec![0; length];
+        self.stream.read_exact(&mut answer.body).await.ok()?;
+        Some(answer)
+    }
+}
+
 /// Sends a request and leaves the connection open.
 pub async fn send(address: SocketAddr, path: &str, id: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
--- a/crates/front/tests/support/searcher.rs
+++ b/crates/front/tests/support/searcher.rs
@@ -39,6 +39,7 @@
 #[derive(Debug, Default)]
 struct Seen {
     ids: Vec<String>,
+    runs: Vec<String>,
     heads: Vec<String>,
     closed: usize,
 }
@@ -90,6 +91,11 @@
         self.seen.lock().expect("no holder panics").ids.clone()
     }
 
+    /// Ids of the requests that it ran, in order.
+    pub fn runs(&self) -> Vec<String> {
+        self.seen.lock().expect("no holder panics").runs.clone()
+    }
+
     /// Heads of the requests that have reached it, in order.
     pub fn heads(&self) -> Vec<String> {
         self.seen.lock().expect("no holder panics").heads.clone()
@@ -103,8 +109,8 @@
     async fn serve(self, mut stream: TcpStream) {
         while let Some(head) = read_head(&mut stream).await {
             let id = value(&head, "x-request-id").unwrap_or_default();
-            self.note(&id, head);
             let act = self.act.lock().expect("no holder panics").clone();
+            self.note(&id, head, &act);
             let bytes = match &act {
                 Act::Answer(body) => self.answer(&id, body),
                 Act::AnswerTwice(body) => [self.answer(&id, body), self.answer(&id, body)].concat(),
@@ -132,8 +138,11 @@
         }
     }
 
-    fn note(&self, id: &str, head: String) {
+    fn note(&self, id: &str, head: String, act: &Act) {
         let mut seen = self.seen.lock().expect("no holder panics");
+        if !matches!(act, Act::Shed | Act::Moved) {
+            seen.runs.push(id.to_owned());
+        }
         seen.ids.push(id.to_owned());
         seen.heads.push(head);
     }
