fix: write the last log lines before an entry ends

The port was the test's fault: it came from the range of outgoing connections. Change: waiting lines are written before the process ends; tests take ports below that range, and the soak keeps standard error.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -144,7 +144,9 @@
         Ok(runtime) => runtime,
         Err(error) => return report(&error),
     };
-    match runtime.block_on(tt_front::run(path, boot, settings)) {
+    let ended = runtime.block_on(tt_front::run(path, boot, settings));
+    tt_front::flush_logs();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("trefoiltiller: {error}");
--- a/crates/daemon/tests/soak/process.rs
+++ b/crates/daemon/tests/soak/process.rs
@@ -56,8 +56,8 @@
         let child = Command::new(env!("CARGO_BIN_EXE_trefoiltiller"))
             .arg("entry")
             .env("TREFOILTILLER_CONFIG", self.folder.join("boot.json"))
+            .stderr(Stdio::from(log.try_clone().expect("a second handle")))
             .stdout(Stdio::from(log))
-            .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
         self.child = Some(child);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,5 +27,6 @@
 mod work;
 
 pub use daemon::run;
+pub use logs::flush as flush_logs;
 pub use logs::start as start_logs;
 pub use settings::FrontSettings;
--- a/crates/front/src/logs.rs
+++ b/crates/front/src/logs.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use crate::sync::lock;
@@ -50,9 +51,12 @@
     }
 }
 
+/// The lines of this process.
+static LINES: OnceLock<Lines> = OnceLock::new();
+
 /// Starts logging. `RUST_LOG` changes what is logged.
 pub fn start() {
-    let lines = Lines::default();
+    let lines = LINES.get_or_init(Lines::default).clone();
     let environment = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(environment)
         .format(|out, record| {
@@ -64,17 +68,31 @@
     std::thread::spawn(move || write_lines(&lines));
 }
 
+/// Writes what waits, before the process ends.
+pub fn flush() {
+    if let Some(lines) = LINES.get()
+        && let Err(error) = write_waiting(lines)
+    {
+        eprintln!("trefoiltiller: the last log lines are lost: {error}");
+    }
+}
+
 fn write_lines(lines: &Lines) {
     loop {
         std::thread::sleep(FLUSH_EVERY);
-        let waiting = lines.take();
-        let mut out = io::stdout().lock();
-        if waiting.dropped > 0 {
-            // Standard output is the only place to report to; if it fails, there is none.
-            let _ = writeln!(out, "level=WARN log: lines_dropped={}", waiting.dropped);
-        }
-        if out.write_all(&waiting.bytes).and_then(|()| out.flush()).is_err() {
+        // Without a reader there is nowhere to report to.
+        if write_waiting(lines).is_err() {
             return;
         }
     }
 }
+
+fn write_waiting(lines: &Lines) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    let waiting = lines.take();
+    if waiting.dropped > 0 {
+        writeln!(out, "level=WARN log: lines_dropped={}", waiting.dropped)?;
+    }
+    out.write_all(&waiting.bytes)?;
+    out.flush()
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -6,6 +6,8 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -35,10 +37,25 @@
     }
 }
 
+/// Ports below those that the system gives to outgoing connections, so that none of these takes
+/// a port before it is listened at.
+const FIRST_PORT: u16 = 20_000;
+
+/// Ports that one test process tries first; others start elsewhere.
+const PORTS: u16 = 60;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
 /// An address of loopback that nothing uses.
 pub async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    listener.local_addr().expect("an address")
+    let start = FIRST_PORT + (std::process::id() % 200) as u16 * PORTS;
+    loop {
+        let port = start.saturating_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).await.is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Starts an entry in the failure domain `domain`.
