fix: order listings of searchers by the store's revision

Cause, found by reading: a machine that stands still does not count that time, so that its listing looks younger than it is. Another entry of its domain would have fetched it, and searchers that had left would have come back until the next read. Change: heartbeats and views carry the revision at which the searchers were read; an earlier one never replaces a later one. The test fails with the order by time.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -69,6 +69,8 @@
     /// When the newest listing was read at the store, by this daemon or another.
     read: Option<Time>,
     digest: u64,
+    /// Revision of the store at which it was read.
+    revision: u64,
     /// When the store came back after it had been away from whoever read the listing.
     restored: Option<Time>,
 }
@@ -96,6 +98,7 @@
                 newest: Vec::new(),
                 read: None,
                 digest: 0,
+                revision: 0,
                 restored: None,
             }),
             budgets: Mutex::new(HashMap::new()),
@@ -141,32 +144,36 @@
         true
     }
 
-    /// Adopts a listing of the searchers that was read at the store at `read`.
+    /// Adopts a listing of the searchers that was read at the store at `read`, unless a later one
+    /// has been adopted.
     pub(crate) fn adopt_listing(
         &self,
         listing: Vec<Sighting>,
         restored: Option<Time>,
+        revision: u64,
         read: Time,
         source: &str,
     ) {
         let mut state = lock(&self.registry);
-        if state.read.is_some_and(|newest| read <= newest) {
+        if revision < state.revision {
             return;
         }
+        state.revision = revision;
         state.digest = digest(&listing);
         state.newest = listing;
-        state.read = Some(read);
+        state.read = state.read.max(Some(read));
         state.restored = restored;
         self.register(&mut state, source);
     }
 
-    /// Notes that the newest listing was still true at `read`.
-    pub(crate) fn confirm_listing(&self, read: Time) {
+    /// Notes that the newest listing was still true at a revision, which was read at `read`.
+    pub(crate) fn confirm_listing(&self, revision: u64, read: Time) {
         let mut state = lock(&self.registry);
-        if state.read.is_some_and(|newest| read <= newest) {
+        if revision <= state.revision {
             return;
         }
-        state.read = Some(read);
+        state.revision = revision;
+        state.read = state.read.max(Some(read));
         if state.registry.has_lapsed(&state.newest) {
             self.register(&mut state, "confirmed");
         }
@@ -185,10 +192,14 @@
         }
     }
 
-    /// The newest listing, when it was read, and when the store came back before that.
-    pub(crate) fn listing(&self) -> (Vec<Sighting>, Option<Time>, Option<Time>) {
-        let state = lock(&self.registry);
-        (state.newest.clone(), state.read, state.restored)
+    /// The newest listing.
+    pub(crate) fn newest(&self) -> Vec<Sighting> {
+        lock(&self.registry).newest.clone()
+    }
+
+    /// When the store came back before the newest listing was read.
+    pub(crate) fn restored(&self) -> Option<Time> {
+        lock(&self.registry).restored
     }
 
     /// When the newest listing was read.
@@ -204,8 +215,8 @@
             (false, false) => MemberState::Starting,
         };
         let listing = lock(&self.registry);
-        let (digest, listed) = (listing.digest, listing.read);
-        Standing { state, version: self.version(), digest, listed }
+        let Listing { digest, revision, read: listed, .. } = *listing;
+        Standing { state, version: self.version(), digest, revision, listed }
     }
 
     pub(crate) fn is_draining(&self) -> bool {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -94,6 +94,9 @@
     /// Time since it said so, in milliseconds.
     #[prost(uint64, tag = "10")]
     age: u64,
+    /// Revision of the store at which its searchers were read.
+    #[prost(uint64, tag = "11")]
+    revision: u64,
 }
 
 impl Record {
@@ -114,6 +117,7 @@
             digest: standing.digest,
             listing_age: standing.listed.map(age),
             age: age(heard),
+            revision: standing.revision,
         }
     }
 
@@ -135,7 +139,8 @@
             _ => return None,
         };
         let listed = self.listing_age.map(at);
-        let standing = Standing { state, version: self.version, digest: self.digest, listed };
+        let Record { version, digest, revision, .. } = self;
+        let standing = Standing { state, version, digest, revision, listed };
         Some((vm, standing, at(self.age)))
     }
 }
@@ -145,6 +150,8 @@
 struct View {
     config: Option<String>,
     searchers: Vec<Sighting>,
+    /// Revision of the store at which they were read.
+    revision: u64,
     listing_age: Option<u64>,
     /// Time since the store came back to whoever read the listing.
     restored_age: Option<u64>,
@@ -262,8 +269,8 @@
             survey(&entry, &members, &own, late, now)
         };
         behind_since = if behind { behind_since.or(Some(now)) } else { None };
-        if let Some(read) = confirmed {
-            entry.confirm_listing(read);
+        if let Some((revision, read)) = confirmed {
+            entry.confirm_listing(revision, read);
         }
         let Some(peer) = source else { continue };
         match timeout(VIEW_LIMIT, fetch(peer)).await {
@@ -282,20 +289,20 @@
     own: &Standing,
     late: bool,
     now: Time,
-) -> (Option<Time>, Option<SocketAddr>, bool) {
+) -> (Option<(u64, Time)>, Option<SocketAddr>, bool) {
     let domain = entry.vm.domain.as_str();
     let mut confirmed = None;
     let mut best: Option<&Member> = None;
     let mut behind = false;
     let order = |member: &Member| {
         let standing = &member.standing;
-        (member.vm.domain == domain, standing.version, standing.listed)
+        (member.vm.domain == domain, standing.version, standing.revision)
     };
     for member in members.heard(now) {
         behind |= member.standing.version > own.version;
         match news(member, domain, own, &entry.settings.listing, late, now) {
             News::None => {}
-            News::Confirmed(read) => confirmed = confirmed.max(Some(read)),
+            News::Confirmed(revision, read) => confirmed = confirmed.max(Some((revision, read))),
             News::Fetch if best.is_none_or(|best| order(best) < order(member)) => {
                 best = Some(member);
             }
@@ -316,7 +323,8 @@
     }
     if let Some(age) = view.listing_age {
         let at = |age: u64| entry.now().saturating_sub(Duration::from_millis(age));
-        entry.adopt_listing(view.searchers, view.restored_age.map(at), at(age), "peer");
+        let restored = view.restored_age.map(at);
+        entry.adopt_listing(view.searchers, restored, view.revision, at(age), "peer");
     }
 }
 
@@ -340,13 +348,14 @@
 
 /// Answers other daemons that ask for this one's view.
 pub(crate) fn serve_view(entry: &Entry) -> Response<Body> {
-    let (searchers, read, restored) = entry.listing();
     let config = entry.in_force().and_then(|it| String::from_utf8(it.bytes.to_vec()).ok());
+    let Standing { revision, listed, .. } = entry.standing();
     let view = View {
         config,
-        searchers,
-        listing_age: read.map(|read| age(entry, read)),
-        restored_age: restored.map(|at| age(entry, at)),
+        searchers: entry.newest(),
+        revision,
+        listing_age: listed.map(|read| age(entry, read)),
+        restored_age: entry.restored().map(|at| age(entry, at)),
     };
     match serde_json::to_vec(&view) {
         Ok(bytes) => Response::new(answer::whole(bytes)),
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -116,7 +116,8 @@
                     }
                     ignored_before = list.ignored;
                 }
-                entry.adopt_listing(list.searchers, reach.restored, asked, "store");
+                let revision = list.revision;
+                entry.adopt_listing(list.searchers, reach.restored, revision, asked, "store");
             }
             Err(error) => {
                 reach.failed(&error);
--- a/crates/serve/src/listing.rs
+++ b/crates/serve/src/listing.rs
@@ -63,8 +63,8 @@
 pub enum News {
     /// Nothing.
     None,
-    /// The same searchers, read at a later time.
-    Confirmed(Time),
+    /// The same searchers, read at this later revision and time.
+    Confirmed(u64, Time),
     /// A later listing or configuration, to be fetched from it.
     Fetch,
 }
@@ -81,17 +81,15 @@
 ) -> News {
     let here = member.vm.domain == domain;
     let theirs = &member.standing;
-    let later = match (theirs.listed, own.listed) {
-        (Some(theirs), Some(own)) => theirs > own,
-        (Some(_), None) => true,
-        (None, _) => false,
-    };
+    let later = theirs.revision > own.revision;
     let old = own.listed.is_none_or(|listed| listed + settings.old < now);
     if theirs.version > own.version && (here || late || own.version == 0) {
         return News::Fetch;
     }
     match theirs.listed {
-        Some(listed) if later && theirs.digest == own.digest => News::Confirmed(listed),
+        Some(listed) if later && theirs.digest == own.digest => {
+            News::Confirmed(theirs.revision, listed)
+        }
         Some(_) if later && (here || old) => News::Fetch,
         _ => News::None,
     }
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -45,6 +45,9 @@
     pub version: u64,
     /// Identifies the searchers that it knows and their states.
     pub digest: u64,
+    /// Revision of the store at which they were read; 0 if they were not. Unlike times it also
+    /// orders what was read by a machine that has stood still since.
+    pub revision: u64,
     /// When its listing of searchers was read at the store, on the clock of this daemon.
     pub listed: Option<Time>,
 }
@@ -137,6 +140,7 @@
                 state: MemberState::Starting,
                 version: 0,
                 digest: 0,
+                revision: 0,
                 listed: None,
             },
             heard: None,
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -204,7 +204,7 @@
 }
 
 fn standing(state: MemberState, version: u64) -> Standing {
-    Standing { state, version, digest: 0, listed: Some(ms(0)) }
+    Standing { state, version, digest: 0, revision: 1, listed: Some(ms(0)) }
 }
 
 // Guards against callers that are sent to a daemon that is silent or stopping.
--- a/crates/serve/tests/members.rs
+++ b/crates/serve/tests/members.rs
@@ -25,8 +25,10 @@
     Vm { name: name.to_owned(), front: address, peer: address, domain: domain.to_owned() }
 }
 
+/// The revision follows the time of the listing.
 fn standing(version: u64, digest: u64, listed: Option<Time>) -> Standing {
-    Standing { state: MemberState::Open, version, digest, listed }
+    let revision = listed.map_or(0, |listed| listed.as_millis() as u64);
+    Standing { state: MemberState::Open, version, digest, revision, listed }
 }
 
 /// The view of `c` in the domain `x` with `a` and `b`; the domain `y` has `d` to `g`.
@@ -90,7 +92,7 @@
     let own = standing(5, 7, Some(ms(1000)));
     let cases = [
         ("x", standing(5, 7, Some(ms(900))), false, News::None),
-        ("x", standing(5, 7, Some(ms(1500))), false, News::Confirmed(ms(1500))),
+        ("x", standing(5, 7, Some(ms(1500))), false, News::Confirmed(1500, ms(1500))),
         ("x", standing(5, 8, Some(ms(1500))), false, News::Fetch),
         ("x", standing(6, 7, Some(ms(900))), false, News::Fetch),
         ("y", standing(5, 8, Some(ms(1500))), false, News::None),
@@ -110,6 +112,19 @@
     assert_eq!(old, News::Fetch, "the own listing is old");
 }
 
+// Guards against searchers that come back from a machine that has stood still: its clock did not
+// count that time, so that its old listing looks new.
+#[test]
+fn a_listing_that_was_read_earlier_is_not_fetched_however_young_it_looks() {
+    let own = standing(5, 7, Some(ms(1000)));
+    let frozen = Standing { revision: 400, ..standing(5, 8, Some(ms(1900))) };
+    let mut members = Members::new(MemberSettings::default(), vm("c", "x"));
+    members.hear(vm("a", "x"), frozen, ms(2000));
+    let member = members.heard(ms(2000)).next().expect("it was heard");
+    let settings = ListingSettings::default();
+    assert_eq!(news(member, "x", &own, &settings, false, ms(2000)), News::None);
+}
+
 // Guards against a digest that changes with each heartbeat of a searcher, or misses a change.
 #[test]
 fn the_digest_tells_states_and_not_heartbeats() {
