--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -313,6 +313,9 @@
     for shard in 0..pools.len() {
         assert_eq!(all.iter().filter(|owned| owned[shard]).count(), 1);
     }
+    for owned in &all {
+        assert!(owned.iter().filter(|&&own| own).count() >= 10, "the shards are spread");
+    }
     let without = owned("a", &["a", "b"]);
     assert!((0..pools.len()).all(|shard| without[shard] || !all[0][shard]));
 }
