fix: order listings by revision, and by time at the same revision

The revision of the store stays while only heartbeats are written, so that no later read confirmed an earlier one and all entries read.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -169,7 +169,7 @@
     /// Notes that the newest listing was still true at a revision, which was read at `read`.
     pub(crate) fn confirm_listing(&self, revision: u64, read: Time) {
         let mut state = lock(&self.registry);
-        if revision <= state.revision {
+        if (revision, Some(read)) <= (state.revision, state.read) {
             return;
         }
         state.revision = revision;
--- a/crates/serve/src/listing.rs
+++ b/crates/serve/src/listing.rs
@@ -81,7 +81,8 @@
 ) -> News {
     let here = member.vm.domain == domain;
     let theirs = &member.standing;
-    let later = theirs.revision > own.revision;
+    // The revision stays while nothing but heartbeats is written.
+    let later = (theirs.revision, theirs.listed) > (own.revision, own.listed);
     let old = own.listed.is_none_or(|listed| listed + settings.old < now);
     if theirs.version > own.version && (here || late || own.version == 0) {
         return News::Fetch;
--- a/crates/serve/tests/members.rs
+++ b/crates/serve/tests/members.rs
@@ -125,6 +125,20 @@
     assert_eq!(news(member, "x", &own, &settings, false, ms(2000)), News::None);
 }
 
+// Guards against reads of the store by all daemons while nothing changes there: the revision stays
+// then, and only the time tells that what is known still holds.
+#[test]
+fn a_later_read_of_the_same_revision_confirms_what_is_known() {
+    let own = standing(5, 7, Some(ms(1000)));
+    let same = Standing { revision: own.revision, ..standing(5, 7, Some(ms(1900))) };
+    let mut members = Members::new(MemberSettings::default(), vm("c", "x"));
+    members.hear(vm("a", "x"), same, ms(2000));
+    let member = members.heard(ms(2000)).next().expect("it was heard");
+    let settings = ListingSettings::default();
+    let found = news(member, "x", &own, &settings, false, ms(2000));
+    assert_eq!(found, News::Confirmed(1000, ms(1900)));
+}
+
 // Guards against a digest that changes with each heartbeat of a searcher, or misses a change.
 #[test]
 fn the_digest_tells_states_and_not_heartbeats() {
