--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::answer::Body;
@@ -38,6 +39,9 @@
 /// Pause after a connection could not be accepted, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Idle time of connections to small interfaces.
+const PLAIN_IDLE: Duration = Duration::from_secs(20);
+
 /// How far the stop of the daemon has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Stop {
@@ -55,6 +59,22 @@
     socket.listen(BACKLOG)
 }
 
+/// The next connection, with its options set. `part` names the interface in logs.
+async fn accept(listener: &TcpListener, part: &str) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                prepare(&stream);
+                return stream;
+            }
+            Err(error) => {
+                log::warn!("{part}: accept=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Counts open connections.
 #[derive(Debug, Default)]
 pub(crate) struct Open {
@@ -75,15 +95,7 @@
     open: Arc<Open>,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("callers: accept=\"{error}\"");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        prepare(&stream);
+        let stream = accept(&listener, "callers").await;
         let entry = entry.clone();
         let open = open.clone();
         let stop = stop.clone();
@@ -116,7 +128,7 @@
 }
 
 async fn run_connection<S>(
-    connection: http1::Connection<TokioIo<tokio::net::TcpStream>, S>,
+    connection: http1::Connection<TokioIo<TcpStream>, S>,
     mut stop: watch::Receiver<Stop>,
 ) where
     S: hyper::service::HttpService<Incoming, ResBody = Body>,
@@ -146,15 +158,7 @@
     A: Future<Output = Response<Body>> + Send + 'static,
 {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("plain: accept=\"{error}\"");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        prepare(&stream);
+        let stream = accept(&listener, "plain").await;
         let answer = answer.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
@@ -169,6 +173,3 @@
         });
     }
 }
-
-/// Idle time of connections to small interfaces.
-const PLAIN_IDLE: Duration = Duration::from_secs(20);
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -15,6 +15,8 @@
 use crate::metrics;
 use crate::settings::FrontSettings;
 use crate::sync::lock;
+use crate::sync::read;
+use crate::sync::write;
 use tt_adapter::Boot;
 use tt_serve::Budget;
 use tt_serve::BudgetSettings;
@@ -112,15 +114,15 @@
     }
 
     pub(crate) fn boot(&self) -> Boot {
-        self.boot.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+        read(&self.boot).clone()
     }
 
     pub(crate) fn set_boot(&self, boot: Boot) {
-        *self.boot.write().unwrap_or_else(std::sync::PoisonError::into_inner) = boot;
+        *write(&self.boot) = boot;
     }
 
     pub(crate) fn in_force(&self) -> Option<Arc<InForce>> {
-        self.table.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+        read(&self.table).clone()
     }
 
     pub(crate) fn version(&self) -> u64 {
@@ -131,7 +133,7 @@
     pub(crate) fn adopt(&self, config: &Config, bytes: Bytes, source: &str) -> bool {
         let table = RouteTable::new(config, &mut lock(&self.fleet));
         let version = table.version;
-        let mut current = self.table.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut current = write(&self.table);
         let before = current.as_ref().map_or(0, |it| it.table.version);
         if version <= before {
             return false;
@@ -295,7 +297,7 @@
     }
 
     fn budget_settings(&self) -> BudgetSettings {
-        let boot = self.boot.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let boot = read(&self.boot);
         BudgetSettings {
             ratio: boot.bounds.retry_ratio,
             extra: boot.bounds.retry_extra,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -197,26 +197,36 @@
 /// Sends a heartbeat with what a daemon in `domain` is told of others.
 async fn send(entry: &Entry, socket: &UdpSocket, target: SocketAddr, domain: &str, hello: bool) {
     let now = entry.now();
-    let mut records = vec![Record::new(&entry.vm, &entry.standing(), now, now)];
-    records.extend(lock(&entry.members).news(domain, now).into_iter().map(|it| record(it, now)));
-    let bytes = Heartbeat { records, hello }.encode_to_vec();
-    if let Err(error) = socket.send_to(&bytes, target).await {
-        log::debug!("peer: target={target} heartbeat=\"{error}\"");
-    }
+    let others =
+        lock(&entry.members).news(domain, now).into_iter().map(|it| record(it, now)).collect();
+    transmit(entry, socket, target, others, hello).await;
+}
+
+/// Sends all that is known to a daemon that has just started.
+async fn welcome(entry: &Entry, socket: &UdpSocket, target: SocketAddr) {
+    let now = entry.now();
+    let others = lock(&entry.members).heard(now).map(|it| record(it, now)).collect();
+    transmit(entry, socket, target, others, false).await;
 }
 
 fn record(member: &Member, now: Time) -> Record {
     Record::new(&member.vm, &member.standing, member.heard.unwrap_or_default(), now)
 }
 
-/// Sends all that is known to a daemon that has just started.
-async fn welcome(entry: &Entry, socket: &UdpSocket, target: SocketAddr) {
+/// Sends a heartbeat with the own record first.
+async fn transmit(
+    entry: &Entry,
+    socket: &UdpSocket,
+    target: SocketAddr,
+    others: Vec<Record>,
+    hello: bool,
+) {
     let now = entry.now();
     let mut records = vec![Record::new(&entry.vm, &entry.standing(), now, now)];
-    records.extend(lock(&entry.members).heard(now).map(|it| record(it, now)));
-    let bytes = Heartbeat { records, hello: false }.encode_to_vec();
+    records.extend(others);
+    let bytes = Heartbeat { records, hello }.encode_to_vec();
     if let Err(error) = socket.send_to(&bytes, target).await {
-        log::debug!("peer: target={target} welcome=\"{error}\"");
+        log::debug!("peer: target={target} heartbeat=\"{error}\"");
     }
 }
 
