--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -99,19 +99,6 @@
     pub address: SocketAddr,
 }
 
-/// A searcher as operators see it.
-#[derive(Debug)]
-pub struct SearcherView<'a> {
-    /// Its registration.
-    pub searcher: &'a Searcher,
-    /// Requests of this daemon that wait for its answer.
-    pub outstanding: usize,
-    /// Its latency relative to what is usual.
-    pub slowness: f64,
-    /// Whether it is ejected.
-    pub ejected: bool,
-}
-
 #[derive(Debug)]
 struct Entry {
     searcher: Searcher,
@@ -381,14 +368,10 @@
         }
     }
 
-    /// All searchers, for operators.
-    pub fn views(&self, now: Time) -> impl Iterator<Item = SearcherView<'_>> {
-        self.entries.values().map(move |entry| SearcherView {
-            searcher: &entry.searcher,
-            outstanding: entry.outstanding.len(),
-            slowness: self.slowness(entry, now),
-            ejected: entry.ejected_until.max(entry.closed_until) > now,
-        })
+    /// Searchers that are passed over, for operators.
+    pub fn ejected(&self, now: Time) -> usize {
+        let passed_over = |it: &&Entry| it.ejected_until.max(it.closed_until) > now;
+        self.entries.values().filter(passed_over).count()
     }
 
     fn members(&self, pool: PoolKey) -> impl Iterator<Item = (SearcherKey, &Entry)> {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -40,7 +40,6 @@
 pub use fleet::PoolKey;
 pub use fleet::Searcher;
 pub use fleet::SearcherKey;
-pub use fleet::SearcherView;
 pub use listing::ListingSettings;
 pub use listing::News;
 pub use listing::Next;
