fix: hold back the shared part of the retry budget for a window after a restart

Cause: a process that starts again has an empty budget. Within one window the process before it and the new one could each spend the part that all daemons share, twice the allowance in all. Change: the shared part is used only once a window has passed, unless the whole tier starts for the first time; what requests earn is available at once. Ruled out: a part that grows with the time since the start still exceeds the allowance if the process before spent its part just before it ended.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -298,10 +298,12 @@
 
     fn budget_settings(&self) -> BudgetSettings {
         let boot = read(&self.boot);
+        let window = boot.bounds.retry_window;
         BudgetSettings {
             ratio: boot.bounds.retry_ratio,
             extra: boot.bounds.retry_extra,
-            window: boot.bounds.retry_window,
+            window,
+            shared_from: if boot.first_start { Time::ZERO } else { window },
         }
     }
 
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -70,6 +70,7 @@
         seeds,
         store,
         lease_min: Duration::from_secs(1),
+        first_start: true,
         bounds: Bounds {
             grace: Duration::from_secs(6),
             retry_ratio: 0.2,
--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -14,11 +14,19 @@
     pub extra: f64,
     /// The window, which slides.
     pub window: Duration,
+    /// Time from which on the shared part may be used. Until a window has passed, a process
+    /// that ran here before may have used it.
+    pub shared_from: Time,
 }
 
 impl Default for BudgetSettings {
     fn default() -> Self {
-        BudgetSettings { ratio: 0.2, extra: 10.0, window: Duration::from_secs(10) }
+        BudgetSettings {
+            ratio: 0.2,
+            extra: 10.0,
+            window: Duration::from_secs(10),
+            shared_from: Time::ZERO,
+        }
     }
 }
 
@@ -55,7 +63,8 @@
     /// what is not earned by requests.
     pub fn take(&mut self, settings: &BudgetSettings, daemons: usize, now: Time) -> bool {
         self.step(settings, now);
-        let shared = settings.extra / daemons.max(1) as f64;
+        let shared =
+            if now < settings.shared_from { 0.0 } else { settings.extra / daemons.max(1) as f64 };
         let allowed = USABLE * (settings.ratio * f64::from(self.requests) + shared);
         if f64::from(self.extras + 1) > allowed {
             return false;
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -57,7 +57,12 @@
         steps in prop::collection::vec((0_u64..400, prop::bool::weighted(0.4)), 1..400),
         daemons in 1_usize..6,
     ) {
-        let settings = BudgetSettings { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) };
+        let settings = BudgetSettings {
+            ratio: 0.2,
+            extra: 58.0,
+            window: Duration::from_secs(10),
+            ..BudgetSettings::default()
+        };
         let mut budget = Budget::default();
         let mut now = ms(0);
         let (mut requests, mut extras) = (Vec::new(), Vec::new());
@@ -82,6 +87,35 @@
         }
     }
 
+    // Guards against a process that spends again what the one before it has just spent.
+    #[test]
+    fn a_restart_within_a_window_does_not_renew_the_shared_part(
+        stop in 0_u64..9_999,
+        pauses in prop::collection::vec(0_u64..300, 1..200),
+    ) {
+        let window = Duration::from_secs(10);
+        let first = BudgetSettings { ratio: 0.2, extra: 58.0, window, ..BudgetSettings::default() };
+        let second = BudgetSettings { shared_from: window, ..first };
+        let (mut before, mut after) = (Budget::default(), Budget::default());
+        let mut used = Vec::new();
+        let mut now = ms(0);
+        for pause in pauses {
+            now += ms(pause);
+            let taken = match now < ms(stop) {
+                true => before.take(&first, 1, now),
+                // The clock of a process begins at its start.
+                false => after.take(&second, 1, now - ms(stop)),
+            };
+            if taken {
+                used.push(now);
+            }
+        }
+        for &start in &used {
+            let within = used.iter().filter(|&&at| start <= at && at < start + window).count();
+            prop_assert!(within as f64 <= 58.0, "{within}");
+        }
+    }
+
     // Guards against records that are lost, doubled, cut or out of order.
     #[test]
     fn merged_records_are_the_greatest_in_falling_order(
