fix: take shards back from a daemon that failed only within the retry budget

Cause: shards left to a daemon whose connection broke were sent again without asking the budget, though the daemon may have sent them. Found by reading; the new test failed first. Ruled out: waiting for the budget instead of giving the shard up, since a request without an answer is to end at once.

--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -211,7 +211,8 @@
             }
             RelayEnd::Unknown { runs } => runs,
         };
-        self.query.take_back(shards, runs, &mut lock(&entry.fleet), entry.now())
+        let extra = |pool| entry.take_extra(pool);
+        self.query.take_back(shards, runs, &mut lock(&entry.fleet), extra, entry.now())
     }
 
     fn send(&self, sends: Vec<Send>) {
--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -200,15 +200,19 @@
         self.plan.cutoff = Time::MAX;
     }
 
-    /// Takes back shards that another daemon does not ask for. It has run none of them twice:
-    /// `runs` sends of each may have left.
-    pub fn take_back(
+    /// Takes back shards that another daemon does not ask for. `runs` sends of each may have left;
+    /// `extra` takes from the budget of a pool for a further one.
+    pub fn take_back<F>(
         &mut self,
         shards: &[usize],
         runs: u32,
         fleet: &mut Fleet,
+        mut extra: F,
         now: Time,
-    ) -> Vec<Send> {
+    ) -> Vec<Send>
+    where
+        F: FnMut(PoolKey) -> bool,
+    {
         let mut sends = Vec::new();
         for &shard in shards {
             let state = &mut self.shards[shard];
@@ -217,7 +221,8 @@
             }
             state.phase = Phase::Open;
             state.runs = runs;
-            let sent = if runs < self.plan.attempts { self.pick(shard, fleet, now) } else { None };
+            let may = runs < self.plan.attempts && (runs == 0 || extra(state.pool));
+            let sent = if may { self.pick(shard, fleet, now) } else { None };
             match sent {
                 Some(send) => sends.push(send),
                 None => self.lose(shard),
--- a/crates/serve/tests/query.rs
+++ b/crates/serve/tests/query.rs
@@ -243,7 +243,7 @@
         let mut query = Query::new(plan(pools, 4));
         query.delegate(&[2, 3]);
         query.start(&mut fleet, ms(0));
-        let back = query.take_back(&[2, 3], runs, &mut fleet, ms(5));
+        let back = query.take_back(&[2, 3], runs, &mut fleet, allowed, ms(5));
         assert_eq!(back.len(), sends, "{runs}");
         if runs >= 1 {
             assert!(query.hedge(&mut fleet, allowed, ms(30)).iter().all(|it| it.shard < 2));
@@ -251,6 +251,21 @@
     }
 }
 
+// Guards against a second arrival at a searcher that no budget has allowed, and against one that is
+// held back though the first was never sent.
+#[test]
+fn shards_that_may_have_been_sent_are_taken_back_within_the_budget() {
+    for (runs, sends) in [(0, 2), (1, 0)] {
+        let mut fleet = fleet();
+        let pools = shards(&mut fleet, 4);
+        let mut query = Query::new(plan(pools, 2));
+        query.delegate(&[2, 3]);
+        query.start(&mut fleet, ms(0));
+        let back = query.take_back(&[2, 3], runs, &mut fleet, denied, ms(5));
+        assert_eq!(back.len(), sends, "{runs}");
+    }
+}
+
 // Guards against a refusal that is not true while another daemon may have sent.
 #[test]
 fn a_failure_with_delegated_shards_out_is_no_refusal() {
