fix: divide limits among four daemons until the list of daemons has been read

Cause: five seconds after its start a daemon that reached neither the store nor another daemon counted itself as the only one, and took all of the retry budget and of the searchers' connections. Found by reading; the new test failed first (1 sharer in place of 4). Ruled out: a longer settling time, since an outage may last longer than any.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -22,6 +22,7 @@
 use tt_serve::BudgetSettings;
 use tt_serve::Config;
 use tt_serve::Fleet;
+use tt_serve::ListChange;
 use tt_serve::MemberState;
 use tt_serve::Members;
 use tt_serve::Pace;
@@ -238,23 +239,14 @@
     pub(crate) fn note_members(&self, listed: Vec<Vm>) {
         let now = self.now();
         let mut members = lock(&self.members);
-        for vm in listed {
-            if vm.name == self.vm.name {
-                continue;
-            }
-            let name = vm.name.clone();
-            if members.store(vm, now) {
-                log::info!(
-                    "member: vm={name} state=stored sharers={}",
-                    members.sharers(now).daemons
-                );
-            }
+        let ListChange { new, gone } = members.list(listed, now);
+        let sharers = members.sharers(now).daemons;
+        drop(members);
+        for name in new {
+            log::info!("member: vm={name} state=stored sharers={sharers}");
         }
-        for name in members.expire(now) {
-            log::info!(
-                "member: vm={name} state=forgotten sharers={}",
-                members.sharers(now).daemons
-            );
+        for name in gone {
+            log::info!("member: vm={name} state=forgotten sharers={sharers}");
         }
     }
 
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -45,6 +45,7 @@
 pub use listing::Next;
 pub use listing::news;
 pub use listing::next;
+pub use members::ListChange;
 pub use members::Member;
 pub use members::MemberSettings;
 pub use members::MemberState;
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -77,7 +77,8 @@
     /// Daemons that share the limits while fewer are known; a daemon that has just started
     /// doesn't know the others yet.
     pub least: usize,
-    /// Time after the start in which `least` holds.
+    /// Time after the start in which `least` holds; it holds longer if the store's list can't be
+    /// read.
     pub settle: Duration,
 }
 
@@ -107,19 +108,39 @@
     settings: MemberSettings,
     me: Vm,
     others: BTreeMap<String, Member>,
+    /// Whether the store's list has been read.
+    listed: bool,
+}
+
+/// How a read of the store's list has changed what is known, by names of VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListChange {
+    /// Daemons that were not known before.
+    pub new: Vec<String>,
+    /// Daemons that have been away for long and are forgotten.
+    pub gone: Vec<String>,
 }
 
 impl Members {
     /// Knows no other daemon than `me`.
     pub fn new(settings: MemberSettings, me: Vm) -> Members {
-        Members { settings, me, others: BTreeMap::new() }
+        Members { settings, me, others: BTreeMap::new(), listed: false }
     }
 
-    /// Notes a daemon in the store's list. Returns whether it is new.
-    pub fn store(&mut self, vm: Vm, now: Time) -> bool {
-        let new = !self.others.contains_key(&vm.name);
-        self.entry(vm).stored = Some(now);
-        new
+    /// Takes a read of the store's list.
+    pub fn list(&mut self, listed: Vec<Vm>, now: Time) -> ListChange {
+        self.listed = true;
+        let mut new = Vec::new();
+        for vm in listed {
+            if vm.name == self.me.name {
+                continue;
+            }
+            if !self.others.contains_key(&vm.name) {
+                new.push(vm.name.clone());
+            }
+            self.entry(vm).stored = Some(now);
+        }
+        ListChange { new, gone: self.expire(now) }
     }
 
     /// Notes what a daemon said at the time `heard`. Returns whether the daemon is new.
@@ -152,7 +173,7 @@
     }
 
     /// Forgets daemons that have been away for long, and returns their names.
-    pub fn expire(&mut self, now: Time) -> Vec<String> {
+    fn expire(&mut self, now: Time) -> Vec<String> {
         let forget = self.settings.forget;
         let gone = self.others.extract_if(.., |_, member| {
             member.heard.max(member.stored).is_none_or(|last| now >= last + forget)
@@ -168,7 +189,8 @@
     /// Daemons, this one included, among which shared limits are divided.
     pub fn sharers(&self, now: Time) -> Sharers {
         let known = self.others.len() + 1;
-        let least = if now < self.settings.settle { self.settings.least } else { 1 };
+        let settled = self.listed && now >= self.settings.settle;
+        let least = if settled { 1 } else { self.settings.least };
         let mut domains: Vec<&str> = self.others.values().map(|it| it.vm.domain.as_str()).collect();
         domains.push(&self.me.domain);
         domains.sort_unstable();
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -245,7 +245,7 @@
 #[test]
 fn a_daemon_is_open_while_it_is_heard_and_says_so() {
     let mut members = members();
-    members.store(vm("listed", "d"), ms(0));
+    members.list(vec![vm("listed", "d")], ms(0));
     members.hear(vm("heard", "d"), standing(MemberState::Open, 1), ms(0));
     members.hear(vm("stopping", "d"), standing(MemberState::Stopping, 1), ms(0));
     let open = |now| members.open(now).map(|it| it.vm.name.clone()).collect::<Vec<_>>();
@@ -263,11 +263,21 @@
         members.hear(vm(name, "d"), standing(MemberState::Open, 1), ms(100));
     }
     assert_eq!(members.sharers(ms(14_000)).daemons, 5);
-    assert!(members.expire(ms(14_000)).is_empty());
-    assert_eq!(members.expire(ms(15_100)).len(), 4);
+    assert!(members.list(Vec::new(), ms(14_000)).gone.is_empty());
+    assert_eq!(members.list(Vec::new(), ms(15_100)).gone.len(), 4);
     assert_eq!(members.sharers(ms(15_100)).daemons, 1);
 }
 
+// Guards against a daemon that takes all of the limits for itself since it has started while the
+// store and the other daemons can't be reached.
+#[test]
+fn a_daemon_without_the_list_of_daemons_does_not_count_as_the_only_one() {
+    let mut members = members();
+    assert_eq!(members.sharers(ms(60_000)).daemons, 4);
+    members.list(Vec::new(), ms(61_000));
+    assert_eq!(members.sharers(ms(61_000)).daemons, 1);
+}
+
 // Guards against callers in front of daemons that must cross domains for every shard.
 #[test]
 fn callers_are_sent_near_the_shards_if_a_daemon_is_there() {
