internal: one client of the platform's store and one stand-in for both interfaces

Cause: crates/platform was the client of an earlier stand-in store with calls of its own, beside the client in platform/; the tests of the entry had a second stand-in. The platform has no list of VMs. Daemons of that interface keep the list of daemons themselves, under a lease, as entries do (Registration). Ruled out: keeping the list of VMs as a key that somebody else writes, since nobody would.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde_json::json;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
 use tokio::time::Instant;
@@ -124,7 +123,6 @@
             let listen = Listen { callers: LOOPBACK, operators: LOOPBACK, peers: LOOPBACK };
             let running = fleet.launch(domain, listen).await?;
             fleet.daemons.push(Some(running));
-            fleet.publish_vms();
         }
         Ok(fleet)
     }
@@ -168,10 +166,9 @@
         // A panic in the stop shows as a daemon that does not answer.
         let _ = runtime.spawn(daemon.stop()).await;
         runtime.shutdown_background();
-        self.publish_vms();
     }
 
-    /// Ends a daemon at once, like a crash. The platform's list still shows it.
+    /// Ends a daemon at once, like a crash. The list of daemons shows it until its lease ends.
     pub fn kill(&mut self, index: usize) -> Option<Killed> {
         let running = self.daemons.get_mut(index).and_then(Option::take)?;
         let Running { runtime, daemon, domain, listen } = running;
@@ -195,24 +192,9 @@
             }
         };
         self.daemons[index] = Some(running);
-        self.publish_vms();
         Ok(())
     }
 
-    /// Removes daemons that do not run from the platform's list.
-    pub fn publish_vms(&self) {
-        let list: Vec<_> = self
-            .daemons
-            .iter()
-            .flatten()
-            .map(|running| {
-                let address = running.daemon.peers();
-                json!({ "address": address, "domain": running.domain, "state": "live" })
-            })
-            .collect();
-        self.platform.set_vms(&json!(list).to_string());
-    }
-
     /// Waits until `ready` holds, for at most `limit`.
     pub async fn wait_for<F>(limit: Duration, mut ready: F) -> bool
     where
--- a/crates/ctl/src/commands/standin.rs
+++ b/crates/ctl/src/commands/standin.rs
@@ -29,8 +29,7 @@
 its address there, for daemons that run as processes of their own. Ends after N seconds
 (default 600) or at the end of the standard input, from which it takes one command a line:
 
-  store up | down | refusing | slow MS | lose N | lapse
-  vms JSON                     the platform's list of VMs
+  store up | down | refusing | slow MS | lose N | lapse | compact
   searcher NAME ready | draining | shedding | dead | slow FACTOR
   publish SNAPSHOT             at every searcher
   retire SNAPSHOT              at every searcher
@@ -115,7 +114,7 @@
         }
         ["store", "lose", count] => platform.lose_replies(number(count)? as u32),
         ["store", "lapse"] => platform.lapse_leases(),
-        ["vms", ..] => platform.set_vms(line.trim_start().trim_start_matches("vms").trim()),
+        ["store", "compact"] => platform.compact(),
         ["searcher", name, state @ ..] => {
             let searcher = searchers.get(*name).ok_or("there is no such searcher")?;
             change_searcher(searcher, state)?;
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -27,7 +27,7 @@
     let (sender, mut replies) = mpsc::unbounded_channel();
     loop {
         for StoreRequest { id, call } in std::mem::take(&mut calls) {
-            let store = node.store.clone();
+            let store = node.platform.clone();
             let sender = sender.clone();
             node.runtime.spawn(async move {
                 let reply = store.call(call).await;
@@ -53,7 +53,7 @@
 /// The catalog in the store, or `None` if the store does not answer.
 pub(crate) async fn stored_catalog(node: &Node) -> Option<Catalog> {
     let call = StoreCall::Get { key: CATALOG_KEY.to_owned() };
-    match node.store.call(call).await {
+    match node.platform.call(call).await {
         StoreReply::Value { value, .. } => Catalog::decode(&value).ok(),
         StoreReply::Missing => Some(Catalog::default()),
         _ => None,
--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -165,7 +165,7 @@
                     let node = node.clone();
                     let stored = stored.clone();
                     tokio::spawn(async move {
-                        let reply = node.store.call(request).await;
+                        let reply = node.platform.call(request).await;
                         // The partition may have been retired.
                         let _ = stored.send(Input::Stored { call, reply });
                     });
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -30,6 +30,8 @@
 use crate::peers::Peers;
 use crate::peers::Running;
 use crate::settings::Settings;
+use tt_adapter::HttpSettings;
+use tt_adapter::Platform;
 use tt_control::Collector;
 use tt_control::CollectorSettings;
 use tt_control::ControlPlane;
@@ -47,9 +49,6 @@
 use tt_membership::rights::RightsSettings;
 use tt_model::Incarnation;
 use tt_model::ResultCode;
-use tt_platform::Store;
-use tt_platform::StoreSettings;
-use tt_platform::VmList;
 
 pub(crate) use exchange::Beat;
 pub(crate) use exchange::ClaimMessage;
@@ -67,8 +66,7 @@
     pub(crate) settings: Settings,
     pub(crate) me: Member,
     pub(crate) runtime: Handle,
-    pub(crate) store: Store,
-    pub(crate) vms: VmList,
+    pub(crate) platform: Platform,
     pub(crate) peers: Peers,
     pub(crate) hosts: Hosts,
     pub(crate) running: Arc<Running>,
@@ -128,8 +126,7 @@
         let drain = DrainSettings { keep, finish_limit, ..DrainSettings::default() };
         Arc::new(Node {
             runtime: Handle::current(),
-            store: Store::new(settings.platform, StoreSettings::default()),
-            vms: VmList::new(settings.platform),
+            platform: Platform::new(settings.platform, HttpSettings::default()),
             peers: Peers::default(),
             hosts: Hosts::default(),
             running: Arc::default(),
--- a/crates/daemon/src/node/config.rs
+++ b/crates/daemon/src/node/config.rs
@@ -79,7 +79,7 @@
     async fn collect(self: Arc<Self>, first: StoreRequest) {
         let mut next = Some(first);
         while let Some(StoreRequest { id, call }) = next {
-            let reply = self.store.call(call).await;
+            let reply = self.platform.call(call).await;
             next = lock(&self.collector).on_reply(id, &reply, Instant::now());
         }
     }
@@ -114,7 +114,7 @@
         match action {
             Action::Store(request) => {
                 tokio::spawn(async move {
-                    let reply = node.store.call(request.call).await;
+                    let reply = node.platform.call(request.call).await;
                     node.control(|plane, now| plane.on_store_reply(request.id, reply, now));
                 });
             }
--- a/crates/daemon/src/node/membership.rs
+++ b/crates/daemon/src/node/membership.rs
@@ -13,6 +13,7 @@
 use crate::node::exchange::SearcherNote;
 use crate::node::exchange::Used;
 use crate::node::lock;
+use tt_adapter::MemberRecord;
 use tt_control::Member as ControlMember;
 use tt_limits::MemberView;
 use tt_limits::ServiceUsage;
@@ -30,7 +31,6 @@
 use tt_model::SearcherId;
 use tt_model::Snapshot;
 use tt_model::VmId;
-use tt_platform::VmState;
 use tt_routing::Hint;
 use tt_rpc::Kind;
 
@@ -95,28 +95,39 @@
         self.members().on_failed(peer, Instant::now());
     }
 
-    /// Reads the platform's list, if this daemon is one of those that do.
+    /// Reads the list of daemons in the store, if this daemon is one of those that do.
     pub(crate) async fn read_vm_list(&self) {
         let alone = self.members().len() == 1;
         if !alone && !self.plane().is_watcher() {
             return;
         }
-        let Some(list) = self.vms.fetch().await else {
-            return;
+        let list = match self.platform.list_members().await {
+            Ok(list) => list,
+            Err(error) => {
+                log::debug!("member: The list of daemons can't be read: {error}.");
+                return;
+            }
         };
-        let list: Vec<ListedVm> = list
-            .iter()
-            .map(|vm| ListedVm {
-                address: vm.address,
-                state: match vm.state {
-                    VmState::Live => ListedState::Live,
-                    VmState::Leaving => ListedState::Leaving,
-                },
-            })
-            .collect();
+        let listed = |record: &MemberRecord| ListedVm {
+            address: record.peer,
+            state: if record.leaving { ListedState::Leaving } else { ListedState::Live },
+        };
+        let list: Vec<ListedVm> = list.iter().map(listed).collect();
         self.members().on_platform_list(&list, Instant::now());
     }
 
+    /// What the list of daemons says of this one.
+    pub(crate) fn record(&self) -> MemberRecord {
+        let peer = self.me.id.address;
+        MemberRecord {
+            vm: peer.to_string(),
+            front: self.public_address(),
+            peer,
+            domain: self.me.domain.clone(),
+            leaving: false,
+        }
+    }
+
     /// Says in heartbeats that this daemon is stopping, or has stopped.
     pub(crate) fn announce(&self, intent: Intent) {
         let versions = self.versions();
@@ -367,7 +378,7 @@
                 Step::Call(id, call) => {
                     let node = self.clone();
                     tokio::spawn(async move {
-                        let reply = node.store.call(call).await;
+                        let reply = node.platform.call(call).await;
                         let now = Instant::now();
                         let nonce = rand::rng().random();
                         let steps = {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -21,7 +21,7 @@
     pub weight: u32,
     /// Addresses to listen at.
     pub listen: Listen,
-    /// Address of the platform's store and VM list.
+    /// Address of the platform's store.
     pub platform: SocketAddr,
     /// Addresses of other daemons to try first, for a start without the platform.
     #[serde(default)]
--- a/crates/daemon/src/tasks.rs
+++ b/crates/daemon/src/tasks.rs
@@ -7,10 +7,12 @@
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
+use tokio::time::sleep;
 
 use crate::metrics;
 use crate::metrics::DaemonState;
 use crate::node::Node;
+use tt_front::Registration;
 use tt_membership::drain::Remaining;
 use tt_membership::drain::Stage;
 use tt_membership::members::Intent;
@@ -19,9 +21,18 @@
 /// during a handover every 50 ms.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Time between reads of the platform's list, which lags anyway.
+/// Time between reads of the list of daemons, which lags anyway.
 const LIST_EVERY: Duration = Duration::from_secs(2);
 
+/// Lifetime of this daemon's place in the list. Heartbeats find a lost daemon much sooner.
+const REGISTRATION: Duration = Duration::from_secs(15);
+
+/// Time between renewals of it, so that it outlasts two that fail.
+const RENEW_EVERY: Duration = Duration::from_secs(5);
+
+/// Time between two looks at whether this daemon is to stop.
+const STOP_POLL: Duration = Duration::from_millis(200);
+
 /// Time between exchanges of what owners know of their searchers.
 const SEARCHERS_EVERY: Duration = Duration::from_millis(500);
 
@@ -29,6 +40,7 @@
 pub(crate) fn start(node: &Arc<Node>) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
     tasks.spawn(decide(node.clone()));
+    tasks.spawn(register(node.clone()));
     tasks.spawn(read_list(node.clone()));
     tasks.spawn(watch_searchers(node.clone()));
     tasks
@@ -49,6 +61,23 @@
     }
 }
 
+/// Keeps this daemon in the list of daemons until it has stopped.
+async fn register(node: Arc<Node>) {
+    let mut registration = Registration::new(node.platform.clone(), node.record());
+    while node.drain().stage() == Stage::Running {
+        if let Err(error) = registration.renew(REGISTRATION).await {
+            log::debug!("member: The place in the list of daemons is not renewed: {error}.");
+        }
+        let next = Instant::now() + RENEW_EVERY;
+        while Instant::now() < next && node.drain().stage() == Stage::Running {
+            sleep(STOP_POLL).await;
+        }
+    }
+    if let Err(error) = registration.announce_leave().await {
+        log::debug!("member: The list of daemons still shows this one: {error}.");
+    }
+}
+
 async fn read_list(node: Arc<Node>) {
     let mut ticks = interval(LIST_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/daemon/tests/soak/world.rs
+++ b/crates/daemon/tests/soak/world.rs
@@ -25,12 +25,13 @@
 use crate::process::Vm;
 use crate::proxy::Proxy;
 use crate::support::Kept;
+use crate::support::config::config;
 use crate::support::free_address;
 use crate::support::get;
+use crate::support::platform;
 use crate::support::searcher::Act;
 use crate::support::searcher::Searcher;
-use crate::support::store::Store;
-use crate::support::store::config;
+use tt_standin::Platform;
 
 const SHARDS: [&str; 5] = ["p0", "p1", "p2", "p3", "p4"];
 
@@ -74,7 +75,7 @@
 /// Runs one seed.
 pub async fn run(seed: u64) -> Report {
     let mut rng = StdRng::seed_from_u64(seed);
-    let store = Store::start().await;
+    let store = platform().await;
     store.put("op/config", &config(1, &SHARDS, COVERAGE));
     let mut targets = build(seed, &store).await;
     for vm in &mut targets.vms {
@@ -121,8 +122,8 @@
     Report { broken, requests: seen.len(), answered: answered.count(), faults: done.len() }
 }
 
-async fn build(seed: u64, store: &Store) -> Targets {
-    let store_proxy = Proxy::start(store.address).await;
+async fn build(seed: u64, store: &Platform) -> Targets {
+    let store_proxy = Proxy::start(store.address()).await;
     let mut peers = Vec::new();
     for _ in 0..VMS {
         peers.push(free_address().await);
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -7,13 +7,15 @@
 use tokio::time::sleep;
 
 use crate::entry::Entry;
+use crate::registration::Registration;
 use crate::sync::lock;
 use tt_adapter::ConfigRead;
-use tt_adapter::LeaseId;
+use tt_adapter::MemberRecord;
 use tt_adapter::Platform;
 use tt_adapter::PlatformError;
 use tt_serve::Next;
 use tt_serve::Time;
+use tt_serve::Vm;
 use tt_serve::next;
 
 /// Renewals in the lifetime of a lease.
@@ -146,66 +148,39 @@
 /// Keeps this daemon in the list of daemons, and reads that list.
 pub(crate) async fn follow_members(entry: Arc<Entry>, platform: Platform) {
     let mut reach = Reach::new("members");
-    let mut lease = None;
+    let mut registration = Registration::new(platform.clone(), MemberRecord::from(&entry.vm));
     let every = entry.settings.lease / RENEWALS;
     let mut round = 0;
-    loop {
-        if entry.is_draining() {
-            leave(&platform, lease).await;
-            return;
-        }
+    while !entry.is_draining() {
         let list = round % RENEWALS_A_LIST == 0;
         round += 1;
-        match renew(&entry, &platform, &mut lease, list).await {
+        match renew(&entry, &platform, &mut registration, list).await {
             Ok(()) => reach.worked(entry.now()),
             Err(error) => reach.failed(&error),
         }
         sleep(every).await;
     }
+    if let Err(error) = registration.end().await {
+        log::info!("store: calls=members leave=\"{error}\"");
+    }
 }
 
 async fn renew(
     entry: &Entry,
     platform: &Platform,
-    lease: &mut Option<LeaseId>,
+    registration: &mut Registration,
     list: bool,
 ) -> Result<(), PlatformError> {
-    let held = match *lease {
-        Some(held) => held,
-        None => {
-            let granted = platform.grant(lifetime(entry)).await?;
-            platform.put_member(&entry.vm, granted).await?;
-            *lease = Some(granted);
-            granted
-        }
-    };
-    match platform.keep(held).await {
-        Err(PlatformError::Ended) => {
-            *lease = None;
-            return Ok(());
-        }
-        kept => kept?,
-    }
+    registration.renew(entry.settings.lease.max(entry.boot().lease_min)).await?;
     if !list {
         return Ok(());
     }
-    let listed = platform.list_members().await?;
+    let listed: Vec<Vm> = platform.list_members().await?.into_iter().map(Vm::from).collect();
     let present = listed.iter().any(|vm| vm.name == entry.vm.name);
     entry.note_members(listed);
     if !present {
         // The key may have been taken away while the lease goes on; the list may also be old.
-        platform.put_member(&entry.vm, held).await?;
+        registration.write().await?;
     }
     Ok(())
 }
-
-fn lifetime(entry: &Entry) -> Duration {
-    entry.settings.lease.max(entry.boot().lease_min)
-}
-
-async fn leave(platform: &Platform, lease: Option<LeaseId>) {
-    let Some(lease) = lease else { return };
-    if let Err(error) = platform.end(lease).await {
-        log::info!("store: calls=members leave=\"{error}\"");
-    }
-}
--- a/crates/front/tests/searchers.rs
+++ b/crates/front/tests/searchers.rs
@@ -2,22 +2,24 @@
 
 mod support;
 
+use support::config::config;
 use support::eventually;
 use support::free_address;
+use support::platform;
 use support::ready_entry;
 use support::searcher::Act;
 use support::searcher::Searcher;
 use support::searcher::value;
 use support::send;
-use support::store::Store;
-use support::store::config;
+
+use tt_standin::Platform;
 
 fn records(values: &[u8]) -> Vec<u8> {
     values.iter().flat_map(|&value| [value; 16]).collect()
 }
 
-async fn store(shards: &[&str], coverage: f64) -> Store {
-    let store = Store::start().await;
+async fn store(shards: &[&str], coverage: f64) -> Platform {
+    let store = platform().await;
     store.put("op/config", &config(1, shards, coverage));
     store
 }
--- /dev/null
+++ b/crates/front/tests/support/config.rs
@@ -0,0 +1,33 @@
+//! A configuration as the operator writes it.
+
+use serde_json::Value;
+use serde_json::json;
+
+/// One route over `shards` at `/all/`, one that may run once at `/once/` and one that may run
+/// again at `/one/`, the latter two at the pool `one`.
+pub fn config(version: u64, shards: &[&str], coverage: f64) -> Vec<u8> {
+    let route = |name: &str, kind: &str| {
+        json!({
+            "name": name, "host": "a.example", "prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 3000, "goal_ms": 2000, "priority": 1, "attempts": 2,
+        })
+    };
+    let mut all = route("all", "idempotent");
+    all["gather"] = json!(shards);
+    all["top_k"] = json!(3);
+    all["min_shard_ratio"] = json!(coverage);
+    let mut once = route("once", "non_idempotent");
+    once["service"] = json!("one");
+    let mut one = route("one", "idempotent");
+    one["service"] = json!("one");
+    let mut names = shards.to_vec();
+    names.push("one");
+    let services: Vec<Value> =
+        names.iter().map(|name| json!({"name": name, "max_conns": 30})).collect();
+    let config = json!({
+        "version": version, "routes": [all, once, one], "services": services,
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    });
+    config.to_string().into_bytes()
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -1,8 +1,8 @@
 //! An entry on loopback between stand-ins of the store and of searchers.
 #![allow(dead_code)]
 
+pub mod config;
 pub mod searcher;
-pub mod store;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -21,6 +21,7 @@
 use tt_adapter::Boot;
 use tt_adapter::Bounds;
 use tt_front::FrontSettings;
+use tt_standin::Platform;
 
 /// Longest time for anything that a test waits for.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -58,6 +59,11 @@
     }
 }
 
+/// Starts a stand-in of the platform's store.
+pub async fn platform() -> Platform {
+    Platform::start(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a free port")
+}
+
 /// Starts an entry in the failure domain `domain`.
 pub async fn entry(name: &str, domain: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> Entry {
     let boot = Boot {
@@ -88,8 +94,8 @@
 }
 
 /// Starts an entry and waits until it takes callers.
-pub async fn ready_entry(name: &str, domain: &str, store: &store::Store) -> Entry {
-    let entry = entry(name, domain, store.address, Vec::new()).await;
+pub async fn ready_entry(name: &str, domain: &str, store: &Platform) -> Entry {
+    let entry = entry(name, domain, store.address(), Vec::new()).await;
     entry.wait_ready().await;
     entry
 }
--- a/crates/front/tests/support/searcher.rs
+++ b/crates/front/tests/support/searcher.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-use super::store::Store;
+use tt_standin::Platform;
 
 /// What a searcher does with a request.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,7 +55,7 @@
 
 impl Searcher {
     /// Starts a searcher and registers it.
-    pub async fn start(store: &Store, id: &str, pool: &str, domain: &str, act: Act) -> Searcher {
+    pub async fn start(store: &Platform, id: &str, pool: &str, domain: &str, act: Act) -> Searcher {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let searcher = Searcher {
             id: id.to_owned(),
@@ -74,7 +74,7 @@
     }
 
     /// Writes its registration.
-    pub fn register(&self, store: &Store, pool: &str, domain: &str, state: &str, sequence: u64) {
+    pub fn register(&self, store: &Platform, pool: &str, domain: &str, state: &str, sequence: u64) {
         let value = json!({
             "service": pool, "address": self.address, "zone": domain, "version": "v1",
             "slots": 2, "state": state, "cold_left_ms": 0, "sequence": sequence, "born": 5,
--- a/crates/front/tests/tier.rs
+++ b/crates/front/tests/tier.rs
@@ -4,15 +4,16 @@
 
 use std::time::Duration;
 
+use support::config::config;
 use support::entry;
 use support::eventually;
 use support::get;
+use support::platform;
 use support::ready_entry;
 use support::searcher::Act;
 use support::searcher::Searcher;
-use support::store::Mode;
-use support::store::Store;
-use support::store::config;
+
+use tt_standin::Fault;
 
 fn records(values: &[u8]) -> Vec<u8> {
     values.iter().flat_map(|&value| [value; 16]).collect()
@@ -21,8 +22,8 @@
 // Guards against "no such route" from an entry that knows no configuration.
 #[tokio::test]
 async fn an_entry_without_a_configuration_refuses_and_is_not_ready() {
-    let store = Store::start().await;
-    let entry = entry("vm", "d", store.address, Vec::new()).await;
+    let store = platform().await;
+    let entry = entry("vm", "d", store.address(), Vec::new()).await;
     eventually("the entry listens", || std::net::TcpStream::connect(entry.boot.front).is_ok())
         .await;
     let answer = entry.ask("/one/", "r1").await;
@@ -35,7 +36,7 @@
 // Guards against an old configuration in force, and against one that comes back.
 #[tokio::test]
 async fn a_later_configuration_is_in_force_and_an_earlier_one_changes_nothing() {
-    let store = Store::start().await;
+    let store = platform().await;
     store.put("op/config", &config(5, &["p0"], 0.5));
     Searcher::start(&store, "s0", "p0", "d", Act::Answer(records(&[1]))).await;
     Searcher::start(&store, "s1", "p1", "d", Act::Answer(records(&[2]))).await;
@@ -59,7 +60,7 @@
     use tokio::io::AsyncReadExt;
     use tokio::io::AsyncWriteExt;
 
-    let store = Store::start().await;
+    let store = platform().await;
     store.put("op/config", &config(1, &["p0"], 0.5));
     let searcher = Searcher::start(&store, "s0", "one", "d", Act::Answer(records(&[1]))).await;
     let entry = ready_entry("vm", "d", &store).await;
@@ -78,7 +79,7 @@
 // entry is gone.
 #[tokio::test]
 async fn shards_of_another_domain_are_asked_by_an_entry_there() {
-    let store = Store::start().await;
+    let store = platform().await;
     store.put("op/config", &config(1, &["p0", "p1", "p2", "p3"], 0.9));
     Searcher::start(&store, "s0", "p0", "near", Act::Answer(records(&[8]))).await;
     Searcher::start(&store, "s1", "p1", "near", Act::Answer(records(&[3]))).await;
@@ -88,7 +89,7 @@
     ];
     let near_entry = ready_entry("near-vm", "near", &store).await;
     let seeds = vec![near_entry.boot.peer];
-    let far_entry = entry("far-vm", "far", store.address, seeds).await;
+    let far_entry = entry("far-vm", "far", store.address(), seeds).await;
     far_entry.wait_ready().await;
     let asked = near_entry.ask_until("/all/", |answer| answer.body == records(&[9, 8, 5])).await;
     assert_eq!(asked.header("x-missing-parts"), Some("0"));
@@ -105,13 +106,13 @@
 // Guards against an entry that can't serve because the store turns it away.
 #[tokio::test]
 async fn an_entry_that_starts_while_the_store_is_away_learns_from_another() {
-    let store = Store::start().await;
+    let store = platform().await;
     store.put("op/config", &config(3, &["p0"], 0.5));
     Searcher::start(&store, "s0", "p0", "d", Act::Answer(records(&[1]))).await;
     let first = ready_entry("vm-1", "d", &store).await;
-    let away = Store::start().await;
-    away.set_mode(Mode::Busy);
-    let second = entry("vm-2", "d", away.address, vec![first.boot.peer]).await;
+    let away = platform().await;
+    away.set_fault(Fault::Refusing);
+    let second = entry("vm-2", "d", away.address(), vec![first.boot.peer]).await;
     second.wait_ready().await;
     assert_eq!(second.ask("/all/", "r1").await.body, records(&[1]));
 }
@@ -119,7 +120,7 @@
 // Guards against callers that are sent to addresses that don't serve.
 #[tokio::test]
 async fn the_directory_names_the_entries_that_take_callers() {
-    let store = Store::start().await;
+    let store = platform().await;
     store.put("op/config", &config(1, &["p0"], 0.5));
     Searcher::start(&store, "s0", "p0", "d", Act::Answer(records(&[1]))).await;
     let entry = ready_entry("vm", "d", &store).await;
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -57,7 +57,7 @@
     Ready,
     /// A status poll says that the searcher has just started.
     Cold,
-    /// A status poll, a heartbeat or the VM list says that the searcher is leaving.
+    /// A status poll, a heartbeat or the list of daemons says that the searcher is leaving.
     Leaving,
     /// A health check failed.
     Unhealthy,
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -125,13 +125,3 @@
     *response.status_mut() = status;
     response
 }
-
-/// The value of a query parameter.
-pub(crate) fn parameter(call: &Call, name: &str) -> Option<u64> {
-    let query = call.request.uri().query()?;
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .and_then(|(_, value)| value.parse().ok())
-}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,5 @@
 //! Small stand-ins for the outside systems that the tier talks to, for tests, the demo and
-//! the bench: the platform (key-value store and VM list) and searchers.
+//! the bench: the platform's store and searchers.
 //!
 //! Each stand-in serves real sockets on loopback, is controlled through its handle, and
 //! counts what the tier does to it: [`Platform::counts`] counts every call to the store,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,5 +1,7 @@
-//! The platform: a key-value store with compare-and-swap, leases and watches, and a list of
-//! VMs that lags.
+//! The platform's metadata store: keys with revisions, conditional writes, leases and watches.
+
+mod state;
+mod wire;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,6 +13,8 @@
 use bytes::Bytes;
 use hyper::Method;
 use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -20,15 +24,25 @@
 use crate::http::Call;
 use crate::http::Handler;
 use crate::http::Server;
-use crate::http::parameter;
 use crate::http::reply;
 use crate::http::serve;
-use tt_model::MAX_VALUE_BYTES;
+use crate::platform::state::Change;
+use crate::platform::state::Outcome;
+use crate::platform::state::State;
 
-/// A running stand-in for the platform.
-#[derive(Debug)]
+/// Keys on one page of a listing.
+const PAGE_ITEMS: usize = 500;
+
+/// Largest value, in bytes.
+const VALUE_BYTES: usize = 1_048_576;
+
+/// Time between two looks at leases that have run out, while a watch waits.
+const LEASE_POLL: Duration = Duration::from_millis(100);
+
+/// A running stand-in for the platform. Clones are the same store.
+#[derive(Debug, Clone)]
 pub struct Platform {
-    server: Server,
+    server: Arc<Server>,
     shared: Arc<Shared>,
 }
 
@@ -48,53 +62,48 @@
 /// What was asked of the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PlatformCounts {
-    /// Reads of values and of the VM list.
+    /// Reads of keys and listings.
     pub reads: u64,
-    /// Writes, removals and lease calls.
+    /// Transactions.
     pub writes: u64,
+    /// Calls about leases.
+    pub leases: u64,
     /// Watches; a waiting one counts once.
     pub watches: u64,
 }
 
 #[derive(Debug)]
 struct Shared {
-    state: Mutex<State>,
+    store: Mutex<Store>,
     changed: watch::Sender<u64>,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    values: BTreeMap<String, Entry>,
-    leases: BTreeMap<u64, Lease>,
-    revision: u64,
-    next_lease: u64,
-    fault: Option<Fault>,
+#[derive(Debug)]
+struct Store {
+    state: State,
+    fault: Fault,
     lost_replies: u32,
     last_write: Option<String>,
-    vms: Bytes,
     counts: PlatformCounts,
 }
 
-#[derive(Debug, Clone)]
-struct Entry {
-    revision: u64,
-    value: Bytes,
-    lease: Option<u64>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Lease {
-    ttl: Duration,
-    ends: Instant,
-}
-
 impl Platform {
     /// Starts a platform at `address`; port 0 picks a free one.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be listened at.
     pub async fn start(address: SocketAddr) -> std::io::Result<Platform> {
-        let state = State { vms: Bytes::from_static(b"[]"), ..State::default() };
+        let store = Store {
+            state: State::new(),
+            fault: Fault::None,
+            lost_replies: 0,
+            last_write: None,
+            counts: PlatformCounts::default(),
+        };
         let (changed, _) = watch::channel(0);
-        let shared = Arc::new(Shared { state: Mutex::new(state), changed });
-        let server = serve(address, shared.clone()).await?;
+        let shared = Arc::new(Shared { store: Mutex::new(store), changed });
+        let server = Arc::new(serve(address, shared.clone()).await?);
         Ok(Platform { server, shared })
     }
 
@@ -105,9 +114,9 @@
 
     /// Sets how the store misbehaves from now on.
     pub fn set_fault(&self, fault: Fault) {
-        self.shared.lock().fault = Some(fault);
+        self.shared.lock().fault = fault;
         // Waiting watches end, as they would when the store goes down.
-        self.shared.changed.send_modify(|count| *count += 1);
+        self.shared.wake();
     }
 
     /// Loses the replies to the next `count` writes after they took effect.
@@ -123,14 +132,26 @@
 
     /// Ends every lease at once, as if its holder had been paused for too long.
     pub fn lapse_leases(&self) {
-        let mut state = self.shared.lock();
-        state.leases.clear();
-        state.expire(Instant::now());
+        self.shared.lock().state.lapse();
+        self.shared.wake();
+    }
+
+    /// Forgets the history, so that watches of earlier revisions fail.
+    pub fn compact(&self) {
+        self.shared.lock().state.compact();
+        self.shared.wake();
     }
 
-    /// Sets the list of VMs, a JSON array.
-    pub fn set_vms(&self, list: &str) {
-        self.shared.lock().vms = Bytes::copy_from_slice(list.as_bytes());
+    /// Writes a key as the operator or a searcher does.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        self.shared.lock().state.put(key, Bytes::copy_from_slice(value), 0);
+        self.shared.wake();
+    }
+
+    /// Removes a key as the operator or a searcher does.
+    pub fn remove(&self, key: &str) {
+        self.shared.lock().state.remove(key);
+        self.shared.wake();
     }
 
     /// What was asked of the store since the start.
@@ -140,147 +161,142 @@
 
     /// The value at `key`, for checks.
     pub fn value(&self, key: &str) -> Option<Bytes> {
-        self.shared.lock().values.get(key).map(|entry| entry.value.clone())
+        self.shared.lock().state.get(key).map(|entry| entry.value.clone())
     }
 }
 
+/// The parameters of a call.
+type Parameters = BTreeMap<String, String>;
+
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    fn lock(&self) -> MutexGuard<'_, Store> {
+        let mut store = self.store.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        store.state.expire(Instant::now());
+        store
     }
 
-    fn fault(&self) -> Fault {
-        self.lock().fault.unwrap_or(Fault::None)
+    fn wake(&self) {
+        self.changed.send_modify(|count| *count += 1);
     }
 
-    fn get(&self, key: &str) -> Answer {
-        let mut state = self.lock();
-        state.counts.reads += 1;
-        state.expire(Instant::now());
-        match state.values.get(key) {
-            Some(entry) => value_reply(entry),
-            None => status(StatusCode::NOT_FOUND, 0),
+    fn key(&self, parameters: &Parameters) -> Answer {
+        let Some(key) = parameters.get("key") else { return malformed() };
+        let mut store = self.lock();
+        store.counts.reads += 1;
+        let at = store.state.revision();
+        match store.state.get(key) {
+            Some(entry) => {
+                let mut body = wire::item(key, entry);
+                body["at_rev"] = json!(at);
+                answer(StatusCode::OK, &body)
+            }
+            None => answer(StatusCode::NOT_FOUND, &json!({ "at_rev": at })),
         }
     }
 
-    fn vms(&self) -> Answer {
-        let mut state = self.lock();
-        state.counts.reads += 1;
-        Answer::Reply(reply(StatusCode::OK, state.vms.clone()))
+    fn range(&self, parameters: &Parameters) -> Answer {
+        let Some(prefix) = parameters.get("prefix") else { return malformed() };
+        let after = parameters.get("after").map_or("", String::as_str);
+        let mut store = self.lock();
+        store.counts.reads += 1;
+        let mut found = store.state.range(prefix, after);
+        let items: Vec<Value> =
+            found.by_ref().take(PAGE_ITEMS).map(|(key, entry)| wire::item(key, entry)).collect();
+        let more = found.next().is_some();
+        let at = store.state.revision();
+        answer(StatusCode::OK, &json!({ "items": items, "has_more": more, "at_rev": at }))
     }
 
-    fn put(&self, key: &str, call: &Call) -> Answer {
-        let Some(expect) = parameter(call, "expect") else {
-            return status(StatusCode::BAD_REQUEST, 0);
-        };
-        if call.body.len() > MAX_VALUE_BYTES {
-            return status(StatusCode::PAYLOAD_TOO_LARGE, 0);
+    fn transact(&self, body: &[u8]) -> Answer {
+        let Some(transaction) = wire::transaction(body) else { return malformed() };
+        if transaction.puts.iter().any(|put| put.value.len() > VALUE_BYTES) {
+            return answer(StatusCode::PAYLOAD_TOO_LARGE, &json!({}));
         }
-        let mut state = self.lock();
-        state.counts.writes += 1;
-        state.expire(Instant::now());
-        let lease = parameter(call, "lease");
-        if lease.is_some_and(|id| !state.leases.contains_key(&id)) {
-            return status(StatusCode::BAD_REQUEST, 0);
-        }
-        let found = state.values.get(key).map_or(0, |entry| entry.revision);
-        if found != expect {
-            return status(StatusCode::CONFLICT, found);
+        let mut store = self.lock();
+        store.counts.writes += 1;
+        let watched = store.last_write.clone();
+        let fails = transaction.puts.iter().any(|put| Some(&put.key) == watched.as_ref());
+        let revision = match store.state.transact(transaction) {
+            Outcome::Done(revision) => revision,
+            Outcome::Conflict(found) => {
+                let items: Vec<Value> =
+                    found.iter().map(|(key, entry)| wire::item(key, entry)).collect();
+                return answer(StatusCode::PRECONDITION_FAILED, &json!({ "items": items }));
+            }
+            Outcome::NoLease => return answer(StatusCode::NOT_FOUND, &json!({})),
+        };
+        if fails {
+            store.last_write = None;
+            store.fault = Fault::Down;
+            store.lost_replies = 1;
         }
-        state.revision += 1;
-        let revision = state.revision;
-        let entry = Entry { revision, value: call.body.clone(), lease };
-        state.values.insert(key.to_owned(), entry);
-        if state.last_write.as_deref() == Some(key) {
-            state.last_write = None;
-            state.fault = Some(Fault::Down);
-            state.lost_replies = 1;
+        let lost = store.lost_replies > 0;
+        store.lost_replies = store.lost_replies.saturating_sub(1);
+        drop(store);
+        self.wake();
+        if lost {
+            return Answer::Close;
         }
-        self.finish_write(state, revision)
+        answer(StatusCode::OK, &json!({ "revision": revision }))
     }
 
-    fn delete(&self, key: &str, call: &Call) -> Answer {
-        let Some(expect) = parameter(call, "expect") else {
-            return status(StatusCode::BAD_REQUEST, 0);
-        };
-        let mut state = self.lock();
-        state.counts.writes += 1;
-        let Some(entry) = state.values.get(key) else {
-            return status(StatusCode::NOT_FOUND, 0);
-        };
-        if entry.revision != expect {
-            return status(StatusCode::CONFLICT, entry.revision);
-        }
-        state.values.remove(key);
-        state.revision += 1;
-        self.finish_write(state, expect)
+    fn grant(&self, body: &[u8]) -> Answer {
+        let Some(ttl) = wire::lifetime(body) else { return malformed() };
+        let mut store = self.lock();
+        store.counts.leases += 1;
+        let lease = store.state.grant(Duration::from_millis(ttl), Instant::now());
+        answer(StatusCode::OK, &json!({ "lease_id": lease, "ttl_ms": ttl }))
     }
 
-    fn finish_write(&self, mut state: MutexGuard<'_, State>, revision: u64) -> Answer {
-        let lost = state.lost_replies > 0;
-        state.lost_replies = state.lost_replies.saturating_sub(1);
-        drop(state);
-        self.changed.send_modify(|count| *count += 1);
-        if lost {
-            return Answer::Close;
+    fn keep(&self, lease: &str) -> Answer {
+        let Ok(lease) = lease.parse() else { return malformed() };
+        let mut store = self.lock();
+        store.counts.leases += 1;
+        match store.state.keep(lease, Instant::now()) {
+            Some(ttl) => answer(StatusCode::OK, &json!({ "ttl_ms": ttl.as_millis() as u64 })),
+            None => answer(StatusCode::NOT_FOUND, &json!({})),
         }
-        status(StatusCode::OK, revision)
     }
 
-    fn lease(&self, path: &str, call: &Call) -> Answer {
-        let mut state = self.lock();
-        state.counts.writes += 1;
-        let now = Instant::now();
-        state.expire(now);
-        if path.is_empty() {
-            let Some(ttl) = parameter(call, "ttl_ms").map(Duration::from_millis) else {
-                return status(StatusCode::BAD_REQUEST, 0);
-            };
-            state.next_lease += 1;
-            let id = state.next_lease;
-            state.leases.insert(id, Lease { ttl, ends: now + ttl });
-            return Answer::Reply(reply(StatusCode::OK, Bytes::from(id.to_string())));
-        }
-        let id = path.strip_suffix("/renew").and_then(|id| id.parse::<u64>().ok());
-        match id.and_then(|id| state.leases.get_mut(&id)) {
-            Some(lease) => {
-                lease.ends = now + lease.ttl;
-                status(StatusCode::OK, 0)
-            }
-            None => status(StatusCode::NOT_FOUND, 0),
-        }
+    fn end(&self, lease: &str) -> Answer {
+        let Ok(lease) = lease.parse() else { return malformed() };
+        let mut store = self.lock();
+        store.counts.leases += 1;
+        store.state.end(lease);
+        drop(store);
+        self.wake();
+        answer(StatusCode::OK, &json!({}))
     }
 
-    async fn watch(&self, key: &str, call: &Call) -> Answer {
-        let after = parameter(call, "after").unwrap_or(0);
-        let wait = Duration::from_millis(parameter(call, "wait_ms").unwrap_or(0));
+    async fn watch(&self, parameters: &Parameters) -> Answer {
+        let number = |name: &str| parameters.get(name).and_then(|it| it.parse::<u64>().ok());
+        let (Some(prefix), Some(after)) = (parameters.get("prefix"), number("after")) else {
+            return malformed();
+        };
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
         self.lock().counts.watches += 1;
-        let mut changes = self.changed.subscribe();
-        let found = timeout(wait, async {
-            loop {
-                changes.borrow_and_update();
-                if self.fault() == Fault::Down {
-                    return Answer::Close;
-                }
-                if let Some(entry) = self.lock().values.get(key)
-                    && entry.revision > after
-                {
-                    return value_reply(entry);
-                }
-                if changes.changed().await.is_err() {
-                    return Answer::Close;
-                }
+        let mut wakes = self.changed.subscribe();
+        let end = Instant::now() + wait;
+        loop {
+            wakes.borrow_and_update();
+            let (changes, at, fault) = {
+                let store = self.lock();
+                (store.state.changes(prefix, after), store.state.revision(), store.fault)
+            };
+            if fault == Fault::Down {
+                return Answer::Close;
             }
-        });
-        found.await.unwrap_or_else(|_| status(StatusCode::NOT_MODIFIED, after))
-    }
-}
-
-impl State {
-    fn expire(&mut self, now: Instant) {
-        self.leases.retain(|_, lease| lease.ends > now);
-        let leases = &self.leases;
-        self.values.retain(|_, entry| entry.lease.is_none_or(|id| leases.contains_key(&id)));
+            let Some(changes) = changes else {
+                return answer(StatusCode::GONE, &json!({ "at_rev": at }));
+            };
+            if !changes.is_empty() || Instant::now() >= end {
+                return events(&changes, at);
+            }
+            let left = end.saturating_duration_since(Instant::now()).min(LEASE_POLL);
+            if let Ok(Err(_)) = timeout(left, wakes.changed()).await {
+                return Answer::Close;
+            }
+        }
     }
 }
 
@@ -288,44 +304,47 @@
     type Connection = ();
 
     async fn connected(self: &Arc<Self>) -> Option<()> {
-        (self.fault() != Fault::Down).then_some(())
+        (self.lock().fault != Fault::Down).then_some(())
     }
 
     async fn call(self: &Arc<Self>, call: Call) -> Answer {
-        match self.fault() {
+        let fault = self.lock().fault;
+        match fault {
             Fault::None => {}
             Fault::Down => return Answer::Close,
-            Fault::Refusing => return status(StatusCode::SERVICE_UNAVAILABLE, 0),
+            Fault::Refusing => return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
             Fault::Slow(delay) => sleep(delay).await,
         }
-        let path = call.request.uri().path().to_owned();
-        let method = call.request.method().clone();
-        if path == "/vms" {
-            return self.vms();
+        let path = call.request.uri().path();
+        let query = call.request.uri().query().unwrap_or("");
+        let parameters = form_urlencoded::parse(query.as_bytes()).into_owned().collect();
+        match (call.request.method().clone(), path) {
+            (Method::GET, "/kv-key") => return self.key(&parameters),
+            (Method::GET, "/kv-range") => return self.range(&parameters),
+            (Method::GET, "/kv-watch") => return self.watch(&parameters).await,
+            (Method::POST, "/kv-txn") => return self.transact(&call.body),
+            (Method::POST, "/kv-lease") => return self.grant(&call.body),
+            _ => {}
         }
-        if let Some(rest) = path.strip_prefix("/leases") {
-            return self.lease(rest.trim_start_matches('/'), &call);
+        if let Some(lease) = path.strip_prefix("/kv-keep/") {
+            return self.keep(lease);
         }
-        if let Some(key) = path.strip_prefix("/watch/") {
-            return self.watch(key, &call).await;
-        }
-        match (path.strip_prefix("/kv/"), method) {
-            (Some(key), Method::GET) => self.get(key),
-            (Some(key), Method::PUT) => self.put(key, &call),
-            (Some(key), Method::DELETE) => self.delete(key, &call),
-            _ => status(StatusCode::NOT_FOUND, 0),
+        if let Some(lease) = path.strip_prefix("/kv-lease-end/") {
+            return self.end(lease);
         }
+        answer(StatusCode::NOT_FOUND, &json!({}))
     }
 }
 
-fn value_reply(entry: &Entry) -> Answer {
-    let mut response = reply(StatusCode::OK, entry.value.clone());
-    response.headers_mut().insert("x-revision", entry.revision.into());
-    Answer::Reply(response)
+fn events(changes: &[Change], at: u64) -> Answer {
+    let events: Vec<Value> = changes.iter().map(wire::event).collect();
+    answer(StatusCode::OK, &json!({ "events": events, "at_rev": at }))
+}
+
+fn malformed() -> Answer {
+    answer(StatusCode::BAD_REQUEST, &json!({}))
 }
 
-fn status(code: StatusCode, revision: u64) -> Answer {
-    let mut response = reply(code, Bytes::new());
-    response.headers_mut().insert("x-revision", revision.into());
-    Answer::Reply(response)
+fn answer(status: StatusCode, body: &Value) -> Answer {
+    Answer::Reply(reply(status, Bytes::from(body.to_string())))
 }
