fix: tell callers to come back later while there is nothing to try

Change: without a configuration, or with too few shards that have a searcher which takes work, the time is 30% of what the caller has left, 2 s at most; busy or unreachable searchers as before. Ruled out: the same for unreachable searchers, which are tried again after 300 ms.

--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -24,6 +24,7 @@
 use crate::entry::InForce;
 use crate::metrics;
 use crate::parts::Replies;
+use crate::sync::lock;
 use crate::work::Running;
 use crate::work::Work;
 use tt_adapter::headers;
@@ -33,25 +34,26 @@
 use tt_serve::Plan;
 use tt_serve::Query;
 use tt_serve::Reach;
+use tt_serve::Refusal;
 use tt_serve::Time;
 use tt_serve::Verdict;
+use tt_serve::retry_after;
 
 /// Largest part of the objective that is kept free for the way to the caller and back.
 const WAY_SHARE: f64 = 0.4;
 
-/// Part of the time left after which a caller may be told to come back; callers wait no longer
-/// than a third.
-const COME_BACK_SHARE: f64 = 0.3;
-
 /// Answers a request.
 pub(crate) async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     let started = entry.now();
     let (head, body) = request.into_parts();
     let id = text(&head.headers, headers::REQUEST_ID).unwrap_or_default().to_owned();
+    let waits = text(&head.headers, headers::DEADLINE_MS)
+        .and_then(|value| value.parse().ok())
+        .map(Duration::from_millis);
     let Some(in_force) = entry.in_force() else {
         log::info!("request: id={id} outcome=refused cause=no_config");
         metrics::refused("no_config");
-        return refuse(&entry, StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", None);
+        return not_run(&entry, Refusal::Unserved, "no configuration yet", waits);
     };
     let host =
         text(&head.headers, header::HOST.as_str()).or_else(|| head.uri.host()).unwrap_or_default();
@@ -61,24 +63,21 @@
             in_force.table.version
         );
         metrics::refused("no_route");
-        return refuse(&entry, StatusCode::NOT_FOUND, "no route", None);
+        return answer::refusal(StatusCode::NOT_FOUND, "no route", None);
     };
     if id.is_empty() {
-        return refuse(&entry, StatusCode::BAD_REQUEST, "the request has no id", None);
+        return answer::refusal(StatusCode::BAD_REQUEST, "the request has no id", None);
     }
-    let waits = text(&head.headers, headers::DEADLINE_MS)
-        .and_then(|value| value.parse().ok())
-        .map_or(route.route.timeout, Duration::from_millis);
-    let limit = started + waits.min(route.route.timeout);
+    let limit = started + waits.map_or(route.route.timeout, |it| it.min(route.route.timeout));
     let deadline = entry.clock.at(limit);
     let body = Limited::new(body, in_force.table.limits.body);
     let body = match timeout_at(deadline, body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return refuse(&entry, StatusCode::PAYLOAD_TOO_LARGE, "the body is too large", None);
+            return answer::refusal(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large", None);
         }
-        Ok(Err(_)) => return refuse(&entry, StatusCode::BAD_REQUEST, "the body is cut", None),
-        Err(_) => return refuse(&entry, StatusCode::REQUEST_TIMEOUT, "the body is late", None),
+        Ok(Err(_)) => return answer::refusal(StatusCode::BAD_REQUEST, "the body is cut", None),
+        Err(_) => return answer::refusal(StatusCode::REQUEST_TIMEOUT, "the body is late", None),
     };
     let asked = Asked { entry, in_force, route, started, limit };
     asked.run(id, head, body, deadline).await
@@ -88,15 +87,10 @@
     headers.get(name)?.to_str().ok()
 }
 
-fn refuse(
-    entry: &Entry,
-    status: StatusCode,
-    cause: &str,
-    left: Option<Duration>,
-) -> Response<Body> {
-    let promise = status == StatusCode::SERVICE_UNAVAILABLE;
-    let pause = left.map_or(Duration::MAX, |left| left.mul_f64(COME_BACK_SHARE));
-    answer::refusal(status, cause, promise.then(|| entry.settings.come_back.min(pause)))
+/// The end of a request that has not run and may come back, for a caller that has `left`.
+fn not_run(entry: &Entry, refusal: Refusal, cause: &str, left: Option<Duration>) -> Response<Body> {
+    let pause = retry_after(refusal, left, &entry.settings.retry);
+    answer::refusal(StatusCode::SERVICE_UNAVAILABLE, cause, Some(pause))
 }
 
 /// A request whose route is known.
@@ -118,7 +112,7 @@
         deadline: Instant,
     ) -> Response<Body> {
         let Some(plan) = self.plan() else {
-            return refuse(&self.entry, StatusCode::SERVICE_UNAVAILABLE, "no searchers", None);
+            return not_run(&self.entry, Refusal::Unserved, "no searchers", Some(self.left()));
         };
         let mut headers = head.headers;
         answer::remove_connection_headers(&mut headers);
@@ -149,6 +143,11 @@
         self.finish(&outgoing, verdict, &query, replies)
     }
 
+    /// Time until the caller or the operator gives it up.
+    fn left(&self) -> Duration {
+        self.limit.saturating_sub(self.entry.now())
+    }
+
     fn plan(&self) -> Option<Plan> {
         let settings = &self.entry.settings;
         let route = &self.route.route;
@@ -183,9 +182,9 @@
         let last = replies.last;
         let (outcome, response) = match verdict {
             Verdict::Answer => ("answered", self.success(outgoing, query, replies)),
-            Verdict::Fail(failure) => self.failure(failure, replies, now),
+            Verdict::Fail(failure) => self.failure(failure, query, replies),
             // A request is only finished with a verdict.
-            Verdict::Wait(_) => self.failure(Failure::Timeout, replies, now),
+            Verdict::Wait(_) => self.failure(Failure::Timeout, query, replies),
         };
         metrics::request(&outgoing.route, outcome, took);
         if outgoing.gather {
@@ -224,15 +223,14 @@
     fn failure(
         &self,
         failure: Failure,
+        query: &Query,
         replies: Replies,
-        now: Time,
     ) -> (&'static str, Response<Body>) {
-        let left = self.limit.saturating_sub(now);
         match (failure, replies.failed) {
-            (Failure::NotRun, _) => (
-                "not_run",
-                refuse(&self.entry, StatusCode::SERVICE_UNAVAILABLE, "not run", Some(left)),
-            ),
+            (Failure::NotRun, _) => {
+                let refusal = query.refusal(&lock(&self.entry.fleet));
+                ("not_run", not_run(&self.entry, refusal, "not run", Some(self.left())))
+            }
             (Failure::Failed, Some(reply)) if !promises_not_run(reply.status) => {
                 ("failed", answer::pass_on(reply))
             }
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -7,6 +7,7 @@
 use tt_serve::MemberSettings;
 use tt_serve::PaceSettings;
 use tt_serve::RegistrySettings;
+use tt_serve::RetrySettings;
 
 /// Settings of the daemon itself.
 #[derive(Debug, Clone, Copy)]
@@ -49,8 +50,8 @@
     pub answer_bytes: usize,
     /// Lifetime of an answer of the directory, if the deployment allows as much.
     pub directory_ttl: Duration,
-    /// When callers are told to come back, if nothing better is known.
-    pub come_back: Duration,
+    /// When callers are told to come back.
+    pub retry: RetrySettings,
     /// Time after SIGTERM in which callers may still come with an old answer of the directory.
     pub drain: Duration,
     /// Time kept free before the process is killed.
@@ -83,7 +84,7 @@
             end_margin: Duration::from_millis(8),
             answer_bytes: 4 * 1024 * 1024,
             directory_ttl: Duration::from_secs(4),
-            come_back: Duration::from_millis(150),
+            retry: RetrySettings::default(),
             drain: Duration::from_millis(3400),
             stop_margin: Duration::from_millis(600),
             fresh: Duration::from_millis(800),
--- a/crates/front/tests/tier.rs
+++ b/crates/front/tests/tier.rs
@@ -28,7 +28,8 @@
         .await;
     let answer = entry.ask("/one/", "r1").await;
     assert_eq!(answer.status, 503);
-    assert!(answer.header("retry-after").is_some());
+    // 30% of the 4 s that the caller waits.
+    assert_eq!(answer.header("retry-after"), Some("1.200"));
     let ready = get(entry.boot.ready, "/ready", &[]).await.expect("an answer");
     assert_eq!(ready.status, 503);
 }
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -219,6 +219,11 @@
         self.members(pool).any(|(_, entry)| entry.is_open(now))
     }
 
+    /// Whether a searcher of the pool says that it takes work, reachable or not.
+    pub fn has_ready(&self, pool: PoolKey) -> bool {
+        self.members(pool).any(|(_, entry)| entry.searcher.ready)
+    }
+
     /// Whether the pool has a searcher in `domain` that takes work.
     pub fn is_served_in(&self, pool: PoolKey, domain: &str) -> bool {
         self.members(pool).any(|(_, entry)| entry.searcher.ready && entry.searcher.domain == domain)
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -20,6 +20,7 @@
 mod query;
 mod registry;
 mod relays;
+mod retry_after;
 mod routes;
 
 pub use budget::Budget;
@@ -72,6 +73,9 @@
 pub use relays::Delegation;
 pub use relays::Reach;
 pub use relays::assign;
+pub use retry_after::Refusal;
+pub use retry_after::RetrySettings;
+pub use retry_after::retry_after;
 pub use routes::CompiledRoute;
 pub use routes::CompiledTarget;
 pub use routes::RouteTable;
--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -11,6 +11,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::PoolKey;
 use crate::fleet::SearcherKey;
+use crate::retry_after::Refusal;
 
 /// What a request needs.
 #[derive(Debug, Clone)]
@@ -347,6 +348,12 @@
         sends
     }
 
+    /// Why the request has not run.
+    pub fn refusal(&self, fleet: &Fleet) -> Refusal {
+        let served = self.shards.iter().filter(|shard| fleet.has_ready(shard.pool)).count();
+        if served < self.plan.need { Refusal::Unserved } else { Refusal::Busy }
+    }
+
     /// Where the request stands.
     pub fn verdict(&self, now: Time) -> Verdict {
         let shards = self.shards.len();
--- /dev/null
+++ b/crates/serve/src/retry_after.rs
@@ -0,0 +1,47 @@
+//! When a caller is told to come back with a request that has not run.
+
+use std::time::Duration;
+
+/// Why a request has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The searchers that it needs took none of its sends, or could not be reached.
+    Busy,
+    /// There is nothing to try: no configuration, or no searcher that takes work.
+    Unserved,
+}
+
+/// How long callers are told to wait.
+#[derive(Debug, Clone, Copy)]
+pub struct RetrySettings {
+    /// Wait after searchers were busy; their queues are shorter than this.
+    pub busy: Duration,
+    /// Longest wait while there is nothing to try: the platform promises that registrations are
+    /// back within this time after an outage of its store.
+    pub unserved: Duration,
+    /// Part of the time that a caller has left; callers wait no longer than a third of it.
+    pub share: f64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        RetrySettings {
+            busy: Duration::from_millis(150),
+            unserved: Duration::from_secs(2),
+            share: 0.3,
+        }
+    }
+}
+
+/// When a caller that has `left` is told to come back. A later attempt has better chances the
+/// longer an outage has had to end, so that it is as late as the caller accepts.
+pub fn retry_after(refusal: Refusal, left: Option<Duration>, settings: &RetrySettings) -> Duration {
+    let most = match refusal {
+        Refusal::Busy => settings.busy,
+        Refusal::Unserved => settings.unserved,
+    };
+    match left {
+        Some(left) => most.min(left.mul_f64(settings.share)),
+        None => settings.busy,
+    }
+}
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -26,7 +26,9 @@
 use tt_serve::PaceSettings;
 use tt_serve::PoolSpec;
 use tt_serve::Reach;
+use tt_serve::Refusal;
 use tt_serve::Repeat;
+use tt_serve::RetrySettings;
 use tt_serve::Route;
 use tt_serve::RouteTable;
 use tt_serve::Share;
@@ -38,6 +40,7 @@
 use tt_serve::assign;
 use tt_serve::merge;
 use tt_serve::named;
+use tt_serve::retry_after;
 
 fn fixed(cases: u32) -> TestConfig {
     TestConfig {
@@ -168,6 +171,21 @@
     assert_eq!(found("b.example", "/a/"), None);
 }
 
+// Guards against callers that come back while the outage goes on, and against a time that is later
+// than a caller waits.
+#[test]
+fn callers_come_back_late_if_there_is_nothing_to_try() {
+    let settings = RetrySettings::default();
+    let check = |refusal, left: u64, expect: u64| {
+        assert_eq!(retry_after(refusal, Some(ms(left)), &settings), ms(expect), "{refusal:?}");
+    };
+    check(Refusal::Busy, 4000, 150);
+    check(Refusal::Busy, 300, 90);
+    check(Refusal::Unserved, 4000, 1200);
+    check(Refusal::Unserved, 300, 90);
+    check(Refusal::Unserved, 60_000, 2000);
+}
+
 // Guards against answers below the least coverage through rounding.
 #[test]
 fn the_fewest_shards_reach_the_coverage() {
--- a/crates/serve/tests/query.rs
+++ b/crates/serve/tests/query.rs
@@ -14,6 +14,7 @@
 use tt_serve::Plan;
 use tt_serve::PoolKey;
 use tt_serve::Query;
+use tt_serve::Refusal;
 use tt_serve::Repeat;
 use tt_serve::Verdict;
 
@@ -184,6 +185,19 @@
     assert_eq!(query.verdict(ms(0)), Verdict::Fail(Failure::NotRun));
 }
 
+// Guards against callers that stay away for long though a searcher is only busy for a moment.
+#[test]
+fn a_request_is_unserved_if_too_few_shards_have_a_searcher_that_takes_work() {
+    let mut fleet = fleet();
+    let mut pools = shards(&mut fleet, 2);
+    let searcher = add(&mut fleet, pools[0], "closed", "home");
+    fleet.unreachable(searcher, ms(0));
+    pools.push(fleet.pool("empty"));
+    let refusal = |need| Query::new(plan(pools.clone(), need)).refusal(&fleet);
+    assert_eq!(refusal(2), Refusal::Busy);
+    assert_eq!(refusal(3), Refusal::Unserved);
+}
+
 // Guards against waiting for a shard that has no searcher.
 #[test]
 fn a_shard_without_searchers_is_left_out_at_once() {
