internal: let the soak change configurations, restart searchers and make the store misbehave

Change: the store refuses, is down or slow, loses replies, lapses leases and drops its history; configurations change during all that, and after the end each entry serves a route that only the newest one has; searchers drain or vanish and start again under their id.

--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -13,15 +13,44 @@
 use crate::process::Vm;
 use crate::proxy::Mode;
 use crate::proxy::Proxy;
+use crate::support::config::config;
 use crate::support::searcher::Act;
+use crate::support::searcher::Life;
 use crate::support::searcher::Searcher;
+use crate::world::COVERAGE;
+use crate::world::SHARDS;
+use tt_standin::Fault;
+use tt_standin::Platform;
 
 /// What faults strike.
 #[derive(Debug)]
 pub struct Targets {
     pub vms: Vec<Vm>,
-    pub store: Proxy,
-    pub searchers: Vec<(Searcher, Proxy, Act)>,
+    pub store: Platform,
+    /// The way to the store.
+    pub way: Proxy,
+    pub searchers: Vec<Target>,
+    /// Version of the newest configuration.
+    pub version: u64,
+}
+
+/// A searcher with the way to it.
+#[derive(Debug)]
+pub struct Target {
+    pub searcher: Searcher,
+    pub way: Proxy,
+    pub sound: Act,
+    pub pool: String,
+    pub domain: String,
+    /// Start of its newest incarnation, in Unix milliseconds.
+    pub born: u64,
+}
+
+impl Target {
+    pub fn register(&self, store: &Platform, state: &str, sequence: u64) {
+        let life = Life { state, born: self.born, sequence };
+        self.searcher.register_as(store, &self.pool, &self.domain, life);
+    }
 }
 
 /// Something that ends later.
@@ -29,9 +58,11 @@
 enum Undo {
     Start(usize),
     Continue(usize),
+    Way,
     Store,
     Path(usize),
     Act(usize),
+    Rebirth(usize),
 }
 
 /// Strikes until `end`, and then undoes everything.
@@ -69,7 +100,7 @@
     let vm = rng.random_range(0..targets.vms.len());
     let searcher = rng.random_range(0..targets.searchers.len());
     let starting = undo.iter().any(|(_, it)| matches!(it, Undo::Start(it) if *it == vm));
-    let name = match rng.random_range(0..8) {
+    let name = match rng.random_range(0..12) {
         0 if !starting => {
             targets.vms[vm].signal(Signal::SIGKILL);
             undo.push((until, Undo::Start(vm)));
@@ -91,27 +122,77 @@
         }
         4 => {
             let mode = mode(rng);
-            targets.store.set(mode);
-            undo.push((until, Undo::Store));
-            format!("store {mode:?}")
+            targets.way.set(mode);
+            undo.push((until, Undo::Way));
+            format!("way to the store {mode:?}")
         }
         5 | 6 => {
             let mode = mode(rng);
-            targets.searchers[searcher].1.set(mode);
+            targets.searchers[searcher].way.set(mode);
             undo.push((until, Undo::Path(searcher)));
             format!("path to searcher {searcher} {mode:?}")
         }
         7 => {
-            let act = act(rng, &targets.searchers[searcher].2);
-            targets.searchers[searcher].0.set(act.clone());
+            let act = act(rng, &targets.searchers[searcher].sound);
+            targets.searchers[searcher].searcher.set(act.clone());
             undo.push((until, Undo::Act(searcher)));
             format!("searcher {searcher} {act:?}")
         }
+        8 => {
+            undo.push((until, Undo::Store));
+            format!("store {}", misbehave(&targets.store, rng))
+        }
+        9 | 10 => {
+            targets.version += rng.random_range(1..4);
+            let version = targets.version;
+            targets.store.put("op/config", &config(version, &SHARDS, COVERAGE));
+            format!("configuration {version}")
+        }
+        11 if !undo.iter().any(|(_, it)| matches!(it, Undo::Rebirth(it) if *it == searcher)) => {
+            let target = &targets.searchers[searcher];
+            if rng.random_bool(0.5) {
+                target.register(&targets.store, "draining", 3);
+            } else {
+                target.searcher.unregister(&targets.store);
+            }
+            undo.push((until, Undo::Rebirth(searcher)));
+            format!("searcher {searcher} leaves")
+        }
         _ => return None,
     };
     Some(name)
 }
 
+/// Lets the store itself misbehave.
+fn misbehave(store: &Platform, rng: &mut StdRng) -> &'static str {
+    match rng.random_range(0..6) {
+        0 => {
+            store.set_fault(Fault::Refusing);
+            "refuses"
+        }
+        1 => {
+            store.set_fault(Fault::Down);
+            "down"
+        }
+        2 => {
+            store.set_fault(Fault::Slow(millis(rng, 20, 600)));
+            "slow"
+        }
+        3 => {
+            store.lose_replies(rng.random_range(1..6));
+            "loses replies"
+        }
+        4 => {
+            store.lapse_leases();
+            "lapses leases"
+        }
+        _ => {
+            store.compact();
+            "drops its history"
+        }
+    }
+}
+
 fn mode<R>(rng: &mut R) -> Mode
 where
     R: Rng,
@@ -155,11 +236,21 @@
             }
             Undo::Start(vm) => kept.push((at, Undo::Start(vm))),
             Undo::Continue(vm) => targets.vms[vm].signal(Signal::SIGCONT),
-            Undo::Store => targets.store.set(Mode::Pass),
-            Undo::Path(searcher) => targets.searchers[searcher].1.set(Mode::Pass),
+            Undo::Way => targets.way.set(Mode::Pass),
+            Undo::Store => {
+                targets.store.set_fault(Fault::None);
+                targets.store.lose_replies(0);
+            }
+            Undo::Path(searcher) => targets.searchers[searcher].way.set(Mode::Pass),
             Undo::Act(searcher) => {
-                let (server, _, sound) = &targets.searchers[searcher];
-                server.set(sound.clone());
+                let Target { searcher, sound, .. } = &targets.searchers[searcher];
+                searcher.set(sound.clone());
+            }
+            // It starts again under its id, and its counts start anew.
+            Undo::Rebirth(searcher) => {
+                let target = &mut targets.searchers[searcher];
+                target.born += 1;
+                target.register(&targets.store, "ready", 1);
             }
         }
     }
--- a/crates/daemon/tests/soak/world.rs
+++ b/crates/daemon/tests/soak/world.rs
@@ -21,6 +21,7 @@
 use crate::check::Known;
 use crate::check::Seen;
 use crate::faults;
+use crate::faults::Target;
 use crate::faults::Targets;
 use crate::process::Vm;
 use crate::proxy::Proxy;
@@ -33,12 +34,12 @@
 use crate::support::searcher::Searcher;
 use tt_standin::Platform;
 
-const SHARDS: [&str; 5] = ["p0", "p1", "p2", "p3", "p4"];
+pub const SHARDS: [&str; 5] = ["p0", "p1", "p2", "p3", "p4"];
 
 /// Fewest shards in an answer, for the coverage below.
 const NEED: usize = 4;
 
-const COVERAGE: f64 = 0.8;
+pub const COVERAGE: f64 = 0.8;
 
 /// Records in an answer, as the stand-in's configuration says.
 const TOP: usize = 3;
@@ -84,7 +85,7 @@
     let directories: Vec<SocketAddr> = targets.vms.iter().map(|vm| vm.directory).collect();
     let fronts: Vec<SocketAddr> = targets.vms.iter().map(|vm| vm.front).collect();
     let mut broken = Vec::new();
-    if !is_back(&fronts, "start").await {
+    if !is_back(&fronts, "start", "/all/").await {
         broken.push("no service after the start".to_owned());
     }
     let seen = Arc::new(Mutex::new(Vec::new()));
@@ -97,8 +98,10 @@
         })
         .collect();
     let done = faults::strike(&mut targets, &mut rng, Instant::now() + STRIKES).await;
-    if !is_back(&fronts, "end").await {
-        broken.push(format!("no service {} s after the faults", RECOVERY.as_secs()));
+    for (name, path) in [("end", "/all/".to_owned()), ("new", format!("/v{}/", targets.version))] {
+        if !is_back(&fronts, name, &path).await {
+            broken.push(format!("no service at {path} {} s after the faults", RECOVERY.as_secs()));
+        }
     }
     stop.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -123,14 +126,14 @@
 }
 
 async fn build(seed: u64, store: &Platform) -> Targets {
-    let store_proxy = Proxy::start(store.address()).await;
+    let way = Proxy::start(store.address()).await;
     let mut peers = Vec::new();
     for _ in 0..VMS {
         peers.push(free_address().await);
     }
     let mut vms = Vec::new();
     for index in 0..VMS {
-        vms.push(Vm::new(seed, index, store_proxy.address, &peers).await);
+        vms.push(Vm::new(seed, index, way.address, &peers).await);
     }
     let mut searchers = Vec::new();
     let mut value = 0;
@@ -143,16 +146,19 @@
             let mut searcher = Searcher::start(store, &id, pool, &domain, act.clone()).await;
             let proxy = Proxy::start(searcher.address).await;
             searcher.address = proxy.address;
-            searcher.register(store, pool, &domain, "ready", 2);
-            searchers.push((searcher, proxy, act));
+            let pool = (*pool).to_owned();
+            let target = Target { searcher, way: proxy, sound: act, pool, domain, born: 5 };
+            target.register(store, "ready", 2);
+            searchers.push(target);
         }
     }
-    Targets { vms, store: store_proxy, searchers }
+    Targets { vms, store: store.clone(), way, searchers, version: 1 }
 }
 
-fn known((searcher, _, act): &(Searcher, Proxy, Act)) -> Known<'_> {
-    let pool = searcher.id.rsplit_once('-').map_or("", |(pool, _)| pool).to_owned();
-    let body = match act {
+fn known(target: &Target) -> Known<'_> {
+    let Target { searcher, sound, pool, .. } = target;
+    let pool = pool.clone();
+    let body = match sound {
         Act::Answer(body) => body.clone(),
         _ => Vec::new(),
     };
@@ -160,7 +166,7 @@
 }
 
 /// Whether each machine serves several requests in a row in time.
-async fn is_back(fronts: &[SocketAddr], name: &str) -> bool {
+async fn is_back(fronts: &[SocketAddr], name: &str, path: &str) -> bool {
     let end = Instant::now() + RECOVERY;
     let count = AtomicU64::new(0);
     for &front in fronts {
@@ -171,7 +177,7 @@
             }
             let id = format!("{name}-{front}-{}", count.fetch_add(1, Ordering::Relaxed));
             let headers = [("x-request-id", id.as_str()), ("x-deadline-ms", "2000")];
-            let answer = timeout(Duration::from_secs(3), get(front, "/all/", &headers)).await;
+            let answer = timeout(Duration::from_secs(3), get(front, path, &headers)).await;
             let served = answer.ok().flatten().is_some_and(|answer| answer.status == 200);
             sound = if served { sound + 1 } else { 0 };
             if !served {
--- a/crates/front/tests/support/config.rs
+++ b/crates/front/tests/support/config.rs
@@ -5,6 +5,7 @@
 
 /// One route over `shards` at `/all/`, one that may run once at `/once/` and one that may run
 /// again at `/one/`, the latter two at the pool `one`.
+/// A third one at the pool `one` begins with `/v` and the version, which shows what is in force.
 pub fn config(version: u64, shards: &[&str], coverage: f64) -> Vec<u8> {
     let route = |name: &str, kind: &str| {
         json!({
@@ -20,12 +21,14 @@
     once["service"] = json!("one");
     let mut one = route("one", "idempotent");
     one["service"] = json!("one");
+    let mut newest = route(&format!("v{version}"), "idempotent");
+    newest["service"] = json!("one");
     let mut names = shards.to_vec();
     names.push("one");
     let services: Vec<Value> =
         names.iter().map(|name| json!({"name": name, "max_conns": 30})).collect();
     let config = json!({
-        "version": version, "routes": [all, once, one], "services": services,
+        "version": version, "routes": [all, once, one, newest], "services": services,
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
     });
--- a/crates/front/tests/support/searcher.rs
+++ b/crates/front/tests/support/searcher.rs
@@ -35,6 +35,15 @@
     Moved,
 }
 
+/// What an incarnation of a searcher says of itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Life<'a> {
+    pub state: &'a str,
+    /// When it started, in Unix milliseconds.
+    pub born: u64,
+    pub sequence: u64,
+}
+
 /// What a searcher has seen.
 #[derive(Debug, Default)]
 struct Seen {
@@ -75,11 +84,26 @@
 
     /// Writes its registration.
     pub fn register(&self, store: &Platform, pool: &str, domain: &str, state: &str, sequence: u64) {
+        self.register_as(store, pool, domain, Life { state, born: 5, sequence });
+    }
+
+    /// Writes its registration as one of its incarnations.
+    pub fn register_as(&self, store: &Platform, pool: &str, domain: &str, life: Life<'_>) {
+        let Life { state, born, sequence } = life;
         let value = json!({
             "service": pool, "address": self.address, "zone": domain, "version": "v1",
-            "slots": 2, "state": state, "cold_left_ms": 0, "sequence": sequence, "born": 5,
+            "slots": 2, "state": state, "cold_left_ms": 0, "sequence": sequence, "born": born,
         });
-        store.put(&format!("servers/{}", self.id), value.to_string().as_bytes());
+        store.put(&self.key(), value.to_string().as_bytes());
+    }
+
+    /// Removes its registration.
+    pub fn unregister(&self, store: &Platform) {
+        store.remove(&self.key());
+    }
+
+    fn key(&self) -> String {
+        format!("servers/{}", self.id)
     }
 
     pub fn set(&self, act: Act) {
