feat: show what a running entry knows and believes

Cause: operators could see from logs when a searcher failed, but not whether and why an entry passes it over now. Change: GET /v1/status on the address for other daemons, and tillerctl status: version in force, age of the listing, daemons heard, among how many limits are divided, and each searcher's availability with its reason, outstanding requests, slowness and faults.

--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -5,6 +5,7 @@
 mod env;
 mod query;
 mod standin;
+mod status;
 
 use std::future::Future;
 
@@ -19,6 +20,7 @@
 pub(crate) use query::entries;
 pub(crate) use query::query;
 pub(crate) use standin::standin;
+pub(crate) use status::status;
 
 const DEMO_HELP: &str = "\
 Usage: tillerctl demo [--site kingston|texas] [--daemons N] [--seconds N] [--seed N] [--json]
--- /dev/null
+++ b/crates/ctl/src/commands/status.rs
@@ -0,0 +1,80 @@
+//! `tillerctl status`.
+
+use serde_json::Value;
+
+use crate::arguments::Arguments;
+use crate::client;
+use crate::commands::block_on;
+use crate::output::Failure;
+use crate::output::Format;
+use crate::output::print_line;
+use crate::output::print_value;
+use tt_bench::Ask;
+use tt_bench::Http;
+
+const HELP: &str = "\
+Usage: tillerctl status --at ADDRESS [--json]
+
+Shows what a running entry knows and believes: the configuration in force, the age of its
+listing of searchers, among how many daemons limits are divided, the daemons that it hears, and
+for each searcher whether and why it gets requests. ADDRESS is where other daemons reach it.
+";
+
+/// Shows the status of an entry.
+pub(crate) fn status(arguments: &mut Arguments) -> Result<(), Failure> {
+    if arguments.help() {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let address = arguments.address()?;
+    arguments.end()?;
+    let ask = Ask::get(address, "/v1/status".to_owned());
+    let status = block_on(async { client::json(&Http::new(), ask).await })??;
+    match arguments.format() {
+        Format::Json => print_value(Format::Json, &status),
+        Format::Text => print_text(&status),
+    }
+    Ok(())
+}
+
+fn print_text(status: &Value) {
+    let listing = match status["listing"]["age_ms"].as_u64() {
+        Some(age) => format!("listing {age} ms old"),
+        None => "no listing yet".to_owned(),
+    };
+    print_line(format!(
+        "{} in {}: {}, configuration {}, {listing}, limits among {} daemons",
+        cell(&status["vm"]),
+        cell(&status["domain"]),
+        cell(&status["state"]),
+        status["config"]["version"],
+        status["limits"]["daemons"],
+    ));
+    print_rows(&status["daemons"], &["vm", "domain", "state", "version", "heard_ms_ago"]);
+    let columns = ["pool", "id", "domain", "availability", "left_ms", "outstanding"];
+    print_rows(&status["searchers"], &[&columns[..], &["slowness", "faults"]].concat());
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// Prints a table with a line for each object.
+fn print_rows(rows: &Value, columns: &[&str]) {
+    let mut lines = vec![columns.iter().map(|&column| column.to_owned()).collect::<Vec<_>>()];
+    for row in rows.as_array().into_iter().flatten() {
+        lines.push(columns.iter().map(|&column| cell(&row[column])).collect());
+    }
+    let widths: Vec<usize> = (0..columns.len())
+        .map(|column| lines.iter().map(|line| line[column].len()).max().unwrap_or(0))
+        .collect();
+    print_line("");
+    for line in lines {
+        let cells = line.iter().zip(&widths).map(|(cell, &width)| format!("{cell:width$}"));
+        print_line(cells.collect::<Vec<_>>().join("  ").trim_end());
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -28,6 +28,7 @@
   env        try, promote and inspect documents
   query      send one query
   entries    ask which entry addresses to use
+  status     show what a running entry knows and believes
   standin    serve stand-ins for the platform and the searchers of a document
   bench      run measurement scenarios
 
@@ -67,6 +68,7 @@
         Some("env") => commands::env(&mut arguments),
         Some("query") => commands::query(&mut arguments),
         Some("entries") => commands::entries(&mut arguments),
+        Some("status") => commands::status(&mut arguments),
         Some("standin") => commands::standin(&mut arguments),
         Some("bench") => commands::bench(&mut arguments),
         Some(other) => Err(Failure::usage(format!("there is no command `{other}`"))),
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -31,6 +31,7 @@
 use crate::peers;
 use crate::relay;
 use crate::settings::FrontSettings;
+use crate::status;
 use crate::watch as store;
 use tt_adapter::Boot;
 use tt_adapter::HttpSettings;
@@ -117,11 +118,12 @@
     }
 }
 
-/// Answers another daemon.
+/// Answers another daemon or an operator.
 async fn serve_peer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
         relay::PATH => relay::serve(entry, request).await,
         peers::VIEW_PATH => peers::serve_view(&entry),
+        status::PATH => status::serve(&entry),
         _ => answer::refusal(StatusCode::NOT_FOUND, "no such page", None),
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,6 +23,7 @@
 mod relay;
 mod request;
 mod settings;
+mod status;
 mod sync;
 mod watch;
 mod work;
--- /dev/null
+++ b/crates/front/src/status.rs
@@ -0,0 +1,79 @@
+//! What this daemon knows and believes, for operators.
+
+use hyper::Response;
+use hyper::header;
+use hyper::header::HeaderValue;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::answer;
+use crate::answer::Body;
+use crate::entry::Entry;
+use crate::sync::lock;
+use tt_serve::Availability;
+use tt_serve::Member;
+use tt_serve::SearcherStatus;
+use tt_serve::Sharers;
+use tt_serve::Standing;
+use tt_serve::Time;
+
+/// Path of the status.
+pub(crate) const PATH: &str = "/v1/status";
+
+/// Answers an operator.
+pub(crate) fn serve(entry: &Entry) -> Response<Body> {
+    let mut response = Response::new(answer::whole(status(entry).to_string()));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn status(entry: &Entry) -> Value {
+    let now = entry.now();
+    let age = |at: Time| now.saturating_sub(at).as_millis() as u64;
+    let Standing { state, version, revision, listed, .. } = entry.standing();
+    let Sharers { daemons, domains } = entry.sharers();
+    let daemon = |member: &Member| {
+        json!({
+            "vm": member.vm.name,
+            "domain": member.vm.domain,
+            "state": format!("{:?}", member.standing.state),
+            "version": member.standing.version,
+            "heard_ms_ago": member.heard.map(age),
+        })
+    };
+    let others: Vec<Value> = lock(&entry.members).heard(now).map(daemon).collect();
+    let searchers: Vec<Value> = lock(&entry.fleet).status(now).iter().map(searcher).collect();
+    json!({
+        "vm": entry.vm.name,
+        "domain": entry.vm.domain,
+        "state": format!("{state:?}"),
+        "uptime_ms": now.as_millis() as u64,
+        "config": { "version": version },
+        "listing": { "revision": revision, "age_ms": listed.map(age) },
+        "limits": { "daemons": daemons, "domains": domains },
+        "daemons": others,
+        "searchers": searchers,
+    })
+}
+
+fn searcher(it: &SearcherStatus) -> Value {
+    let (availability, left) = match it.availability {
+        Availability::Used => ("used", None),
+        Availability::Ejected(left) => ("ejected", Some(left)),
+        Availability::Unreachable(left) => ("unreachable", Some(left)),
+        Availability::Moved => ("moved", None),
+        Availability::Leaving => ("leaving", None),
+    };
+    json!({
+        "id": it.id,
+        "pool": it.pool,
+        "address": it.address,
+        "domain": it.domain,
+        "availability": availability,
+        "left_ms": left.map(|left| left.as_millis() as u64),
+        "outstanding": it.outstanding,
+        "slowness": (it.slowness * 100.0).round() / 100.0,
+        "faults": (it.faults * 100.0).round() / 100.0,
+    })
+}
--- a/crates/front/tests/fuzz.rs
+++ b/crates/front/tests/fuzz.rs
@@ -8,18 +8,17 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio::net::UdpSocket;
-use tokio::time::timeout;
-
 use support::Entry;
 use support::config::config;
 use support::entry;
 use support::platform;
 use support::searcher::Act;
 use support::searcher::Searcher;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio::time::timeout;
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
--- a/crates/front/tests/tier.rs
+++ b/crates/front/tests/tier.rs
@@ -118,6 +118,24 @@
     assert_eq!(second.ask("/all/", "r1").await.body, records(&[1]));
 }
 
+// Guards against an operator who can't see why a searcher gets no requests.
+#[tokio::test]
+async fn the_status_tells_what_is_in_force_and_which_searchers_are_used() {
+    let store = platform().await;
+    store.put("op/config", &config(4, &["p0"], 0.5));
+    Searcher::start(&store, "s0", "p0", "d", Act::Answer(records(&[1]))).await;
+    let leaving = Searcher::start(&store, "s1", "p0", "d", Act::Answer(records(&[1]))).await;
+    leaving.register(&store, "p0", "d", "draining", 2);
+    let entry = ready_entry("vm", "d", &store).await;
+    let answer = get(entry.boot.peer, "/v1/status", &[]).await.expect("an answer");
+    let status: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+    assert_eq!(status["config"]["version"], 4);
+    let searchers = status["searchers"].as_array().expect("a list");
+    let seen: Vec<_> = searchers.iter().map(|it| (&it["id"], &it["availability"])).collect();
+    let expect = [("s0", "used"), ("s1", "leaving")].map(|(id, it)| (id.into(), it.into()));
+    assert_eq!(seen, expect.iter().map(|(id, it)| (id, it)).collect::<Vec<_>>());
+}
+
 // Guards against callers that are sent to addresses that don't serve.
 #[tokio::test]
 async fn the_directory_names_the_entries_that_take_callers() {
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The searchers that may be used, what each is doing, and the choice of one.
 
+mod status;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,6 +10,9 @@
 
 use crate::Time;
 
+pub use status::Availability;
+pub use status::SearcherStatus;
+
 /// Share of failing requests from which a searcher is not worth asking before others.
 const MOST_FAULTS: f64 = 0.25;
 
--- a/crates/serve/tests/fleet.rs
+++ b/crates/serve/tests/fleet.rs
@@ -8,7 +8,9 @@
 use common::fleet;
 use common::ms;
 
+use tt_serve::Availability;
 use tt_serve::Fleet;
+use tt_serve::FleetSettings;
 use tt_serve::PoolKey;
 use tt_serve::SearcherKey;
 use tt_serve::Time;
@@ -151,3 +153,28 @@
     fleet.shed(near, ms(0));
     assert_eq!(chosen(&mut fleet, pool, ms(3500)), Some(near));
 }
+
+// Guards against a status that names another reason than the one that keeps requests away.
+#[test]
+fn the_status_tells_why_a_searcher_gets_no_requests() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let keys: Vec<_> =
+        ["a", "b", "c", "d", "e"].map(|id| add(&mut fleet, pool, id, "home")).into_iter().collect();
+    let settings = FleetSettings::default();
+    fleet.shed(keys[1], ms(0));
+    fleet.unreachable(keys[2], ms(0));
+    fleet.moved(keys[3]);
+    fleet.update(keys[4], false, Time::ZERO, true);
+    let status = fleet.status(ms(0));
+    let seen: Vec<Availability> = status.iter().map(|it| it.availability).collect();
+    let expect = [
+        Availability::Used,
+        Availability::Ejected(settings.shed),
+        Availability::Unreachable(settings.unreachable),
+        Availability::Moved,
+        Availability::Leaving,
+    ];
+    assert_eq!(seen, expect);
+    assert!(status.iter().all(|it| it.pool == "pool"));
+}
