perf: let daemons that follow read only what has changed in a listing

Cause: each change of the listing made every other entry of the domain fetch the whole view, all searchers and the configuration with it. Ruled out: remembering whole listings, 22 MB each at the size of two years.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -122,7 +122,7 @@
 async fn serve_peer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
         relay::PATH => relay::serve(entry, request).await,
-        peers::VIEW_PATH => peers::serve_view(&entry),
+        peers::VIEW_PATH => peers::serve_view(&entry, request.uri().query().unwrap_or("")),
         status::PATH => status::serve(&entry),
         _ => answer::refusal(StatusCode::NOT_FOUND, "no such page", None),
     }
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -21,8 +21,10 @@
 use tt_serve::Budget;
 use tt_serve::BudgetSettings;
 use tt_serve::Config;
+use tt_serve::Delta;
 use tt_serve::Fleet;
 use tt_serve::ListChange;
+use tt_serve::Listings;
 use tt_serve::MemberState;
 use tt_serve::Members;
 use tt_serve::Pace;
@@ -35,7 +37,6 @@
 use tt_serve::Standing;
 use tt_serve::Time;
 use tt_serve::Vm;
-use tt_serve::digest;
 
 /// The daemon.
 #[derive(Debug)]
@@ -68,10 +69,9 @@
 #[derive(Debug)]
 struct Listing {
     registry: Registry,
-    newest: Vec<Sighting>,
+    listings: Listings,
     /// When the newest listing was read at the store, by this daemon or another.
     read: Option<Time>,
-    digest: u64,
     /// Revision of the store at which it was read.
     revision: u64,
     /// When the store came back after it had been away from whoever read the listing.
@@ -98,9 +98,8 @@
             table: RwLock::new(None),
             registry: Mutex::new(Listing {
                 registry: Registry::new(settings.registry),
-                newest: Vec::new(),
+                listings: Listings::default(),
                 read: None,
-                digest: 0,
                 revision: 0,
                 restored: None,
             }),
@@ -162,8 +161,7 @@
             return;
         }
         state.revision = revision;
-        state.digest = digest(&listing);
-        state.newest = listing;
+        state.listings.note(listing);
         state.read = state.read.max(Some(read));
         state.restored = restored;
         self.register(&mut state, source);
@@ -177,14 +175,14 @@
         }
         state.revision = revision;
         state.read = state.read.max(Some(read));
-        if state.registry.has_lapsed(&state.newest) {
+        if state.registry.has_lapsed(state.listings.newest()) {
             self.register(&mut state, "confirmed");
         }
     }
 
     fn register(&self, state: &mut Listing, source: &str) {
         let now = self.now();
-        let listing = state.newest.clone();
+        let listing = state.listings.newest().to_vec();
         let mut fleet = lock(&self.fleet);
         let changes = state.registry.adopt(&mut fleet, listing, state.restored, now);
         for change in &changes {
@@ -197,7 +195,12 @@
 
     /// The newest listing.
     pub(crate) fn newest(&self) -> Vec<Sighting> {
-        lock(&self.registry).newest.clone()
+        lock(&self.registry).listings.newest().to_vec()
+    }
+
+    /// What turns the listing with a digest into the newest, if that is known.
+    pub(crate) fn since(&self, digest: u64) -> Option<Delta> {
+        lock(&self.registry).listings.since(digest)
     }
 
     /// When the store came back before the newest listing was read.
@@ -218,7 +221,8 @@
             (false, false) => MemberState::Starting,
         };
         let listing = lock(&self.registry);
-        let Listing { digest, revision, read: listed, .. } = *listing;
+        let Listing { revision, read: listed, .. } = *listing;
+        let digest = listing.listings.digest();
         Standing { state, version: self.version(), digest, revision, listed }
     }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -29,6 +29,7 @@
 use crate::entry::Entry;
 use crate::sync::lock;
 use tt_adapter::decode_config;
+use tt_serve::Delta;
 use tt_serve::Member;
 use tt_serve::MemberState;
 use tt_serve::Members;
@@ -168,11 +169,11 @@
     }
 }
 
-/// What a daemon has read at the store.
+/// What a daemon has read at the store, as far as another one does not know it.
 #[derive(Debug, Serialize, Deserialize)]
 struct View {
     config: Option<String>,
-    searchers: Vec<Sighting>,
+    searchers: Searchers,
     /// Revision of the store at which they were read.
     revision: u64,
     listing_age: Option<u64>,
@@ -180,6 +181,15 @@
     restored_age: Option<u64>,
 }
 
+/// The searchers of a view.
+#[derive(Debug, Serialize, Deserialize)]
+enum Searchers {
+    /// All of them.
+    All(Vec<Sighting>),
+    /// What has changed since the listing with this digest.
+    Since(u64, Delta),
+}
+
 /// Opens the socket for heartbeats.
 pub(crate) async fn bind(entry: &Entry) -> io::Result<UdpSocket> {
     UdpSocket::bind(entry.vm.peer).await
@@ -330,7 +340,7 @@
             entry.confirm_listing(revision, read);
         }
         let Some(peer) = source else { continue };
-        match timeout(VIEW_LIMIT, fetch(peer)).await {
+        match timeout(VIEW_LIMIT, fetch(peer, &own)).await {
             Ok(Ok(view)) => adopt(&entry, view),
             Ok(Err(error)) => log::info!("peer: view of={peer} error=\"{error}\""),
             Err(_) => log::info!("peer: view of={peer} error=\"no answer in time\""),
@@ -381,13 +391,22 @@
     if let Some(age) = view.listing_age {
         let at = |age: u64| entry.now().saturating_sub(Duration::from_millis(age));
         let restored = view.restored_age.map(at);
-        entry.adopt_listing(view.searchers, restored, view.revision, at(age), "peer");
+        let listing = match view.searchers {
+            Searchers::All(listing) => listing,
+            Searchers::Since(digest, delta) if digest == entry.standing().digest => {
+                delta.apply(&entry.newest())
+            }
+            // A later listing has come meanwhile; the next comparison tells.
+            Searchers::Since(..) => return,
+        };
+        entry.adopt_listing(listing, restored, view.revision, at(age), "peer");
     }
 }
 
 type FetchError = Box<dyn std::error::Error + Send + Sync>;
 
-async fn fetch(peer: SocketAddr) -> Result<View, FetchError> {
+/// Reads from another daemon what it knows beyond `own`.
+async fn fetch(peer: SocketAddr, own: &Standing) -> Result<View, FetchError> {
     let stream = TcpStream::connect(peer).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
@@ -395,7 +414,8 @@
             log::debug!("peer: of={peer} closed=\"{error}\"");
         }
     });
-    let request = Request::get(VIEW_PATH)
+    let Standing { version, digest, .. } = own;
+    let request = Request::get(format!("{VIEW_PATH}?version={version}&digest={digest}"))
         .header(hyper::header::HOST, peer.to_string())
         .body(Full::<Bytes>::default())?;
     let response = sender.send_request(request).await?;
@@ -403,13 +423,22 @@
     Ok(serde_json::from_slice(&body.to_bytes())?)
 }
 
-/// Answers other daemons that ask for this one's view.
-pub(crate) fn serve_view(entry: &Entry) -> Response<Body> {
-    let config = entry.in_force().and_then(|it| String::from_utf8(it.bytes.to_vec()).ok());
+/// Answers other daemons that ask for what this one knows beyond a version and a listing.
+pub(crate) fn serve_view(entry: &Entry, query: &str) -> Response<Body> {
+    let known = |name: &str| {
+        let mut pairs = form_urlencoded::parse(query.as_bytes());
+        pairs.find(|(key, _)| key == name).and_then(|(_, value)| value.parse::<u64>().ok())
+    };
+    let version = known("version").unwrap_or(0);
+    let newer = entry.in_force().filter(|it| it.table.version > version);
+    let delta = known("digest").and_then(|digest| Some((digest, entry.since(digest)?)));
     let Standing { revision, listed, .. } = entry.standing();
     let view = View {
-        config,
-        searchers: entry.newest(),
+        config: newer.and_then(|it| String::from_utf8(it.bytes.to_vec()).ok()),
+        searchers: match delta {
+            Some((digest, delta)) => Searchers::Since(digest, delta),
+            None => Searchers::All(entry.newest()),
+        },
         revision,
         listing_age: listed.map(|read| age(entry, read)),
         restored_age: entry.restored().map(|at| age(entry, at)),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod budget;
 mod config;
+mod delta;
 mod directory;
 mod fleet;
 mod gossip;
@@ -34,6 +35,8 @@
 pub use config::Route;
 pub use config::Share;
 pub use config::Target;
+pub use delta::Delta;
+pub use delta::Listings;
 pub use directory::Candidate;
 pub use directory::named;
 pub use fleet::Availability;
