--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -27,11 +27,12 @@
 use crate::callers::Stop;
 use crate::directory;
 use crate::entry::Entry;
+use crate::heartbeats;
 use crate::metrics;
-use crate::peers;
 use crate::relay;
 use crate::settings::FrontSettings;
 use crate::status;
+use crate::views;
 use crate::watch as store;
 use tt_adapter::Boot;
 use tt_adapter::HttpSettings;
@@ -58,7 +59,7 @@
         boot.front,
         env!("CARGO_PKG_VERSION")
     );
-    let heartbeats = Arc::new(peers::bind(&entry).await?);
+    let heartbeats = Arc::new(heartbeats::bind(&entry).await?);
     let open = Arc::new(Open::default());
     let (stop, stopping) = watch::channel(Stop::No);
     start_interfaces(&entry, &boot)?;
@@ -75,7 +76,7 @@
     let began = Instant::now();
     log::info!("daemon: state=draining connections={}", open.count());
     entry.drain();
-    peers::beat(&entry, &heartbeats).await;
+    heartbeats::beat(&entry, &heartbeats).await;
     let grace = entry.boot().bounds.grace.saturating_sub(settings.stop_margin);
     sleep_until(began + settings.drain.min(grace)).await;
     // Without a receiver all connections have ended.
@@ -122,7 +123,7 @@
 async fn serve_peer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
         relay::PATH => relay::serve(entry, request).await,
-        peers::VIEW_PATH => peers::serve_view(&entry, request.uri().query().unwrap_or("")),
+        views::PATH => views::serve(&entry, request.uri().query().unwrap_or("")),
         status::PATH => status::serve(&entry),
         _ => answer::refusal(StatusCode::NOT_FOUND, "no such page", None),
     }
@@ -133,9 +134,9 @@
     tokio::spawn(store::follow_config(entry.clone(), platform.clone()));
     tokio::spawn(store::follow_searchers(entry.clone(), platform.clone()));
     tokio::spawn(store::follow_members(entry.clone(), platform));
-    tokio::spawn(peers::send_heartbeats(entry.clone(), heartbeats.clone()));
-    tokio::spawn(peers::hear(entry.clone(), heartbeats.clone()));
-    tokio::spawn(peers::compare(entry.clone()));
+    tokio::spawn(heartbeats::send_heartbeats(entry.clone(), heartbeats.clone()));
+    tokio::spawn(heartbeats::hear(entry.clone(), heartbeats.clone()));
+    tokio::spawn(views::compare(entry.clone()));
 }
 
 /// Reads the settings again on SIGHUP, and now and then.
