--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -39,7 +39,7 @@
     /// The daemon that speaks comes first.
     #[prost(message, repeated, tag = "1")]
     records: Vec<Record>,
-    /// Whether it wants all that the other knows at once.
+    /// Whether all that the other one knows is wanted at once.
     #[prost(bool, tag = "2")]
     hello: bool,
     /// Daemons that have no record here.
@@ -188,11 +188,12 @@
     transmit(entry, socket, target, Heartbeat { records, hello, summaries }).await;
 }
 
-/// Sends all that is known to a daemon that has just started.
+/// Sends all that is known to a daemon that asks: it has just started, or a summary showed that it
+/// knows something else.
 async fn welcome(entry: &Entry, socket: &UdpSocket, target: SocketAddr) {
     let now = entry.now();
     let others: Vec<Record> = lock(&entry.members).heard(now).map(|it| record(it, now)).collect();
-    // Without others, too: the daemon that has started learns of this one.
+    // Without others, too: the daemon that asks learns of this one.
     for records in others.chunks(RECORDS).chain(others.is_empty().then_some(&[][..])) {
         let heartbeat = Heartbeat { records: records.to_vec(), ..Heartbeat::default() };
         transmit(entry, socket, target, heartbeat).await;
