--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -95,6 +95,17 @@
     }
 }
 
+/// A page in JSON.
+pub(crate) fn json<B>(body: B) -> Response<Body>
+where
+    B: Into<Bytes>,
+{
+    let mut response = Response::new(whole(body));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
 /// An answer without a result. `come_back` goes with statuses that promise that the request
 /// has not run.
 pub(crate) fn refusal(
@@ -102,13 +113,14 @@
     text: &str,
     come_back: Option<Duration>,
 ) -> Response<Body> {
-    let body = serde_json::json!({ "error": text }).to_string();
-    let mut response = Response::new(whole(body));
+    let mut response = json(serde_json::json!({ "error": text }).to_string());
     *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(pause) = come_back {
-        insert(headers, "retry-after", format!("{:.3}", pause.as_secs_f64()).as_bytes());
+        insert(
+            response.headers_mut(),
+            "retry-after",
+            format!("{:.3}", pause.as_secs_f64()).as_bytes(),
+        );
     }
     response
 }
--- a/crates/front/src/directory.rs
+++ b/crates/front/src/directory.rs
@@ -8,8 +8,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header;
-use hyper::header::HeaderValue;
 
 use crate::answer;
 use crate::answer::Body;
@@ -42,11 +40,7 @@
     }
     let most = entry.boot().bounds.directory_ttl;
     let lifetime = entry.settings.directory_ttl.min(most);
-    let body = paths::directory_answer(&addresses, lifetime);
-    let mut response = Response::new(answer::whole(body));
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json);
-    response
+    answer::json(paths::directory_answer(&addresses, lifetime))
 }
 
 fn addresses(entry: &Entry) -> Vec<SocketAddr> {
--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Heartbeats between daemons.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -149,7 +150,7 @@
         let hello = lock(&entry.members).is_alone(entry.now());
         if hello {
             for seed in entry.boot().seeds.into_iter().filter(|seed| *seed != entry.vm.peer) {
-                send(&entry, &socket, seed, "", true).await;
+                ask(&entry, &socket, seed).await;
             }
         }
         let end = Instant::now() + entry.settings.heartbeat;
@@ -168,24 +169,33 @@
         .iter()
         .map(|member| (member.vm.peer, member.vm.domain.clone()))
         .collect();
+    let mut told: BTreeMap<String, Heartbeat> = BTreeMap::new();
     for (target, domain) in targets {
-        send(entry, socket, target, &domain, false).await;
+        let heartbeat = told.entry(domain).or_insert_with_key(|domain| tell(entry, domain, now));
+        transmit(entry, socket, target, heartbeat.clone()).await;
     }
     lock(&entry.members).end_round(now);
 }
 
-/// Sends a heartbeat with what a daemon in `domain` is told of others.
-async fn send(entry: &Entry, socket: &UdpSocket, target: SocketAddr, domain: &str, hello: bool) {
-    let now = entry.now();
+/// What a daemon in `domain` is told of others.
+fn tell(entry: &Entry, domain: &str, now: Time) -> Heartbeat {
     let Told { named, summaries } = lock(&entry.members).told(domain, now);
-    let records = named.iter().map(|it| record(it, now)).collect();
     let summaries = summaries.into_iter().map(|it| SummaryRecord {
         domain: it.domain,
         digest: it.digest,
         age: now.saturating_sub(it.heard).as_millis() as u64,
     });
-    let summaries = summaries.collect();
-    transmit(entry, socket, target, Heartbeat { records, hello, summaries }).await;
+    Heartbeat {
+        records: named.iter().map(|it| record(it, now)).collect(),
+        hello: false,
+        summaries: summaries.collect(),
+    }
+}
+
+/// Asks a daemon for all that it knows.
+async fn ask(entry: &Entry, socket: &UdpSocket, target: SocketAddr) {
+    let heartbeat = Heartbeat { hello: true, ..tell(entry, "", entry.now()) };
+    transmit(entry, socket, target, heartbeat).await;
 }
 
 /// Sends all that is known to a daemon that asks: it has just started, or a summary showed that it
@@ -242,7 +252,7 @@
         let now = entry.now();
         if !complete && asked.is_none_or(|at| at + ASK_EVERY <= now) {
             asked = Some(now);
-            send(&entry, &socket, from, "", true).await;
+            ask(&entry, &socket, from).await;
         }
     }
 }
--- a/crates/front/src/status.rs
+++ b/crates/front/src/status.rs
@@ -1,8 +1,6 @@
 //! What this daemon knows and believes, for operators.
 
 use hyper::Response;
-use hyper::header;
-use hyper::header::HeaderValue;
 use serde_json::Value;
 use serde_json::json;
 
@@ -22,10 +20,7 @@
 
 /// Answers an operator.
 pub(crate) fn serve(entry: &Entry) -> Response<Body> {
-    let mut response = Response::new(answer::whole(status(entry).to_string()));
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json);
-    response
+    answer::json(status(entry).to_string())
 }
 
 fn status(entry: &Entry) -> Value {
--- a/crates/serve/src/gossip.rs
+++ b/crates/serve/src/gossip.rs
@@ -97,12 +97,11 @@
     pub fn confirm(&mut self, summary: &Summary, named: &HashSet<String>, now: Time) -> bool {
         let stands_for =
             |it: &&Member| it.vm.domain == summary.domain && !named.contains(&it.vm.name);
-        let known: Vec<String> =
-            self.heard(now).filter(stands_for).map(|it| it.vm.name.clone()).collect();
-        let sum = self.heard(now).filter(stands_for).fold(0, |sum, it| sum ^ digest(it));
-        if sum != summary.digest {
+        let known: Vec<&Member> = self.heard(now).filter(stands_for).collect();
+        if known.iter().fold(0, |sum, it| sum ^ digest(it)) != summary.digest {
             return false;
         }
+        let known: Vec<String> = known.iter().map(|it| it.vm.name.clone()).collect();
         self.touch(&known, summary.heard);
         true
     }
--- a/crates/serve/tests/common/mod.rs
+++ b/crates/serve/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use proptest::test_runner::Config as TestConfig;
+use proptest::test_runner::RngSeed;
+
 use tt_serve::Fleet;
 use tt_serve::FleetSettings;
 use tt_serve::PoolKey;
@@ -11,6 +14,17 @@
 use tt_serve::Sighting;
 use tt_serve::Time;
 
+/// Property tests with a fixed seed.
+#[allow(dead_code)]
+pub fn fixed(cases: u32) -> TestConfig {
+    TestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..TestConfig::default()
+    }
+}
+
 /// Time in milliseconds.
 #[allow(dead_code)]
 pub fn ms(value: u64) -> Time {
--- a/crates/serve/tests/delta.rs
+++ b/crates/serve/tests/delta.rs
@@ -2,10 +2,9 @@
 
 mod common;
 
+use common::fixed;
 use common::sighting;
 use proptest::prelude::*;
-use proptest::test_runner::Config as TestConfig;
-use proptest::test_runner::RngSeed;
 
 use tt_serve::Delta;
 use tt_serve::Listings;
@@ -13,15 +12,6 @@
 use tt_serve::Sighting;
 use tt_serve::digest;
 
-fn fixed(cases: u32) -> TestConfig {
-    TestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..TestConfig::default()
-    }
-}
-
 /// Searchers by number, some of which drain.
 fn listing(numbers: &[(u8, bool)]) -> Vec<Sighting> {
     let mut listing: Vec<Sighting> = Vec::new();
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use common::add;
+use common::fixed;
 use common::fleet;
 use common::ms;
 use proptest::prelude::*;
-use proptest::test_runner::Config as TestConfig;
-use proptest::test_runner::RngSeed;
 
 use tt_serve::Budget;
 use tt_serve::BudgetSettings;
@@ -42,15 +41,6 @@
 use tt_serve::named;
 use tt_serve::retry_after;
 
-fn fixed(cases: u32) -> TestConfig {
-    TestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..TestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(fixed(256))]
 
