perf: follow searchers by their changes, and call the store less often

The first entry of each failure domain read all pages of the listing every 0.9 s; at the first start each entry read everything and asked for a configuration four times a second; while the store failed, all entries called it four times a second for the listing and as often for the configuration; each renewed its lease every 2 s.

Ruled out: fewer readers for each domain. There is one already; one for all domains would send the changes between domains.

Change: a reader asks the store for what has changed since the newest listing (one call, whatever the number of searchers) and reads the whole listing only after an error or when the history is dropped. The digest of a listing covers domain and slots, since the revision of a confirmed listing is now the base of the next changes. At the first start of a tier the first live entry of each domain reads and the others fetch from it. Entries beyond the second of a domain double their delay after failures, up to 2 s, and follow the configuration only if they read the searchers too. Leases last 12 s in place of 6 s, and the store may hold a watch for 2.5 s in place of 1.5 s.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -78,6 +78,8 @@
     /// When the store became reachable again for the daemon that read the listing, if it had been
     /// unreachable.
     restored_at: Option<Time>,
+    /// When this daemon itself last read the listing from the store.
+    own_read_at: Option<Time>,
 }
 
 impl Entry {
@@ -104,6 +106,7 @@
                 read_at: None,
                 revision: 0,
                 restored_at: None,
+                own_read_at: None,
             }),
             retry_budgets: Mutex::new(HashMap::new()),
             latency_estimates: Mutex::new(HashMap::new()),
@@ -215,6 +218,21 @@
         lock(&self.listing_state).restored_at
     }
 
+    /// Records that this daemon itself has read the listing from the store.
+    pub(crate) fn record_store_read(&self, read_at: Time) {
+        lock(&self.listing_state).own_read_at = Some(read_at);
+    }
+
+    /// When this daemon itself last read the listing from the store.
+    pub(crate) fn last_store_read(&self) -> Option<Time> {
+        lock(&self.listing_state).own_read_at
+    }
+
+    /// Whether the whole tier starts for the first time.
+    pub(crate) fn is_first_start(&self) -> bool {
+        read(&self.boot).first_start
+    }
+
     /// When the newest listing was read from the store.
     pub(crate) fn listing_read_at(&self) -> Option<Time> {
         lock(&self.listing_state).read_at
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -27,8 +27,6 @@
     /// How long the store may hold a watch for the configuration before it answers. Also bounds
     /// the time until a dead connection is noticed.
     pub watch_timeout: Duration,
-    /// Delay after a failed call to the store.
-    pub store_retry_delay: Duration,
     /// Lifetime of the lease on this daemon's record in the list of daemons. The platform's
     /// minimum applies if it is longer.
     pub lease_ttl: Duration,
@@ -77,9 +75,8 @@
             members: MemberSettings::default(),
             latency_estimate: LatencyEstimateSettings::default(),
             listing: ListingSettings::default(),
-            watch_timeout: Duration::from_millis(1500),
-            store_retry_delay: Duration::from_millis(250),
-            lease_ttl: Duration::from_secs(6),
+            watch_timeout: Duration::from_millis(2500),
+            lease_ttl: Duration::from_secs(12),
             heartbeat_interval: Duration::from_millis(400),
             peer_fetch_delay: Duration::from_millis(400),
             connect_timeout: Duration::from_millis(250),
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -13,10 +13,14 @@
 use tt_adapter::MemberRecord;
 use tt_adapter::Platform;
 use tt_adapter::PlatformError;
+use tt_serve::ListingDelta;
 use tt_serve::ReadDecision;
+use tt_serve::SearcherRecord;
 use tt_serve::Time;
 use tt_serve::Vm;
+use tt_serve::leaves_first_reads;
 use tt_serve::read_decision;
+use tt_serve::store_retry_delay;
 
 /// Renewals of the lease within its lifetime.
 const RENEWALS_PER_LEASE: u32 = 3;
@@ -31,29 +35,36 @@
 #[derive(Debug)]
 struct StoreStatus {
     calls: &'static str,
-    failing: bool,
+    /// Number of failed calls since the last that succeeded.
+    failures: u32,
     /// When calls last succeeded again after failures.
     restored_at: Option<Time>,
 }
 
 impl StoreStatus {
     fn new(calls: &'static str) -> StoreStatus {
-        StoreStatus { calls, failing: false, restored_at: None }
+        StoreStatus { calls, failures: 0, restored_at: None }
     }
 
     fn record_success(&mut self, now: Time) {
-        if self.failing {
+        if self.failures > 0 {
             log::info!("store: calls={} state=regained", self.calls);
             self.restored_at = Some(now);
-            self.failing = false;
+            self.failures = 0;
         }
     }
 
     fn record_failure(&mut self, error: &PlatformError) {
-        if !self.failing {
+        if self.failures == 0 {
             log::warn!("store: calls={} state=lost error=\"{error}\"", self.calls);
-            self.failing = true;
         }
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Waits before the next call after a failed one.
+    async fn pause(&self, entry: &Entry) {
+        let rank = lock(&entry.members).rank_in_domain(entry.now());
+        sleep(store_retry_delay(&entry.settings.listing, rank, self.failures)).await;
     }
 }
 
@@ -75,16 +86,13 @@
         match result {
             Ok(ConfigRead { config, bytes, revision }) => {
                 status.record_success(entry.now());
-                match config {
-                    Some(config) => {
-                        entry.adopt_config(&config, Bytes::from(bytes), "store");
-                        watch_revision = Some(revision);
-                    }
-                    // No configuration has been written yet.
-                    None if watch_revision.is_none() => {
-                        sleep(entry.settings.store_retry_delay).await
-                    }
-                    None => watch_revision = Some(revision),
+                if let Some(config) = config {
+                    entry.adopt_config(&config, Bytes::from(bytes), "store");
+                }
+                // The store's revisions start above 0; without one there is nothing to watch from.
+                watch_revision = Some(revision).filter(|revision| *revision > 0);
+                if watch_revision.is_none() {
+                    sleep(entry.settings.listing.retry_delay).await;
                 }
             }
             Err(PlatformError::Compacted) => {
@@ -96,7 +104,7 @@
                 if matches!(error, PlatformError::Malformed { .. }) {
                     watch_revision = None;
                 }
-                sleep(entry.settings.store_retry_delay).await;
+                status.pause(&entry).await;
             }
         }
     }
@@ -106,48 +114,89 @@
 /// their peers.
 pub(crate) async fn follow_searchers(entry: Arc<Entry>, platform: Platform) {
     let mut status = StoreStatus::new("searchers");
-    let mut last_ignored = Vec::new();
+    let mut ignored = Vec::new();
+    let mut history_complete = true;
     loop {
         if !is_listing_reader(&entry) {
             sleep(READ_POLL_INTERVAL).await;
             continue;
         }
         let read_at = entry.now();
-        match platform.read_listing().await {
-            Ok(read) => {
+        // What has changed since the newest listing takes one call, the whole listing several.
+        let base = entry.status().revision;
+        let result = if base == 0 || !history_complete {
+            platform
+                .read_listing()
+                .await
+                .map(|read| (ListingUpdate::Whole(read.listing), read.ignored, read.revision))
+        } else {
+            platform
+                .watch_listing(base, Duration::ZERO)
+                .await
+                .map(|watch| (ListingUpdate::Changes(watch.delta), watch.ignored, watch.revision))
+        };
+        match result {
+            Ok((update, newly_ignored, revision)) => {
+                history_complete = true;
                 status.record_success(entry.now());
-                if read.ignored != last_ignored {
-                    for line in &read.ignored {
-                        log::warn!("fleet: ignored {line}");
-                    }
-                    last_ignored = read.ignored;
+                for line in newly_ignored.iter().filter(|line| !ignored.contains(*line)) {
+                    log::warn!("fleet: ignored {line}");
                 }
-                let revision = read.revision;
-                entry.adopt_listing(read.listing, status.restored_at, revision, read_at, "store");
+                ignored = newly_ignored;
+                entry.record_store_read(read_at);
+                let listing = match update {
+                    ListingUpdate::Whole(listing) => listing,
+                    ListingUpdate::Changes(delta) if delta.is_empty() => {
+                        entry.confirm_listing(revision, read_at);
+                        continue;
+                    }
+                    ListingUpdate::Changes(delta) => delta.apply(&entry.listing()),
+                };
+                entry.adopt_listing(listing, status.restored_at, revision, read_at, "store");
+            }
+            Err(PlatformError::Compacted) => {
+                log::info!("store: calls=searchers history=dropped");
+                history_complete = false;
             }
             Err(error) => {
                 status.record_failure(&error);
-                sleep(entry.settings.store_retry_delay).await;
+                history_complete = false;
+                status.pause(&entry).await;
             }
         }
     }
 }
 
+/// What a read of the searchers at the store returned.
+#[derive(Debug)]
+enum ListingUpdate {
+    Whole(Vec<SearcherRecord>),
+    /// The changes since the newest listing of this daemon.
+    Changes(ListingDelta),
+}
+
 fn is_listing_reader(entry: &Entry) -> bool {
     let read_at = entry.listing_read_at();
+    let settings = &entry.settings.listing;
+    let now = entry.now();
     let members = lock(&entry.members);
-    read_decision(&members, &entry.settings.listing, read_at, entry.now()) == ReadDecision::Read
+    if read_at.is_none() && leaves_first_reads(&members, settings, entry.is_first_start(), now) {
+        return false;
+    }
+    read_decision(&members, settings, read_at, now) == ReadDecision::Read
 }
 
 /// Whether this daemon follows the configuration in the store itself: it is the first of its
-/// failure domain, it has none yet, or no recent listing has arrived, so that the first one may
-/// have failed.
+/// failure domain, it has none yet, or it reads the searchers there because the first one doesn't.
 fn follows_config(entry: &Entry) -> bool {
+    let settings = &entry.settings.listing;
     let now = entry.now();
-    let takeover_age = entry.settings.listing.takeover_age;
-    lock(&entry.members).rank_in_domain(now) == 0
-        || entry.config_version() == 0
-        || entry.listing_read_at().is_none_or(|read_at| read_at + takeover_age < now)
+    let members = lock(&entry.members);
+    if entry.config_version() == 0 {
+        return !leaves_first_reads(&members, settings, entry.is_first_start(), now);
+    }
+    let took_over = |read_at| now <= read_at + 2 * settings.takeover_age;
+    members.rank_in_domain(now) == 0 || entry.last_store_read().is_some_and(took_over)
 }
 
 /// Keeps this daemon registered in the list of daemons, and reads that list.
--- a/crates/front/tests/searchers.rs
+++ b/crates/front/tests/searchers.rs
@@ -174,15 +174,41 @@
     let entry = start_ready_entry("vm", "d", &store).await;
     assert_eq!(entry.ask("/one/", "r1").await.body, records(&[1]));
     leaving.register(&store, "one", "d", "draining", 2);
-    entry.ask_until("/one/", |answer| answer.body == records(&[2])).await;
+    // An answer of the other searcher may come from a hedge, before the drain is known.
+    entry.wait_availability("s0", "leaving").await;
     let before = leaving.request_ids().len();
-    entry.ask("/one/", "r2").await;
+    for request in 0..20 {
+        let answer = entry.ask("/one/", &format!("later-{request}")).await;
+        assert_eq!(answer.body, records(&[2]));
+    }
     assert_eq!(leaving.request_ids().len(), before);
     store.remove("servers/s1");
     entry.ask_until("/one/", |answer| answer.status == 503).await;
     drop(other);
 }
 
+// Guards against a reader that fetches the whole listing again and again although nothing has
+// changed, and against one that misses changes after the store has dropped its history.
+#[tokio::test]
+async fn searchers_are_followed_by_their_changes_also_after_the_history_is_dropped() {
+    let store = store(&["p0"], 0.5).await;
+    let first = Searcher::start(&store, "s0", "one", "d", Behavior::Answer(records(&[1]))).await;
+    let entry = start_ready_entry("vm", "d", &store).await;
+    // One read for the start of each: the configuration, the listing, the list of daemons.
+    let reads = store.counts().reads;
+    Searcher::start(&store, "s1", "one", "d", Behavior::Answer(records(&[1]))).await;
+    entry.wait_availability("s1", "used").await;
+    first.register(&store, "one", "d", "draining", 2);
+    entry.wait_availability("s0", "leaving").await;
+    assert_eq!(store.counts().reads, reads, "changes are watched");
+    store.remove("servers/s1");
+    store.compact();
+    entry.ask_until("/one/", |answer| answer.status == 503).await;
+    // The watch of the configuration may end for the same reason, so that it is read too.
+    let reads_again = store.counts().reads - reads;
+    assert!((1..=2).contains(&reads_again), "the listing is read once more: {reads_again}");
+}
+
 // Guards against a malformed registration that hides the valid ones, or that is used as if it were
 // valid.
 #[tokio::test]
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -124,6 +124,24 @@
         get(self.boot.front, path, &headers).await.expect("an answer")
     }
 
+    /// Waits until the status page shows a searcher with this availability.
+    pub async fn wait_availability(&self, id: &str, availability: &str) {
+        let shown = async {
+            while self.availability(id).await.as_deref() != Some(availability) {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, shown).await.expect("the searcher is shown so");
+    }
+
+    async fn availability(&self, id: &str) -> Option<String> {
+        let answer = get(self.boot.peer, "/v1/status", &[]).await?;
+        let status: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+        let mut searchers = status["searchers"].as_array()?.iter();
+        let searcher = searchers.find(|searcher| searcher["id"] == id)?;
+        searcher["availability"].as_str().map(str::to_owned)
+    }
+
     /// Repeats a request with new ids until `done` accepts the answer.
     pub async fn ask_until<F>(&self, path: &str, done: F) -> Answer
     where
--- a/crates/serve/src/history.rs
+++ b/crates/serve/src/history.rs
@@ -1,6 +1,7 @@
 //! The newest listing of searchers with its recent changes, so that other daemons can fetch a delta
 //! instead of the whole listing.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
@@ -15,6 +16,15 @@
 /// further than the time after which a silent daemon is removed from the members.
 const MAX_DELTAS: usize = 16;
 
+/// A change of one registration, as the store reports it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ListingChange {
+    /// It was written.
+    Put(SearcherRecord),
+    /// The registration with this id was removed, or can't be read any more.
+    Removed(String),
+}
+
 /// The difference between two listings.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListingDelta {
@@ -38,6 +48,31 @@
         }
     }
 
+    /// The difference that a series of changes makes; of several changes of one registration the
+    /// last counts.
+    pub fn from_changes(changes: Vec<ListingChange>) -> ListingDelta {
+        let mut last: BTreeMap<String, Option<SearcherRecord>> = BTreeMap::new();
+        for change in changes {
+            match change {
+                ListingChange::Put(record) => last.insert(record.id.clone(), Some(record)),
+                ListingChange::Removed(id) => last.insert(id, None),
+            };
+        }
+        let mut delta = ListingDelta { changed: Vec::new(), removed: Vec::new() };
+        for (id, record) in last {
+            match record {
+                Some(record) => delta.changed.push(record),
+                None => delta.removed.push(id),
+            }
+        }
+        delta
+    }
+
+    /// Whether the listings are equal.
+    pub fn is_empty(&self) -> bool {
+        self.changed.is_empty() && self.removed.is_empty()
+    }
+
     /// Applies the difference to `old` and returns the new listing.
     pub fn apply(self, old: &[SearcherRecord]) -> Vec<SearcherRecord> {
         let changed = self.changed.iter().map(|it| it.id.as_str());
@@ -63,7 +98,7 @@
     /// Makes `listing` the newest one.
     pub fn push(&mut self, listing: Vec<SearcherRecord>) {
         let delta = ListingDelta::between(&self.newest, &listing);
-        if delta.changed.is_empty() && delta.removed.is_empty() {
+        if delta.is_empty() {
             return;
         }
         self.deltas.push_back((self.digest, delta));
--- a/crates/serve/src/listing.rs
+++ b/crates/serve/src/listing.rs
@@ -21,6 +21,16 @@
     pub takeover_stagger: Duration,
     /// Age of the own listing from which one is fetched from another failure domain.
     pub remote_fetch_age: Duration,
+    /// Time in which the daemons of a tier that starts for the first time find one another.
+    pub discovery_period: Duration,
+    /// Maximum time after such a start for which a daemon leaves the first reads to another one of
+    /// its failure domain.
+    pub first_read_wait: Duration,
+    /// Delay after a failed call to the store.
+    pub retry_delay: Duration,
+    /// Maximum of that delay for daemons that only take over; it doubles with each failure in a
+    /// row.
+    pub max_retry_delay: Duration,
 }
 
 impl Default for ListingSettings {
@@ -30,6 +40,10 @@
             takeover_age: Duration::from_millis(1500),
             takeover_stagger: Duration::from_millis(150),
             remote_fetch_age: Duration::from_millis(2500),
+            discovery_period: Duration::from_millis(1200),
+            first_read_wait: Duration::from_secs(4),
+            retry_delay: Duration::from_millis(250),
+            max_retry_delay: Duration::from_secs(2),
         }
     }
 }
@@ -62,6 +76,33 @@
     if age >= limit { ReadDecision::Read } else { ReadDecision::Wait }
 }
 
+/// Whether a daemon that knows nothing yet leaves the first reads of the store to another one. Only
+/// in a tier that starts for the first time: otherwise callers are waiting.
+pub fn leaves_first_reads(
+    members: &Members,
+    settings: &ListingSettings,
+    first_start: bool,
+    now: Time,
+) -> bool {
+    first_start
+        && now < settings.first_read_wait
+        && (now < settings.discovery_period || members.live_rank_in_domain(now) > 0)
+}
+
+/// Number of daemons of a failure domain that try again at short intervals while the store fails.
+/// The others follow at longer ones: the store may serve them and refuse these.
+const FREQUENT_RETRIERS: usize = 2;
+
+/// The delay after `failures` failed calls in a row, at least one, of a daemon with this rank in its
+/// failure domain.
+pub fn store_retry_delay(settings: &ListingSettings, rank: usize, failures: u32) -> Duration {
+    if rank < FREQUENT_RETRIERS {
+        return settings.retry_delay;
+    }
+    let doublings = failures.saturating_sub(1).min(8);
+    (settings.retry_delay * 2_u32.pow(doublings)).min(settings.max_retry_delay)
+}
+
 /// What a daemon does about the newer data of another one.
 #[derive(Debug, Clone, PartialEq)]
 pub enum SyncAction {
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -241,6 +241,13 @@
             .count()
     }
 
+    /// As [`Members::rank_in_domain`], among all live daemons of the domain, open or not.
+    pub fn live_rank_in_domain(&self, now: Time) -> usize {
+        let me = &self.me;
+        let is_before = |it: &&Member| it.vm.domain == me.domain && it.vm.name < me.name;
+        self.others.values().filter(|it| is_before(it) && self.is_live(it, now)).count()
+    }
+
     /// The daemons to send heartbeats to: all of this domain, and if this one is a delegate, one of
     /// each other domain.
     pub fn heartbeat_targets(&self, now: Time) -> Vec<&Member> {
--- a/crates/serve/src/registry.rs
+++ b/crates/serve/src/registry.rs
@@ -125,6 +125,10 @@
         changes: &mut Vec<String>,
     ) {
         if let Some(known) = self.known.get_mut(&record.id) {
+            if known.record == record {
+                // What is left of the time after its start counts from when it was first read.
+                return;
+            }
             match compare(&known.record, &record) {
                 Relation::Stale => return,
                 Relation::Same => {
@@ -165,10 +169,10 @@
 pub fn listing_digest(listing: &[SearcherRecord]) -> u64 {
     // The records of a listing may be in any order.
     listing.iter().fold(0, |sum, it| {
-        let state =
-            (&it.id, &it.pool, it.address, it.state == SearcherState::Ready, it.started_unix_ms);
+        let place = (&it.id, &it.pool, it.address, &it.domain);
+        let state = (it.state == SearcherState::Ready, it.started_unix_ms, it.slots);
         let mut hasher = Xxh3::new();
-        state.hash(&mut hasher);
+        (place, state).hash(&mut hasher);
         sum ^ hasher.finish()
     })
 }
--- a/crates/serve/tests/history.rs
+++ b/crates/serve/tests/history.rs
@@ -6,6 +6,7 @@
 use common::record;
 use proptest::prelude::*;
 
+use tt_serve::ListingChange;
 use tt_serve::ListingDelta;
 use tt_serve::ListingHistory;
 use tt_serve::SearcherRecord;
@@ -77,3 +78,15 @@
     assert!(history.delta_since(listing_digest(&listing(&[(1, false)]))).is_none());
     assert!(history.delta_since(listing_digest(&listing(&[(29, false)]))).is_some());
 }
+
+// Guards against a change that undoes a later one of the same registration.
+#[test]
+fn of_several_changes_of_a_registration_the_last_counts() {
+    let put = |id: &str, sequence| ListingChange::Put(record(id, sequence));
+    let removed = |id: &str| ListingChange::Removed(id.to_owned());
+    let changes =
+        vec![put("a", 1), removed("b"), put("a", 2), put("b", 5), put("c", 1), removed("c")];
+    let listing = ListingDelta::from_changes(changes).apply(&[record("b", 1), record("c", 0)]);
+    assert_eq!(listing, [record("a", 2), record("b", 5)]);
+    assert!(ListingDelta::from_changes(Vec::new()).is_empty());
+}
