fix: answer requests that have arrived when connections are closed at a stop

Cause: at the end of the drain each connection without a request in progress is closed at once. One on which nothing has been read yet, although its request is in the buffer of the kernel, is then reset. Change: connections stay open for another 300 ms, in which what has arrived is read and answered with 'Connection: close'.

--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -9,10 +9,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::time::Instant;
-use tokio::time::sleep;
-use tokio::time::timeout;
-
 use process::Vm;
 use support::config::config;
 use support::free_address;
@@ -22,6 +18,9 @@
 use support::searcher::Searcher;
 use support::start_store;
 use support::wait_until;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Memory of the smallest VM on which entries run.
 const VM_MEMORY_BYTES: u64 = 260 * 1024 * 1024;
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::answer::Body;
 use crate::connections::set_socket_options;
@@ -39,6 +40,10 @@
 /// Delay after a failure to accept a connection, such as running out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// How long connections stay open when they are to be closed, so that requests are read that the
+/// kernel has received already.
+const UNREAD_PERIOD: Duration = Duration::from_millis(300);
+
 /// Idle timeout of connections to the auxiliary interfaces.
 const AUXILIARY_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -69,7 +74,7 @@
             }
             Err(error) => {
                 log::warn!("{interface}: accept=\"{error}\"");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
@@ -168,6 +173,7 @@
     let stop_signal = async {
         // An error means that the daemon has ended; this task ends too.
         let _ = stage.wait_for(|stage| *stage == StopStage::ClosingConnections).await;
+        sleep(UNREAD_PERIOD).await;
     };
     let result = tokio::select! {
         result = connection.as_mut() => result,
