fix: relay shards between daemons whose configurations differ in other things

Ruled out: that the searchers alone do it. Change: heartbeats and relays name a digest of the sets of shards in place of the version. Versions that change timeouts or other routes have the same. A relay that refuses keeps its connection.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -259,7 +259,10 @@
         let listing_state = lock(&self.listing_state);
         let ListingState { revision, read_at: listing_read_at, .. } = *listing_state;
         let digest = listing_state.history.digest();
-        MemberStatus { state, version: self.config_version(), digest, revision, listing_read_at }
+        let config = self.active_config();
+        let (version, shards) =
+            config.map_or((0, 0), |config| (config.table.version, config.table.shards_digest));
+        MemberStatus { state, version, shards, digest, revision, listing_read_at }
     }
 
     pub(crate) fn is_draining(&self) -> bool {
--- a/crates/front/src/execution.rs
+++ b/crates/front/src/execution.rs
@@ -53,6 +53,8 @@
     pub(crate) active_config: Arc<ActiveConfig>,
     pub(crate) outgoing: Arc<OutgoingRequest>,
     pub(crate) plan: Plan,
+    /// Digest of the shards of the whole query; 0 if it queries one searcher.
+    pub(crate) shards_digest: u64,
     /// For each shard of the plan its index in the whole query, by which other daemons name it.
     /// `None` if the plan covers the whole query.
     pub(crate) query_indices: Option<Arc<[u32]>>,
@@ -120,7 +122,7 @@
         let rotation = NEXT_RELAY_ROTATION.fetch_add(1, Ordering::Relaxed);
         let members = lock(&entry.members);
         let relays: Vec<&Member> =
-            members.relay_candidates(self.active_config.table.version, now).collect();
+            members.relay_candidates(self.active_config.table.shards_digest, now).collect();
         let fleet = lock(&entry.fleet);
         assign(&self.plan.pools, &fleet, &entry.vm, &relays, scope, rotation, now)
     }
@@ -131,6 +133,7 @@
                 entry: self.entry.clone(),
                 outgoing: self.outgoing.clone(),
                 version: self.active_config.table.version,
+                shards_digest: self.shards_digest,
                 cutoff: self.plan.cutoff,
                 deadline: self.plan.deadline,
                 relay,
--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -90,6 +90,9 @@
     /// Revision of the store at which its listing was read.
     #[prost(uint64, tag = "11")]
     revision: u64,
+    /// Digest of the sets of shards in its configuration.
+    #[prost(fixed64, tag = "12")]
+    shards: u64,
 }
 
 impl Record {
@@ -111,6 +114,7 @@
             listing_age: status.listing_read_at.map(age),
             age: age(heard_at),
             revision: status.revision,
+            shards: status.shards,
         }
     }
 
@@ -132,8 +136,8 @@
             _ => return None,
         };
         let listing_read_at = self.listing_age.map(at);
-        let Record { version, digest, revision, .. } = self;
-        let status = MemberStatus { state, version, digest, revision, listing_read_at };
+        let Record { version, shards, digest, revision, .. } = self;
+        let status = MemberStatus { state, version, shards, digest, revision, listing_read_at };
         Some((vm, status, at(self.age)))
     }
 }
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -9,6 +9,7 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -63,6 +64,8 @@
     pub(crate) outgoing: Arc<OutgoingRequest>,
     /// Version of the configuration that the request was planned with.
     pub(crate) version: u64,
+    /// As in [`PlannedRequest`](crate::execution::PlannedRequest).
+    pub(crate) shards_digest: u64,
     /// When the answer without the stragglers is due.
     pub(crate) cutoff: Time,
     /// When the request ends.
@@ -154,6 +157,10 @@
             Err(_) => return self.connection_broken(sent_at),
         };
         if response.status() != StatusCode::OK {
+            let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES);
+            if body.collect().await.is_ok() {
+                connection.release(None);
+            }
             return RelayOutcome::Refused;
         }
         match self.read_parts(response.into_body()).await {
@@ -199,6 +206,7 @@
         let message = GatherRequest {
             id: outgoing.id.clone(),
             version: self.version,
+            shards_digest: self.shards_digest,
             host: outgoing.headers.get(header::HOST)?.to_str().ok()?.to_owned(),
             method: outgoing.method.as_str().to_owned(),
             target: outgoing.uri.path_and_query()?.as_str().to_owned(),
--- a/crates/front/src/relay/message.rs
+++ b/crates/front/src/relay/message.rs
@@ -12,7 +12,7 @@
     /// Id of the caller's request, from `X-Request-Id`.
     #[prost(string, tag = "1")]
     pub(crate) id: String,
-    /// Version of the configuration in which the indices of the shards apply.
+    /// Version of the configuration of the sender, for the log.
     #[prost(uint64, tag = "2")]
     pub(crate) version: u64,
     /// Host for which the route is looked up.
@@ -42,6 +42,9 @@
     /// Whether the daemon may delegate some shards to others of its failure domain.
     #[prost(bool, tag = "11")]
     pub(crate) share: bool,
+    /// Digest of the shards of the whole query, to which the indices apply.
+    #[prost(fixed64, tag = "12")]
+    pub(crate) shards_digest: u64,
 }
 
 /// A header to forward.
--- a/crates/front/src/relay/server.rs
+++ b/crates/front/src/relay/server.rs
@@ -65,7 +65,7 @@
             let scope = if message.share { RelayScope::Domain } else { RelayScope::None };
             respond(message, planned, scope, max_records).await
         }
-        // For example, the daemon that sent the request has another version of the configuration.
+        // For example, the daemon that sent the request has a configuration with other shards.
         None => answer::error(StatusCode::CONFLICT, "not here", None),
     }
 }
@@ -73,11 +73,16 @@
 /// Plans the sub-queries. Returns `None` if the request does not match the configuration in force
 /// or is malformed.
 fn plan(entry: Arc<Entry>, message: &GatherRequest) -> Option<(PlannedRequest, usize)> {
-    let active_config =
-        entry.active_config().filter(|config| config.table.version == message.version)?;
+    let active_config = entry.active_config()?;
     let uri: Uri = message.target.parse().ok()?;
     let route = active_config.table.find(&message.host, uri.path())?.clone();
-    let CompiledTarget::Gather { pools, max_records, .. } = &route.target else { return None };
+    let CompiledTarget::Gather { pools, max_records, digest, .. } = &route.target else {
+        return None;
+    };
+    if *digest != message.shards_digest {
+        return None;
+    }
+    let shards_digest = *digest;
     let shards: Option<Vec<_>> =
         message.shards.iter().map(|&shard| pools.get(shard as usize).copied()).collect();
     let shards = shards.filter(|shards| !shards.is_empty())?;
@@ -111,7 +116,14 @@
     };
     let query_indices = Some(message.shards.as_slice().into());
     Some((
-        PlannedRequest { entry, active_config, outgoing: Arc::new(outgoing), plan, query_indices },
+        PlannedRequest {
+            entry,
+            active_config,
+            outgoing: Arc::new(outgoing),
+            plan,
+            shards_digest,
+            query_indices,
+        },
         *max_records,
     ))
 }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -151,6 +151,7 @@
             active_config: self.active_config.clone(),
             outgoing: outgoing.clone(),
             plan,
+            shards_digest: self.route.target.shards_digest().unwrap_or(0),
             query_indices: None,
         };
         let mut running = planned.start(RelayScope::All);
--- a/crates/serve/src/gossip.rs
+++ b/crates/serve/src/gossip.rs
@@ -131,6 +131,6 @@
     let vm = &member.vm;
     let status = &member.status;
     (&vm.name, &vm.domain, vm.front, vm.peer).hash(&mut hasher);
-    (status.state as u8, status.version).hash(&mut hasher);
+    (status.state as u8, status.version, status.shards).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -45,6 +45,8 @@
     pub state: MemberState,
     /// Version of its configuration; 0 if it has none.
     pub version: u64,
+    /// Digest of the sets of shards in its configuration; 0 if it has none.
+    pub shards: u64,
     /// Digest of its listing of searchers.
     pub digest: u64,
     /// Store revision at which its listing was read; 0 if it has none. Unlike times, it also orders
@@ -173,6 +175,7 @@
             status: MemberStatus {
                 state: MemberState::Starting,
                 version: 0,
+                shards: 0,
                 digest: 0,
                 revision: 0,
                 listing_read_at: None,
@@ -219,10 +222,12 @@
         })
     }
 
-    /// The daemons that may relay shards of the configuration `version`.
-    pub fn relay_candidates(&self, version: u64, now: Time) -> impl Iterator<Item = &Member> {
+    /// The daemons that may relay shards of a configuration with this digest of its sets of shards.
+    /// Their versions may differ: while configurations follow one another quickly, hardly two
+    /// daemons have the same.
+    pub fn relay_candidates(&self, shards: u64, now: Time) -> impl Iterator<Item = &Member> {
         self.open_members(now)
-            .filter(move |member| member.status.version == version && member.avoid_until <= now)
+            .filter(move |member| member.status.shards == shards && member.avoid_until <= now)
     }
 
     /// Excludes a daemon from the relays for a while, since it has not answered.
--- a/crates/serve/src/routes.rs
+++ b/crates/serve/src/routes.rs
@@ -1,10 +1,15 @@
 //! The compiled form of a configuration, in which the route of a request is found.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use xxhash_rust::xxh3::Xxh3;
+
 use crate::config::CallerLimits;
 use crate::config::Config;
 use crate::config::Route;
@@ -24,6 +29,9 @@
     hosts: HashMap<String, Vec<Arc<CompiledRoute>>>,
     /// Connections that each searcher of a pool accepts from all daemons together.
     max_connections: HashMap<PoolKey, u32>,
+    /// Digest of the sets of shards that its routes query; 0 if there are none. Versions that only
+    /// change timeouts, or routes to single searchers, have the same.
+    pub shards_digest: u64,
 }
 
 /// A route with the keys of its pools.
@@ -50,9 +58,21 @@
         max_records: usize,
         /// Minimum number of shards in an answer.
         min_shards: usize,
+        /// Digest of the names of the pools in their order, the same on all daemons.
+        digest: u64,
     },
 }
 
+impl CompiledTarget {
+    /// Digest of the shards that it queries; `None` if it queries one searcher.
+    pub fn shards_digest(&self) -> Option<u64> {
+        match self {
+            CompiledTarget::One(_) | CompiledTarget::Split(_) => None,
+            CompiledTarget::Gather { digest, .. } => Some(*digest),
+        }
+    }
+}
+
 impl RouteTable {
     /// Compiles a configuration; the keys of its pools come from `fleet`.
     pub fn new(config: &Config, fleet: &mut Fleet) -> RouteTable {
@@ -70,7 +90,15 @@
             .iter()
             .map(|spec| (fleet.pool(&spec.name), spec.max_connections))
             .collect();
-        RouteTable { version: config.version, limits: config.limits, hosts, max_connections }
+        let sets: BTreeSet<u64> =
+            hosts.values().flatten().filter_map(|it| it.target.shards_digest()).collect();
+        RouteTable {
+            version: config.version,
+            limits: config.limits,
+            hosts,
+            max_connections,
+            shards_digest: sets.iter().fold(0, |sum, digest| sum ^ digest),
+        }
     }
 
     /// Number of connections that one daemon may open to each searcher of a pool.
@@ -123,11 +151,22 @@
         Target::Gather(gather) => {
             let pools: Vec<PoolKey> = gather.pools.iter().map(|name| fleet.pool(name)).collect();
             let min_shards = min_shards(pools.len(), gather.min_coverage);
-            CompiledTarget::Gather { pools, max_records: gather.max_records, min_shards }
+            CompiledTarget::Gather {
+                pools,
+                max_records: gather.max_records,
+                min_shards,
+                digest: pools_digest(&gather.pools),
+            }
         }
     }
 }
 
+fn pools_digest(names: &[String]) -> u64 {
+    let mut hasher = Xxh3::new();
+    names.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// The smallest number of `shards` whose share is not below `min_coverage`, but at least one.
 fn min_shards(shards: usize, min_coverage: f64) -> usize {
     (1..=shards)
--- a/crates/serve/tests/gossip.rs
+++ b/crates/serve/tests/gossip.rs
@@ -67,7 +67,14 @@
         let read_at = if index < DOMAINS { self.now } else { ms(0) };
         let revision = read_at.as_millis() as u64;
         let state = self.states[index];
-        MemberStatus { state, version: 1, digest: 0, revision, listing_read_at: Some(read_at) }
+        MemberStatus {
+            state,
+            version: 1,
+            shards: 0,
+            digest: 0,
+            revision,
+            listing_read_at: Some(read_at),
+        }
     }
 
     fn run_rounds(&mut self, count: usize) {
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -255,8 +255,8 @@
     Members::new(MemberSettings::default(), vm("me", "home"))
 }
 
-fn status(state: MemberState, version: u64) -> MemberStatus {
-    MemberStatus { state, version, digest: 0, revision: 1, listing_read_at: Some(ms(0)) }
+fn status(state: MemberState, shards: u64) -> MemberStatus {
+    MemberStatus { state, version: 1, shards, digest: 0, revision: 1, listing_read_at: Some(ms(0)) }
 }
 
 // Guards against callers that are sent to a daemon that has timed out or is stopping.
@@ -345,7 +345,7 @@
     assert_eq!(
         members.relay_candidates(8, ms(0)).count(),
         0,
-        "another version numbers shards differently"
+        "another set numbers shards differently"
     );
     members.avoid_relay("e", ms(1500));
     assert_eq!(members.relay_candidates(7, ms(100)).count(), 1);
--- a/crates/serve/tests/members.rs
+++ b/crates/serve/tests/members.rs
@@ -28,7 +28,14 @@
 /// A status whose revision is the time of its listing in milliseconds.
 fn status(version: u64, digest: u64, read_at: Option<Time>) -> MemberStatus {
     let revision = read_at.map_or(0, |read_at| read_at.as_millis() as u64);
-    MemberStatus { state: MemberState::Open, version, digest, revision, listing_read_at: read_at }
+    MemberStatus {
+        state: MemberState::Open,
+        version,
+        shards: 0,
+        digest,
+        revision,
+        listing_read_at: read_at,
+    }
 }
 
 /// The members as known to `c` in domain `x` with `a` and `b`; domain `y` has `d` to `g`.
--- a/crates/serve/tests/store_load.rs
+++ b/crates/serve/tests/store_load.rs
@@ -46,6 +46,7 @@
                 let status = MemberStatus {
                     state,
                     version: 1,
+                    shards: 0,
                     digest: 0,
                     revision: 0,
                     listing_read_at: None,
