fix: read everything anew after a pause before requests are served

Cause: a process that was paused for 4 s served the requests that had waited in the kernel by what it knew before: ten of ten went to a searcher that had drained and left meanwhile, and ten of ten ran on a route that had been removed. Ruled out: the timers; the listing looks recent, since its age counts from a read just before the pause, and a suspended VM does not count the time at all. Change: a gap of a second or more between two signs of life, on the clock that counts suspensions, is a pause. Callers' requests and relays then wait until this daemon has read the listing and the configuration from the store, 500 ms at most, as in an outage of the store. A watch that is held is given up for a read.

--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use nix::time::ClockId;
+use nix::time::clock_gettime;
 use tokio::time::Instant;
 
 use tt_serve::Time;
@@ -24,6 +26,11 @@
         self.origin.elapsed()
     }
 
+    /// The time since the boot of the VM, suspensions included. Zero if the kernel does not tell.
+    pub(crate) fn boot_time(self) -> Duration {
+        clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
+    }
+
     /// Converts `time` to an instant for timers; one that is too late for the clock becomes a
     /// distant one.
     pub(crate) fn instant(self, time: Time) -> Instant {
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::sync::Notify;
+use tokio::time::sleep;
 
 use crate::bounded::AnswerMemory;
 use crate::clock::Clock;
@@ -41,8 +43,12 @@
 use tt_serve::TierSize;
 use tt_serve::Time;
 use tt_serve::Vm;
+use tt_serve::WakeGuard;
 use tt_serve::objective_reserve;
 
+/// Interval between checks whether everything has been read after a pause.
+const WAKE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The shared state of an entry.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -65,6 +71,11 @@
     /// By the name of the route.
     caller_waits: Mutex<HashMap<String, CallerWait>>,
     draining: AtomicBool,
+    wake_guard: Mutex<WakeGuard>,
+    /// Notified when the process wakes from a pause.
+    pub(crate) woken: Notify,
+    /// When this daemon last heard from the store about the configuration.
+    config_read_at: Mutex<Option<Time>>,
 }
 
 /// The configuration in force.
@@ -121,6 +132,9 @@
             latency_estimates: Mutex::new(HashMap::new()),
             caller_waits: Mutex::new(HashMap::new()),
             draining: AtomicBool::new(false),
+            wake_guard: Mutex::new(WakeGuard::default()),
+            woken: Notify::new(),
+            config_read_at: Mutex::new(None),
         }
     }
 
@@ -239,6 +253,38 @@
         lock(&self.listing_state).own_read_at
     }
 
+    /// Records that the store has told this daemon the newest configuration, in answer to a call
+    /// that was made at `read_at`.
+    pub(crate) fn record_config_read(&self, read_at: Time) {
+        *lock(&self.config_read_at) = Some(read_at);
+    }
+
+    /// Records that the process runs, and notices a pause that has just ended. To be called at short
+    /// intervals.
+    pub(crate) fn observe_life(&self) {
+        let mut guard = lock(&self.wake_guard);
+        if let Some(pause) = guard.observe(&self.settings.wake, self.clock.boot_time(), self.now())
+        {
+            log::warn!("daemon: state=woke paused_ms={}", pause.as_millis());
+            self.woken.notify_waiters();
+        }
+    }
+
+    /// When the process woke from a pause, if not everything has been read since.
+    pub(crate) fn woke_at(&self) -> Option<Time> {
+        let (listing, config) = (self.last_store_read(), *lock(&self.config_read_at));
+        let mut guard = lock(&self.wake_guard);
+        guard.holds(&self.settings.wake, listing, config, self.now()).then(|| guard.woke_at())?
+    }
+
+    /// Waits until what is known of searchers and routes has been read after a pause.
+    pub(crate) async fn wait_until_current(&self) {
+        self.observe_life();
+        while self.woke_at().is_some() {
+            sleep(WAKE_POLL_INTERVAL).await;
+        }
+    }
+
     /// Whether the whole tier starts for the first time.
     pub(crate) fn is_first_start(&self) -> bool {
         read(&self.boot).first_start
--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -163,6 +163,7 @@
         // A new version of the configuration is announced without delay.
         while Instant::now() < end && entry.config_version() == version {
             sleep(VERSION_POLL_INTERVAL).await;
+            entry.observe_life();
         }
     }
 }
--- a/crates/front/src/relay/server.rs
+++ b/crates/front/src/relay/server.rs
@@ -60,6 +60,7 @@
             return answer::error(StatusCode::BAD_REQUEST, "malformed", None);
         }
     };
+    entry.wait_until_current().await;
     match plan(entry, &message) {
         Some((planned, max_records)) => {
             let scope = if message.share { RelayScope::Domain } else { RelayScope::None };
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -43,6 +43,7 @@
 /// Answers a request of a caller.
 pub(crate) async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     let start = entry.now();
+    entry.wait_until_current().await;
     let (head, body) = request.into_parts();
     let id = header_text(&head.headers, headers::REQUEST_ID).unwrap_or_default().to_owned();
     let caller_timeout = header_text(&head.headers, headers::DEADLINE_MS)
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -9,6 +9,7 @@
 use tt_serve::MemberSettings;
 use tt_serve::RegistrySettings;
 use tt_serve::RetryAfterSettings;
+use tt_serve::WakeSettings;
 
 /// Settings of an entry. Only `metrics_port` comes from the command line.
 #[derive(Debug, Clone, Copy)]
@@ -25,6 +26,8 @@
     pub latency_estimate: LatencyEstimateSettings,
     /// When a daemon reads the listing of searchers from the store itself.
     pub listing: ListingSettings,
+    /// When the process counts as paused, and how long requests wait afterwards.
+    pub wake: WakeSettings,
     /// How long the store may hold a watch for the configuration before it answers. Also bounds
     /// the time until a dead connection is noticed.
     pub watch_timeout: Duration,
@@ -80,6 +83,7 @@
             members: MemberSettings::default(),
             latency_estimate: LatencyEstimateSettings::default(),
             listing: ListingSettings::default(),
+            wake: WakeSettings::default(),
             watch_timeout: Duration::from_millis(2500),
             lease_ttl: Duration::from_secs(12),
             heartbeat_interval: Duration::from_millis(400),
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -79,8 +79,13 @@
             sleep(READ_POLL_INTERVAL).await;
             continue;
         }
-        let result = match watch_revision {
-            Some(after) => platform.watch_config(after, entry.settings.watch_timeout).await,
+        let asked_at = entry.now();
+        let result = match watch_revision.filter(|_| entry.woke_at().is_none()) {
+            Some(after) => tokio::select! {
+                result = platform.watch_config(after, entry.settings.watch_timeout) => result,
+                // What is watched may have changed during the pause: it is read at once.
+                () = entry.woken.notified() => continue,
+            },
             None => platform.read_config().await,
         };
         match result {
@@ -89,6 +94,7 @@
                 if let Some(config) = config {
                     entry.adopt_config(&config, Bytes::from(bytes), "store");
                 }
+                entry.record_config_read(asked_at);
                 // The store's revisions start above 0; without one there is nothing to watch from.
                 watch_revision = Some(revision).filter(|revision| *revision > 0);
                 if watch_revision.is_none() {
@@ -179,6 +185,9 @@
     let read_at = entry.listing_read_at();
     let settings = &entry.settings.listing;
     let now = entry.now();
+    if let Some(woke_at) = entry.woke_at() {
+        return entry.last_store_read() < Some(woke_at);
+    }
     let members = lock(&entry.members);
     if read_at.is_none() && leaves_first_reads(&members, settings, entry.is_first_start(), now) {
         return false;
@@ -195,6 +204,9 @@
     if entry.config_version() == 0 {
         return !leaves_first_reads(&members, settings, entry.is_first_start(), now);
     }
+    if entry.woke_at().is_some() {
+        return true;
+    }
     let took_over = |read_at| now <= read_at + 2 * settings.takeover_age;
     members.rank_in_domain(now) == 0 || entry.last_store_read().is_some_and(took_over)
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -27,6 +27,7 @@
 mod retry_after;
 mod retry_budget;
 mod routes;
+mod wake;
 
 pub use caller_wait::CallerWait;
 pub use caller_wait::CallerWaitSettings;
@@ -97,6 +98,8 @@
 pub use routes::CompiledTarget;
 pub use routes::PoolRole;
 pub use routes::RouteTable;
+pub use wake::WakeGuard;
+pub use wake::WakeSettings;
 
 /// A point in time on the monotonic clock, as the duration since the start of the process.
 pub type Time = std::time::Duration;
