internal: log what searchers say of themselves, and count first and extra attempts

Logs and metrics could not tell the hypotheses of docs/incidents/searcher-limit.md apart: no line held the statement of a searcher, and requests were not counted for each one. Decodes the limit of an answer, logs when it is taken, changes or ends, and each 4 s the first attempts and hedges or retries sent to that searcher. No decision reads it.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -25,10 +25,12 @@
 use crate::execution::Event;
 use crate::metrics;
 use crate::sync::lock;
+use tt_adapter::decode_statement;
 use tt_adapter::headers;
 use tt_serve::AttemptOutcome;
 use tt_serve::Choice;
 use tt_serve::RepeatPolicy;
+use tt_serve::Statement;
 
 /// Number of connections that turn out to be closed after which an attempt is given up.
 const MAX_CLOSED_CONNECTIONS: u32 = 3;
@@ -138,11 +140,13 @@
     reply: Option<Reply>,
     /// `None` unless the searcher gave a valid answer.
     latency: Option<Duration>,
+    /// What the searcher says of itself, if the head of an answer to this request has arrived.
+    statement: Option<Statement>,
 }
 
 impl AttemptResult {
     fn failure(outcome: AttemptOutcome, cause: Cause) -> AttemptResult {
-        AttemptResult { outcome, cause, reply: None, latency: None }
+        AttemptResult { outcome, cause, reply: None, latency: None, statement: None }
     }
 }
 
@@ -194,6 +198,9 @@
             median
         });
         let mut fleet = lock(&entry.fleet);
+        let change = result
+            .statement
+            .and_then(|statement| fleet.record_statement(key, self.token, &statement, now));
         fleet.record_ended(key, self.token);
         match result.outcome {
             AttemptOutcome::Answer => {
@@ -212,6 +219,10 @@
             AttemptOutcome::Failed | AttemptOutcome::Unknown => fleet.record_failure(key, now),
         }
         drop(fleet);
+        if let Some(change) = change {
+            let (id, version) = (&self.searcher.id, entry.config_version());
+            log::info!("fleet: searcher={id} says {change} version={version}");
+        }
         if result.outcome == AttemptOutcome::Unknown || result.cause == Cause::Unreachable {
             entry.searcher_connections.server(key).close_idle();
         }
@@ -271,13 +282,15 @@
             Err(_) => return Some(AttemptResult::failure(AttemptOutcome::Unknown, Cause::Broken)),
         };
         let (head, body) = response.into_parts();
+        let statement = self.statement(&head);
         let memory = &self.entry.answer_memory;
         let Some(body) = memory.collect(body, self.max_answer_bytes()).await else {
-            return Some(AttemptResult::failure(AttemptOutcome::Unknown, Cause::CutShort));
+            let result = AttemptResult::failure(AttemptOutcome::Unknown, Cause::CutShort);
+            return Some(AttemptResult { statement, ..result });
         };
         let reply = Reply { status: head.status, headers: head.headers, body };
         let keep_alive = keep_alive(&reply.headers);
-        let mut result = self.classify(reply);
+        let mut result = AttemptResult { statement, ..self.classify(reply) };
         if result.cause != Cause::OtherRequest {
             result.latency = (result.outcome == AttemptOutcome::Answer).then(|| sent_at.elapsed());
             connection.release(keep_alive);
@@ -285,6 +298,20 @@
         Some(result)
     }
 
+    /// What the head of an answer says of the searcher that the request was sent to. `None` if it
+    /// answers another request or comes from another searcher.
+    fn statement(&self, head: &hyper::http::response::Parts) -> Option<Statement> {
+        let is_own =
+            self.is_echoed(&head.headers) && head.status != StatusCode::MISDIRECTED_REQUEST;
+        is_own.then(|| decode_statement(&head.headers))
+    }
+
+    /// Whether an answer carries the id of the request.
+    fn is_echoed(&self, headers: &HeaderMap) -> bool {
+        let echoed = headers.get(headers::REQUEST_ID);
+        echoed.is_some_and(|id| id.as_bytes() == self.outgoing.id.as_bytes())
+    }
+
     /// Maximum size of the body of the answer.
     fn max_answer_bytes(&self) -> usize {
         let settings = &self.entry.settings;
@@ -312,8 +339,7 @@
 
     /// Decides from the head of an answer whether the answer counts.
     fn classify(&self, reply: Reply) -> AttemptResult {
-        let echoed = reply.headers.get(headers::REQUEST_ID);
-        if echoed.is_none_or(|id| id.as_bytes() != self.outgoing.id.as_bytes()) {
+        if !self.is_echoed(&reply.headers) {
             return AttemptResult::failure(AttemptOutcome::Unknown, Cause::OtherRequest);
         }
         if reply.status == StatusCode::MISDIRECTED_REQUEST {
@@ -337,7 +363,7 @@
             (false, _) if reply.status.is_client_error() => (AttemptOutcome::Answer, Cause::Status),
             (false, _) => (AttemptOutcome::Failed, Cause::Status),
         };
-        AttemptResult { outcome, cause, reply: Some(reply), latency: None }
+        AttemptResult { outcome, cause, reply: Some(reply), latency: None, statement: None }
     }
 }
 
--- a/crates/front/src/execution.rs
+++ b/crates/front/src/execution.rs
@@ -233,9 +233,9 @@
         let tier_size = entry.tier_size();
         let now = entry.now();
         let connection_ratio = entry.settings.connection_ratio;
-        for PlannedAttempt { shard, searcher } in attempts {
+        for PlannedAttempt { shard, searcher, kind } in attempts {
             let token = NEXT_TOKEN.fetch_add(1, Ordering::Relaxed);
-            lock(&entry.fleet).record_sent(searcher.key, token, now);
+            lock(&entry.fleet).record_sent(searcher.key, token, kind, now);
             let role = match self.owned.get(shard) {
                 None => PoolRole::Equal,
                 Some(true) => PoolRole::Owner,
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The known searchers, the state of each as this daemon observes it, and the choice of one of a
 //! pool.
 
+mod stated;
 mod status;
 
 use std::collections::HashMap;
@@ -10,7 +11,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Time;
+use stated::Stated;
 
+pub use stated::AttemptKind;
+pub use stated::StatedRate;
+pub use stated::Statement;
 pub use status::Availability;
 pub use status::SearcherStatus;
 
@@ -126,6 +131,8 @@
     /// Until then it is not used at all. [`Time::MAX`] after another searcher answered at its
     /// address.
     closed_until: Time,
+    /// What it has said of itself.
+    stated: Stated,
 }
 
 impl TrackedSearcher {
@@ -198,6 +205,7 @@
                 failures: 0,
                 ejected_until: Time::ZERO,
                 closed_until: Time::ZERO,
+                stated: Stated::default(),
             },
         );
         key
@@ -330,8 +338,9 @@
     }
 
     /// Records that the attempt `token` is sent to a searcher.
-    pub fn record_sent(&mut self, key: SearcherKey, token: u64, now: Time) {
+    pub fn record_sent(&mut self, key: SearcherKey, token: u64, kind: AttemptKind, now: Time) {
         if let Some(tracked) = self.searchers.get_mut(&key) {
+            tracked.stated.count(kind);
             tracked.outstanding.push((token, now));
         }
     }
--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -7,6 +7,7 @@
 
 use crate::Time;
 use crate::config::RepeatPolicy;
+use crate::fleet::AttemptKind;
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::PoolKey;
@@ -39,6 +40,8 @@
     pub shard: usize,
     /// The searcher to send it to.
     pub searcher: Choice,
+    /// Whether it is the first one of its shard.
+    pub kind: AttemptKind,
 }
 
 /// How an attempt ended.
@@ -415,11 +418,15 @@
         let hedge_delay = self.plan.hedge_delay;
         let state = &mut self.shards[shard];
         let searcher = fleet.choose(state.pool, &state.tried, hedge_delay, now)?;
+        let kind = match state.tried.is_empty() {
+            true => AttemptKind::First,
+            false => AttemptKind::Extra,
+        };
         state.tried.push(searcher.key);
         state.runs += 1;
         state.in_flight += 1;
         state.hedge_at = now + hedge_delay;
-        Some(PlannedAttempt { shard, searcher })
+        Some(PlannedAttempt { shard, searcher, kind })
     }
 
     /// Fails the delegated shards before anything was sent to a relay.
