fix: keep to the request rate that a searcher names for the whole tier

Cause: answers were read for their outcome only. What a searcher says of itself reached no decision, so the balancing went on as before. Ruled out by counts for each searcher: entries that each take the whole limit (no entry reduced anything), and hedges and retries (12 of 149 attempts).

Change: the fleet remembers the limit of each searcher and every choice of one asks whether this daemon may send it a request: first attempts, hedges, retries, relayed shards. The limit is divided by role, without messages between daemons: most for the owner in the searcher's domain, the rest for the other owners and a little for daemons that query the pool only when the owner is away; equal parts where nobody owns a pool. Unused sends last half a second. A shard past its limit is left out or the query refused at once, without a retry budget; the refusal says when the next request is accepted.

Why it works: the shares add up to the limit at most at every size of the tier, and a daemon that has not heard the limit yet doesn't count.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -27,6 +27,7 @@
 use crate::sync::lock;
 use tt_adapter::decode_statement;
 use tt_adapter::headers;
+use tt_serve::AttemptKind;
 use tt_serve::AttemptOutcome;
 use tt_serve::Choice;
 use tt_serve::RepeatPolicy;
@@ -128,6 +129,7 @@
     pub(crate) shard: usize,
     pub(crate) max_connections: usize,
     pub(crate) searcher: Choice,
+    pub(crate) kind: AttemptKind,
     pub(crate) token: u64,
     pub(crate) events: UnboundedSender<Event>,
 }
@@ -210,6 +212,7 @@
                 fleet.record_answer(key, ratio, now);
             }
             AttemptOutcome::NotSent => {
+                fleet.put_back_send(key, self.kind);
                 if result.cause == Cause::Unreachable {
                     fleet.record_unreachable(key, now);
                 }
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -109,11 +109,14 @@
             peer: boot.peer,
             domain: boot.domain.clone(),
         };
+        let members = Members::new(settings.members, vm.clone());
+        let mut fleet = Fleet::new(settings.fleet, boot.domain.clone());
+        fleet.set_tier(members.tier(Time::ZERO));
         Entry {
             clock: Clock::start(),
             settings,
-            fleet: Mutex::new(Fleet::new(settings.fleet, boot.domain.clone())),
-            members: Mutex::new(Members::new(settings.members, vm.clone())),
+            fleet: Mutex::new(fleet),
+            members: Mutex::new(members),
             searcher_connections: Connections::default(),
             peer_connections: Connections::default(),
             answer_memory: AnswerMemory::new(settings.answer_memory_bytes),
@@ -357,6 +360,12 @@
         lock(&self.members).tier_size(self.now())
     }
 
+    /// Divides the limits of searchers among the daemons that are known now.
+    pub(crate) fn update_tier(&self) {
+        let tier = lock(&self.members).tier(self.now());
+        lock(&self.fleet).set_tier(tier);
+    }
+
     /// Counts one request in the retry budget of each pool.
     pub(crate) fn count_requests(&self, pools: &[PoolKey]) {
         let settings = self.retry_budget_settings();
--- a/crates/front/src/execution.rs
+++ b/crates/front/src/execution.rs
@@ -99,6 +99,7 @@
         let direct: Vec<PoolKey> = direct.map(|shard| self.plan.pools[shard]).collect();
         self.entry.count_requests(&direct);
         let mut query = Query::new(self.plan.clone());
+        query.set_owned(&owned);
         for delegation in &delegations {
             query.delegate(&delegation.shards);
         }
@@ -235,7 +236,7 @@
         let connection_ratio = entry.settings.connection_ratio;
         for PlannedAttempt { shard, searcher, kind } in attempts {
             let token = NEXT_TOKEN.fetch_add(1, Ordering::Relaxed);
-            lock(&entry.fleet).record_sent(searcher.key, token, kind, now);
+            lock(&entry.fleet).record_sent(searcher.key, token, now);
             let role = match self.owned.get(shard) {
                 None => PoolRole::Equal,
                 Some(true) => PoolRole::Owner,
@@ -252,6 +253,7 @@
                     connection_ratio,
                 ),
                 searcher,
+                kind,
                 token,
                 events: self.sender.clone(),
             };
--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -152,6 +152,7 @@
 pub(crate) async fn send_heartbeats(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
     loop {
         let version = entry.config_version();
+        entry.update_tier();
         send_round(&entry, &socket).await;
         let is_alone = lock(&entry.members).is_alone(entry.now());
         if is_alone {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -257,7 +257,7 @@
     ) -> (&'static str, Response<Body>) {
         match (failure, replies.last_failure) {
             (Failure::NotRun, _) => {
-                let refusal = query.refusal(&lock(&self.entry.fleet));
+                let refusal = query.refusal(&lock(&self.entry.fleet), self.entry.now());
                 (
                     "not_run",
                     not_run_response(&self.entry, refusal, "not run", Some(self.time_left())),
--- a/crates/front/src/status.rs
+++ b/crates/front/src/status.rs
@@ -69,6 +69,7 @@
         "left_ms": left.map(|left| left.as_millis() as u64),
         "outstanding": status.outstanding,
         "slowness": (status.slowness * 100.0).round() / 100.0,
+        "limit_per_s": status.rate_limit,
         "faults": (status.fault_ratio * 100.0).round() / 100.0,
     })
 }
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -4,6 +4,7 @@
 mod stated;
 mod status;
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,11 +12,14 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Time;
+use crate::members::TierSize;
+use crate::routes::PoolRole;
 use stated::Stated;
 
 pub use stated::AttemptKind;
 pub use stated::StatedRate;
 pub use stated::Statement;
+pub use stated::Tier;
 pub use status::Availability;
 pub use status::SearcherStatus;
 
@@ -146,6 +150,7 @@
 pub struct Fleet {
     settings: FleetSettings,
     home: String,
+    tier: Tier,
     pool_keys: HashMap<String, PoolKey>,
     /// Hash of the name of each pool, by key.
     name_hashes: Vec<u64>,
@@ -159,9 +164,16 @@
 impl Fleet {
     /// Creates an empty fleet for a daemon in the failure domain `home`.
     pub fn new(settings: FleetSettings, home: String) -> Fleet {
+        // Replaced by `set_tier`.
+        let tier = Tier {
+            me: String::new(),
+            size: TierSize { daemons: 1, domains: 1 },
+            domains: BTreeSet::from([home.clone()]),
+        };
         Fleet {
             settings,
             home,
+            tier,
             pool_keys: HashMap::new(),
             name_hashes: Vec::new(),
             pools: Vec::new(),
@@ -263,12 +275,14 @@
         })
     }
 
-    /// Chooses the searcher of `pool` with the lowest cost that is not in `tried`. A searcher with
-    /// an attempt in flight for longer than `stall_timeout` counts as stalled and is chosen only
-    /// if all are stalled or ejected.
+    /// Chooses the searcher of `pool` with the lowest cost that is not in `tried`, among those that
+    /// accept a request of this daemon in its `role`. A searcher with an attempt in flight for
+    /// longer than `stall_timeout` counts as stalled and is chosen only if all are stalled or
+    /// ejected.
     pub fn choose(
         &mut self,
         pool: PoolKey,
+        role: PoolRole,
         tried: &[SearcherKey],
         stall_timeout: Duration,
         now: Time,
@@ -278,6 +292,7 @@
         let best = self
             .pool_searchers(pool)
             .filter(|(key, tracked)| tracked.is_open(now) && !tried.contains(key))
+            .filter(|(_, tracked)| self.stated_wait(tracked, role, now).is_zero())
             .map(|(key, tracked)| {
                 let (class, cost) = self.class_and_cost(tracked, stall_timeout, now);
                 (class, cost, (u64::from(key.0) + rotation) % 7, key)
@@ -338,9 +353,8 @@
     }
 
     /// Records that the attempt `token` is sent to a searcher.
-    pub fn record_sent(&mut self, key: SearcherKey, token: u64, kind: AttemptKind, now: Time) {
+    pub fn record_sent(&mut self, key: SearcherKey, token: u64, now: Time) {
         if let Some(tracked) = self.searchers.get_mut(&key) {
-            tracked.stated.count(kind);
             tracked.outstanding.push((token, now));
         }
     }
--- a/crates/serve/src/fleet/status.rs
+++ b/crates/serve/src/fleet/status.rs
@@ -44,6 +44,8 @@
     pub slowness: f64,
     /// Share of its requests that fail or are refused, 0 to 1.
     pub fault_ratio: f64,
+    /// Requests a second that it accepts from all daemons together, if it limits them.
+    pub rate_limit: Option<f64>,
 }
 
 impl Fleet {
@@ -63,6 +65,7 @@
                 outstanding: tracked.outstanding.len(),
                 slowness: self.slowness(tracked, now),
                 fault_ratio: self.fault_ratio(tracked, now),
+                rate_limit: tracked.stated.limit(),
             })
             .collect();
         all.sort_by(|a, b| (&a.pool, &a.id).cmp(&(&b.pool, &b.id)));
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -53,6 +53,7 @@
 pub use fleet::SearcherStatus;
 pub use fleet::StatedRate;
 pub use fleet::Statement;
+pub use fleet::Tier;
 pub use gossip::DomainSummary;
 pub use gossip::Gossip;
 pub use history::ListingChange;
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::Time;
+use crate::fleet::Tier;
 use crate::gossip::LastRound;
 
 /// Number of delegates of a failure domain: its daemons with the lowest ranks. The second one keeps
@@ -215,6 +216,16 @@
         TierSize { daemons: known.max(min_daemons), domains: domains.len().max(min_daemons) }
     }
 
+    /// The tier among which the limits of searchers are divided.
+    pub fn tier(&self, now: Time) -> Tier {
+        let domains = self.others.values().map(|it| it.vm.domain.clone());
+        Tier {
+            me: self.me.name.clone(),
+            size: self.tier_size(now),
+            domains: domains.chain([self.me.domain.clone()]).collect(),
+        }
+    }
+
     /// The live daemons that accept callers.
     pub fn open_members(&self, now: Time) -> impl Iterator<Item = &Member> {
         self.others.values().filter(move |member| {
--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -13,6 +13,7 @@
 use crate::fleet::PoolKey;
 use crate::fleet::SearcherKey;
 use crate::retry_after::Refusal;
+use crate::routes::PoolRole;
 
 /// The parameters of a request.
 #[derive(Debug, Clone)]
@@ -97,6 +98,8 @@
 #[derive(Debug)]
 struct Shard {
     pool: PoolKey,
+    /// The role of this daemon for the pool.
+    role: PoolRole,
     tried: Vec<SearcherKey>,
     /// Attempts that may have run or may still run.
     runs: u32,
@@ -135,6 +138,7 @@
     pub fn new(plan: Plan) -> Query {
         let shards = plan.pools.iter().map(|&pool| Shard {
             pool,
+            role: PoolRole::Equal,
             tried: Vec::new(),
             runs: 0,
             in_flight: 0,
@@ -170,6 +174,14 @@
         self.shards.len()
     }
 
+    /// Sets for each shard whether this daemon owns it in its failure domain. To be called before
+    /// [`Query::start`] if ownership applies.
+    pub fn set_owned(&mut self, owned: &[bool]) {
+        for (shard, &owned) in self.shards.iter_mut().zip(owned) {
+            shard.role = if owned { PoolRole::Owner } else { PoolRole::NonOwner };
+        }
+    }
+
     /// Leaves shards to a relay. To be called before [`Query::start`].
     pub fn delegate(&mut self, shards: &[usize]) {
         for &shard in shards {
@@ -231,7 +243,9 @@
             }
             state.phase = Phase::Open;
             state.runs = runs;
-            let allowed = runs < self.plan.max_attempts && (runs == 0 || take_extra(state.pool));
+            let allowed = runs < self.plan.max_attempts
+                && self.has_candidate(shard, fleet, now)
+                && (runs == 0 || take_extra(self.shards[shard].pool));
             let attempt = if allowed { self.plan_attempt(shard, fleet, now) } else { None };
             match attempt {
                 Some(attempt) => attempts.push(attempt),
@@ -256,6 +270,7 @@
         }
         if self.shards.len() - self.failed < self.plan.min_shards {
             for attempt in &attempts {
+                fleet.put_back_send(attempt.searcher.key, attempt.kind);
                 let state = &mut self.shards[attempt.shard];
                 state.in_flight = 0;
                 state.runs = 0;
@@ -301,18 +316,19 @@
         if state.phase != Phase::Open {
             return None;
         }
-        let allowed = match (self.plan.repeat, outcome) {
-            (_, AttemptOutcome::NotSent) => true,
-            (_, AttemptOutcome::Refused) => take_extra(state.pool),
-            (RepeatPolicy::AtMostOnce, _) => false,
-            (RepeatPolicy::Idempotent, _) => {
-                state.runs < self.plan.max_attempts && take_extra(state.pool)
-            }
-        };
         let max_tried = self.plan.max_attempts + MAX_SPARE_ATTEMPTS;
-        let allowed = allowed
-            && state.tried.len() < max_tried as usize
-            && state.runs < self.plan.max_attempts;
+        let pool = state.pool;
+        let has_attempt =
+            state.tried.len() < max_tried as usize && state.runs < self.plan.max_attempts;
+        // Nothing is taken from the budget if no searcher accepts the attempt.
+        let allowed = has_attempt
+            && self.has_candidate(shard, fleet, now)
+            && match (self.plan.repeat, outcome) {
+                (_, AttemptOutcome::NotSent) => true,
+                (_, AttemptOutcome::Refused) => take_extra(pool),
+                (RepeatPolicy::AtMostOnce, _) => false,
+                (RepeatPolicy::Idempotent, _) => take_extra(pool),
+            };
         if allowed && let Some(attempt) = self.plan_attempt(shard, fleet, now) {
             return Some(attempt);
         }
@@ -352,13 +368,13 @@
                 state.hedge_at = Time::MAX;
                 continue;
             }
-            let hedge_delay = self.plan.hedge_delay;
-            if fleet.choose(state.pool, &state.tried, hedge_delay, now).is_none() {
-                state.hedge_at = Time::MAX;
+            let pool = state.pool;
+            if !self.has_candidate(shard, fleet, now) {
+                self.shards[shard].hedge_at = Time::MAX;
                 continue;
             }
-            if !take_extra(state.pool) {
-                state.hedge_at = now + HEDGE_RETRY_DELAY;
+            if !take_extra(pool) {
+                self.shards[shard].hedge_at = now + HEDGE_RETRY_DELAY;
                 continue;
             }
             if let Some(attempt) = self.plan_attempt(shard, fleet, now) {
@@ -370,9 +386,17 @@
     }
 
     /// Why the request has not run.
-    pub fn refusal(&self, fleet: &Fleet) -> Refusal {
-        let served = self.shards.iter().filter(|shard| fleet.has_ready(shard.pool)).count();
-        if served < self.plan.min_shards { Refusal::Unserved } else { Refusal::Busy }
+    pub fn refusal(&self, fleet: &Fleet, now: Time) -> Refusal {
+        let wait = |shard: &Shard| fleet.pool_wait(shard.pool, shard.role, now);
+        let mut waits: Vec<Duration> = self.shards.iter().filter_map(wait).collect();
+        waits.sort_unstable();
+        // The request can run once `min_shards` accept one.
+        let last = self.plan.min_shards.saturating_sub(1);
+        match waits.get(last) {
+            None => Refusal::Unserved,
+            Some(wait) if wait.is_zero() => Refusal::Busy,
+            Some(&wait) => Refusal::Limited(wait),
+        }
     }
 
     /// The state of the request at the time `now`.
@@ -408,6 +432,12 @@
         }
     }
 
+    /// Whether a searcher that was not tried yet accepts an attempt of a shard.
+    fn has_candidate(&self, shard: usize, fleet: &mut Fleet, now: Time) -> bool {
+        let Shard { pool, role, tried, .. } = &self.shards[shard];
+        fleet.choose(*pool, *role, tried, self.plan.hedge_delay, now).is_some()
+    }
+
     /// Plans an attempt of a shard at a searcher that was not tried yet.
     fn plan_attempt(
         &mut self,
@@ -417,11 +447,12 @@
     ) -> Option<PlannedAttempt> {
         let hedge_delay = self.plan.hedge_delay;
         let state = &mut self.shards[shard];
-        let searcher = fleet.choose(state.pool, &state.tried, hedge_delay, now)?;
+        let searcher = fleet.choose(state.pool, state.role, &state.tried, hedge_delay, now)?;
         let kind = match state.tried.is_empty() {
             true => AttemptKind::First,
             false => AttemptKind::Extra,
         };
+        fleet.take_send(searcher.key, state.role, kind, now);
         state.tried.push(searcher.key);
         state.runs += 1;
         state.in_flight += 1;
--- a/crates/serve/src/retry_after.rs
+++ b/crates/serve/src/retry_after.rs
@@ -7,6 +7,9 @@
 pub enum Refusal {
     /// The searchers refused all attempts or could not be reached.
     Busy,
+    /// Too few shards have a searcher that accepts a request of this daemon before this time has
+    /// passed.
+    Limited(Duration),
     /// There is no configuration, or too few shards have a searcher that accepts requests.
     Unserved,
 }
@@ -44,6 +47,7 @@
 ) -> Duration {
     let max_delay = match refusal {
         Refusal::Busy => settings.busy_delay,
+        Refusal::Limited(wait) => settings.busy_delay.max(wait),
         Refusal::Unserved => settings.unserved_delay,
     };
     match time_left {
--- a/crates/serve/tests/fleet.rs
+++ b/crates/serve/tests/fleet.rs
@@ -8,18 +8,18 @@
 use common::fleet;
 use common::ms;
 
-use tt_serve::AttemptKind;
 use tt_serve::Availability;
 use tt_serve::Fleet;
 use tt_serve::FleetSettings;
 use tt_serve::PoolKey;
+use tt_serve::PoolRole;
 use tt_serve::SearcherKey;
 use tt_serve::Time;
 
 const STALL_TIMEOUT: Duration = Duration::from_millis(30);
 
 fn chosen(fleet: &mut Fleet, pool: PoolKey, now: Time) -> Option<SearcherKey> {
-    fleet.choose(pool, &[], STALL_TIMEOUT, now).map(|choice| choice.key)
+    fleet.choose(pool, PoolRole::Equal, &[], STALL_TIMEOUT, now).map(|choice| choice.key)
 }
 
 // Guards against traffic between failure domains while a searcher of the own domain is free.
@@ -91,7 +91,7 @@
     let pool = fleet.pool("pool");
     let paused = add(&mut fleet, pool, "paused", "home");
     let other = add(&mut fleet, pool, "other", "away");
-    fleet.record_sent(paused, 1, AttemptKind::First, ms(0));
+    fleet.record_sent(paused, 1, ms(0));
     assert_eq!(chosen(&mut fleet, pool, ms(10)), Some(paused));
     assert_eq!(chosen(&mut fleet, pool, ms(31)), Some(other));
     fleet.record_ended(paused, 1);
--- a/crates/serve/tests/query.rs
+++ b/crates/serve/tests/query.rs
@@ -197,7 +197,7 @@
     let searcher = add(&mut fleet, pools[0], "closed", "home");
     fleet.record_unreachable(searcher, ms(0));
     pools.push(fleet.pool("empty"));
-    let refusal = |min_shards| Query::new(plan(pools.clone(), min_shards)).refusal(&fleet);
+    let refusal = |min_shards| Query::new(plan(pools.clone(), min_shards)).refusal(&fleet, ms(0));
     assert_eq!(refusal(2), Refusal::Busy);
     assert_eq!(refusal(3), Refusal::Unserved);
 }
--- a/crates/serve/tests/registry.rs
+++ b/crates/serve/tests/registry.rs
@@ -7,6 +7,7 @@
 use common::record;
 
 use tt_serve::Fleet;
+use tt_serve::PoolRole;
 use tt_serve::Registry;
 use tt_serve::RegistrySettings;
 use tt_serve::SearcherRecord;
@@ -64,10 +65,11 @@
     let (mut fleet, mut registry) = (fleet(), registry());
     registry.adopt(&mut fleet, vec![record("s", 5)], None, ms(0));
     let pool = fleet.pool("pool");
-    let before = fleet.choose(pool, &[], ms(30), ms(0)).expect("one is there").key;
+    let before = fleet.choose(pool, PoolRole::Equal, &[], ms(30), ms(0)).expect("one is there").key;
     let restarted = SearcherRecord { started_unix_ms: Some(2000), ..record("s", 1) };
     registry.adopt(&mut fleet, vec![restarted], None, ms(1000));
-    let after = fleet.choose(pool, &[], ms(30), ms(1000)).expect("one is there").key;
+    let after =
+        fleet.choose(pool, PoolRole::Equal, &[], ms(30), ms(1000)).expect("one is there").key;
     assert_ne!(before, after);
     assert!(fleet.get(before).is_none());
 }
@@ -81,6 +83,6 @@
     let moved = SearcherRecord { address, ..record("s", 6) };
     registry.adopt(&mut fleet, vec![moved], None, ms(1000));
     let pool = fleet.pool("pool");
-    let chosen = fleet.choose(pool, &[], ms(30), ms(1000)).expect("one is there");
+    let chosen = fleet.choose(pool, PoolRole::Equal, &[], ms(30), ms(1000)).expect("one is there");
     assert_eq!(chosen.address, address);
 }
