fix: heed searchers that say that they are leaving or want no requests for a while

What callers saw: requests went on to a searcher that says in its answers that it stops soon, and to one that had turned a request away with a time after which to come back.

The store's list was the only source of leaving, and a refusal ejected a searcher for 30 ms only.

Change: both are part of the decision that every choice of a searcher asks (tt-serve, fleet/stated.rs). A leaving searcher gets no new requests while its pool has another one, and as the last one only for half of the time that the platform allows. This holds for its start: a lapsed registration that comes back is known by its start time; a new start, or a later registration as ready after one as draining, ends it. A searcher that asks for rest gets nothing until then, attempts that wait for a connection included, and then one more request in flight each 100 ms for a second. Callers of shards that all rest are refused at once and told when enough of them resume.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -119,6 +119,8 @@
     Unsigned,
     /// The id of the searcher is not a valid header value.
     Unspeakable,
+    /// The searcher asked for no requests before this one could be sent.
+    Withheld,
 }
 
 /// One send of a sub-query to one searcher.
@@ -200,9 +202,10 @@
             median
         });
         let mut fleet = lock(&entry.fleet);
-        let change = result
-            .statement
-            .and_then(|statement| fleet.record_statement(key, self.token, &statement, now));
+        let changes = match &result.statement {
+            Some(statement) => fleet.record_statement(key, self.token, statement, now),
+            None => Vec::new(),
+        };
         fleet.record_ended(key, self.token);
         match result.outcome {
             AttemptOutcome::Answer => {
@@ -222,7 +225,7 @@
             AttemptOutcome::Failed | AttemptOutcome::Unknown => fleet.record_failure(key, now),
         }
         drop(fleet);
-        if let Some(change) = change {
+        for change in changes {
             let (id, version) = (&self.searcher.id, entry.config_version());
             log::info!("fleet: searcher={id} says {change} version={version}");
         }
@@ -274,6 +277,9 @@
                 return Some(AttemptResult::failure(AttemptOutcome::NotSent, Cause::NoConnection));
             }
         };
+        if lock(&self.entry.fleet).is_withheld(self.searcher.key, self.entry.now()) {
+            return Some(AttemptResult::failure(AttemptOutcome::NotSent, Cause::Withheld));
+        }
         let Some(request) = self.build_request() else {
             return Some(AttemptResult::failure(AttemptOutcome::NotSent, Cause::Unspeakable));
         };
@@ -306,7 +312,7 @@
     fn statement(&self, head: &hyper::http::response::Parts) -> Option<Statement> {
         let is_own =
             self.is_echoed(&head.headers) && head.status != StatusCode::MISDIRECTED_REQUEST;
-        is_own.then(|| decode_statement(&head.headers))
+        is_own.then(|| decode_statement(head.status, &head.headers))
     }
 
     /// Whether an answer carries the id of the request.
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -25,6 +25,7 @@
 use tt_serve::CallerWait;
 use tt_serve::Config;
 use tt_serve::Fleet;
+use tt_serve::FleetSettings;
 use tt_serve::LatencyEstimate;
 use tt_serve::ListChange;
 use tt_serve::ListingDelta;
@@ -49,6 +50,10 @@
 /// Interval between checks whether everything has been read after a pause.
 const WAKE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Ratio of the time for which a leaving searcher accepts requests in which it may still get some.
+/// The rest covers requests that wait for a connection.
+const LEAVING_RATIO: f64 = 0.5;
+
 /// The shared state of an entry.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -110,7 +115,14 @@
             domain: boot.domain.clone(),
         };
         let members = Members::new(settings.members, vm.clone());
-        let mut fleet = Fleet::new(settings.fleet, boot.domain.clone());
+        let fleet_settings = FleetSettings {
+            leaving_period: boot
+                .bounds
+                .drain
+                .map_or(settings.fleet.leaving_period, |drain| drain.mul_f64(LEAVING_RATIO)),
+            ..settings.fleet
+        };
+        let mut fleet = Fleet::new(fleet_settings, boot.domain.clone());
         fleet.set_tier(members.tier(Time::ZERO));
         Entry {
             clock: Clock::start(),
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -26,6 +26,7 @@
 use crate::entry::Entry;
 use crate::sync::lock;
 use tt_serve::AttemptOutcome;
+use tt_serve::WithheldCounts;
 
 /// Path of the metrics in the text format of Prometheus.
 const PATH: &str = "/metrics";
@@ -86,6 +87,10 @@
         gauge!("entry_daemons_known").set(entry.tier_size().daemons as f64);
         let ejected = lock(&entry.fleet).ejected_count(now);
         gauge!("entry_searchers_ejected").set(ejected as f64);
+        let WithheldCounts { limit, leaving, rest } = lock(&entry.fleet).withheld_counts();
+        for (reason, count) in [("limit", limit), ("leaving", leaving), ("rest", rest)] {
+            counter!("entry_withheld_total", "reason" => reason).absolute(count);
+        }
         if let Some(handle) = HANDLE.get().and_then(Option::as_ref) {
             handle.run_upkeep();
         }
--- a/crates/front/src/status.rs
+++ b/crates/front/src/status.rs
@@ -57,6 +57,7 @@
         Availability::Used => ("used", None),
         Availability::Ejected(left) => ("ejected", Some(left)),
         Availability::Unreachable(left) => ("unreachable", Some(left)),
+        Availability::Resting(left) => ("resting", Some(left)),
         Availability::Moved => ("moved", None),
         Availability::Leaving => ("leaving", None),
     };
--- a/crates/front/tests/statements.rs
+++ b/crates/front/tests/statements.rs
@@ -68,3 +68,78 @@
         assert!(answered >= sent - 5, "{path}: the other searcher has room: {answered} of {sent}");
     }
 }
+
+// Guards against requests to a searcher that has said in an answer that it is leaving, by any path:
+// single requests, queries over shards, and shards that another entry delegates.
+#[tokio::test]
+async fn searcher_that_says_it_is_leaving_gets_no_more_requests() {
+    for path in ["/one/", "/all/"] {
+        let pool = if path == "/one/" { "one" } else { "p0" };
+        let store = store().await;
+        let leaves = Behavior::AnswerWith("Server-Leaving: 1", records(1));
+        let leaving = Searcher::start(&store, "leaving", pool, "d", leaves).await;
+        let other = Searcher::start(&store, "other", pool, "e", Behavior::Answer(records(2))).await;
+        let entry = start_ready_entry("vm", "d", &store).await;
+        assert_eq!(entry.ask(path, "first").await.body, records(1), "{path}");
+        entry.wait_availability("leaving", "leaving").await;
+        let before = leaving.request_ids().len();
+        // Its heartbeats go on.
+        leaving.register(&store, pool, "d", "ready", 2);
+        for request in 0..20 {
+            let answer = entry.ask(path, &format!("later-{request}")).await;
+            assert_eq!(answer.body, records(2), "{path}");
+        }
+        assert_eq!(leaving.request_ids().len(), before, "{path}");
+        drop(other);
+    }
+}
+
+// Guards against requests to a searcher in the time for which it asked for none, and against one
+// that is not used again afterwards.
+#[tokio::test]
+async fn searcher_that_asks_for_rest_gets_no_requests_for_so_long() {
+    for path in ["/one/", "/all/"] {
+        let pool = if path == "/one/" { "one" } else { "p0" };
+        let store = store().await;
+        let tired = Searcher::start(&store, "tired", pool, "d", Behavior::ShedFor("3.0")).await;
+        let other = Searcher::start(&store, "other", pool, "e", Behavior::Answer(records(2))).await;
+        let entry = start_ready_entry("vm", "d", &store).await;
+        assert_eq!(entry.ask(path, "first").await.body, records(2), "{path}");
+        let heard_at = Instant::now();
+        assert_eq!(tired.request_ids(), ["first"]);
+        tired.set_behavior(Behavior::Answer(records(1)));
+        let mut resumed_after = None;
+        for request in 0.. {
+            let asked_after = heard_at.elapsed();
+            assert!(asked_after < Duration::from_secs(15), "{path}: it is used again");
+            let answer = entry.ask(path, &format!("later-{request}")).await;
+            assert_eq!(answer.status, 200, "{path}");
+            if tired.request_ids().len() > 1 {
+                resumed_after = Some(heard_at.elapsed());
+                break;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        // The entry heard it somewhat before this test did.
+        assert!(resumed_after >= Some(Duration::from_millis(2900)), "{path}: {resumed_after:?}");
+        drop(other);
+    }
+}
+
+// Guards against callers that wait for, or come back too early to, searchers that all rest, and
+// against a refusal of a request that has reached a searcher.
+#[tokio::test]
+async fn request_is_refused_at_once_while_all_searchers_rest() {
+    let store = store().await;
+    let tired = Searcher::start(&store, "tired", "one", "d", Behavior::ShedFor("30")).await;
+    let entry = start_ready_entry("vm", "d", &store).await;
+    assert_eq!(entry.ask("/one/", "first").await.status, 503);
+    let start = Instant::now();
+    let answer = entry.ask("/one/", "second").await;
+    assert_eq!(answer.status, 503);
+    assert!(start.elapsed() < Duration::from_millis(500));
+    let wait = answer.header("retry-after").and_then(|text| text.parse().ok());
+    // As long as the caller accepts: a part of the 3 s that the route allows.
+    assert!(wait.is_some_and(|wait: f64| wait > 0.5 && wait <= 1.0), "{wait:?}");
+    assert_eq!(tired.request_ids(), ["first"]);
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -106,6 +106,7 @@
             retry_extra: 50.0,
             retry_window: Duration::from_secs(10),
             directory_ttl: Duration::from_secs(5),
+            drain: Some(Duration::from_secs(3)),
         },
     };
     let entry_boot = boot.clone();
--- a/crates/front/tests/support/searcher.rs
+++ b/crates/front/tests/support/searcher.rs
@@ -35,6 +35,8 @@
     Silent,
     /// Declines the request because of overload (503, not run).
     Shed,
+    /// As `Shed`, and asks for no requests for these seconds.
+    ShedFor(&'static str),
     /// Answers with status 500.
     Fail,
     /// Answers as another searcher that has its address now (421).
@@ -253,6 +255,10 @@
                     return;
                 }
                 Behavior::Shed => empty_answer(503, &id, "X-Not-Executed: 1\r\n"),
+                Behavior::ShedFor(seconds) => {
+                    let headers = format!("X-Not-Executed: 1\r\nRetry-After: {seconds}\r\n");
+                    empty_answer(503, &id, &headers)
+                }
                 Behavior::Fail => empty_answer(500, &id, "X-Server-Stamp: failed\r\n"),
                 Behavior::Moved => empty_answer(421, &id, "X-Instance-Id: other\r\n"),
             };
@@ -264,7 +270,7 @@
 
     fn record(&self, id: &str, head: String, behavior: &Behavior) {
         let mut received = self.received.lock().expect("no holder panics");
-        if !matches!(behavior, Behavior::Shed | Behavior::Moved) {
+        if !matches!(behavior, Behavior::Shed | Behavior::ShedFor(_) | Behavior::Moved) {
             received.run_ids.push(id.to_owned());
         }
         received.request_ids.push(id.to_owned());
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The known searchers, the state of each as this daemon observes it, and the choice of one of a
 //! pool.
 
+mod shares;
 mod stated;
 mod status;
 
@@ -14,18 +15,24 @@
 use crate::Time;
 use crate::members::TierSize;
 use crate::routes::PoolRole;
+use stated::Admission;
 use stated::Stated;
 
+pub use shares::Tier;
 pub use stated::AttemptKind;
 pub use stated::StatedRate;
+pub use stated::StatedRest;
 pub use stated::Statement;
-pub use stated::Tier;
+pub use stated::WithheldCounts;
 pub use status::Availability;
 pub use status::SearcherStatus;
 
 /// Fault ratio from which a searcher does not count as usable in its failure domain.
 const MAX_FAULT_RATIO: f64 = 0.25;
 
+/// Class of a searcher that is chosen only if its pool has no other.
+const LAST_RESORT_CLASS: u8 = 3;
+
 /// Key of a pool, valid for the life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PoolKey(u32);
@@ -84,6 +91,16 @@
     pub unreachable_period: Duration,
     /// Length of the ejection of a searcher that shed a request.
     pub shed_period: Duration,
+    /// How long a searcher that says it is leaving may still get requests if its pool has no other
+    /// one. The platform allows them for longer.
+    pub leaving_period: Duration,
+    /// Maximum time for which a searcher gets no requests because it asked for that once. One that
+    /// asks again afterwards gets none for as long again.
+    pub max_rest: Duration,
+    /// How long a searcher that resumes after such a time gets fewer requests.
+    pub ramp_period: Duration,
+    /// Interval within `ramp_period` after which one more request may be in flight.
+    pub ramp_step: Duration,
 }
 
 impl Default for FleetSettings {
@@ -101,6 +118,10 @@
             ejection_threshold: 2,
             unreachable_period: Duration::from_millis(300),
             shed_period: Duration::from_millis(30),
+            leaving_period: Duration::from_secs(1),
+            max_rest: Duration::from_secs(300),
+            ramp_period: Duration::from_secs(1),
+            ramp_step: Duration::from_millis(100),
         }
     }
 }
@@ -157,6 +178,7 @@
     pools: Vec<Vec<SearcherKey>>,
     searchers: HashMap<SearcherKey, TrackedSearcher>,
     next_key: u32,
+    withheld: WithheldCounts,
     /// Number of choices so far; rotates among searchers of equal cost.
     choices: u64,
 }
@@ -179,6 +201,7 @@
             pools: Vec::new(),
             searchers: HashMap::new(),
             next_key: 0,
+            withheld: WithheldCounts::default(),
             choices: 0,
         }
     }
@@ -227,6 +250,10 @@
     /// has advanced since the read before: a searcher that counted as moved is then used again.
     pub fn update(&mut self, key: SearcherKey, ready: bool, cold_until: Time, alive: bool) {
         if let Some(tracked) = self.searchers.get_mut(&key) {
+            if alive && ready && !tracked.searcher.ready {
+                // It was registered as leaving, and has changed its mind since.
+                tracked.stated.leaving_at = None;
+            }
             tracked.searcher.ready = ready;
             tracked.searcher.cold_until = cold_until;
             if alive && tracked.closed_until == Time::MAX {
@@ -269,6 +296,8 @@
         self.pool_searchers(pool).any(|(_, tracked)| {
             tracked.searcher.domain == domain
                 && tracked.is_open(now)
+                && tracked.stated.leaving_at.is_none()
+                && tracked.stated.rest_left(now).is_zero()
                 && tracked.ejected_until <= now
                 && self.slowness(tracked, now) < self.settings.remote_cost_factor
                 && self.fault_ratio(tracked, now) < MAX_FAULT_RATIO
@@ -292,10 +321,14 @@
         let best = self
             .pool_searchers(pool)
             .filter(|(key, tracked)| tracked.is_open(now) && !tried.contains(key))
-            .filter(|(_, tracked)| self.stated_wait(tracked, role, now).is_zero())
-            .map(|(key, tracked)| {
+            .filter_map(|(key, tracked)| {
                 let (class, cost) = self.class_and_cost(tracked, stall_timeout, now);
-                (class, cost, (u64::from(key.0) + rotation) % 7, key)
+                let class = match self.admission(tracked, role, now) {
+                    Admission::Open => class,
+                    Admission::LastResort => LAST_RESORT_CLASS,
+                    Admission::Closed(..) => return None,
+                };
+                Some((class, cost, (u64::from(key.0) + rotation) % 7, key))
             })
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)))?;
         let key = best.3;
--- /dev/null
+++ b/crates/serve/src/fleet/shares.rs
@@ -0,0 +1,44 @@
+//! How the limit of a searcher is divided among the daemons.
+
+use std::collections::BTreeSet;
+
+use crate::members::TierSize;
+use crate::routes::PoolRole;
+
+/// Share of a limit for the owner in the searcher's own failure domain, which prefers it to those
+/// of other domains.
+const LOCAL_OWNER_SHARE: f64 = 0.6;
+
+/// Share of a limit for the owners in all other domains together.
+const REMOTE_OWNERS_SHARE: f64 = 0.3;
+
+/// Share of a limit for all daemons together that own the pool in no domain. They query it
+/// directly only while the owner can't be reached.
+const NON_OWNERS_SHARE: f64 = 0.1;
+
+/// The daemons among which the limits of searchers are divided.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tier {
+    /// Name of the VM of this daemon.
+    pub me: String,
+    /// Number of daemons and of their failure domains.
+    pub size: TierSize,
+    /// The failure domains.
+    pub domains: BTreeSet<String>,
+}
+
+impl Tier {
+    /// The share of the limit of a searcher in `domain` that is left to this daemon, which is in
+    /// the domain `home` and has `role` for the pool.
+    pub(super) fn share(&self, role: PoolRole, domain: &str, home: &str) -> f64 {
+        let TierSize { daemons, domains } = self.size;
+        let others = domains.saturating_sub(1).max(1) as f64;
+        match role {
+            PoolRole::Equal => 1.0 / daemons.max(1) as f64,
+            PoolRole::Owner if domain == home => LOCAL_OWNER_SHARE,
+            PoolRole::Owner if self.domains.contains(domain) => REMOTE_OWNERS_SHARE / others,
+            PoolRole::Owner => (LOCAL_OWNER_SHARE + REMOTE_OWNERS_SHARE) / domains.max(1) as f64,
+            PoolRole::NonOwner => NON_OWNERS_SHARE / daemons.saturating_sub(domains).max(1) as f64,
+        }
+    }
+}
--- a/crates/serve/src/fleet/stated.rs
+++ b/crates/serve/src/fleet/stated.rs
@@ -3,19 +3,20 @@
 //! A searcher may limit the rate of requests that it accepts from all daemons together. Each daemon
 //! keeps to a share of the limit that follows from its role for the pool, without asking the
 //! others: what the shares add up to is never more than the limit, and the daemons that query the
-//! pool usually have most of it.
+//! pool usually have most of it. A searcher may also say that it is leaving, or ask for no requests
+//! for a while; each daemon heeds that from when it hears it.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Fleet;
+use super::FleetSettings;
 use super::SearcherKey;
+use super::Tier;
 use super::TrackedSearcher;
 use crate::Time;
 use crate::fleet::PoolKey;
-use crate::members::TierSize;
 use crate::routes::PoolRole;
 
 /// Interval between two log lines about a limit that stays in force.
@@ -25,17 +26,6 @@
 /// that they notice its end.
 const MIN_RATE: f64 = 0.25;
 
-/// Share of a limit for the owner in the searcher's own failure domain, which prefers it to those
-/// of other domains.
-const LOCAL_OWNER_SHARE: f64 = 0.6;
-
-/// Share of a limit for the owners in all other domains together.
-const REMOTE_OWNERS_SHARE: f64 = 0.3;
-
-/// Share of a limit for all daemons together that own the pool in no domain. They query it
-/// directly only while the owner can't be reached.
-const NON_OWNERS_SHARE: f64 = 0.1;
-
 /// Time in which unused sends accumulate, so that requests that arrive unevenly can use the limit.
 const BURST_PERIOD: Duration = Duration::from_millis(500);
 
@@ -44,6 +34,10 @@
 pub struct Statement {
     /// Rate of requests that it accepts from all daemons together.
     pub rate: StatedRate,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// How long it wants no requests from this daemon.
+    pub rest: StatedRest,
 }
 
 /// The limit on the rate of requests in one answer.
@@ -58,46 +52,80 @@
     Unreadable,
 }
 
-/// Whether an attempt is the first one at its shard, for the counts in the log.
+/// The time in one answer for which a searcher wants no requests from this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StatedRest {
+    /// The answer names none.
+    #[default]
+    Absent,
+    /// From the answer on.
+    For(Duration),
+    /// The value can't be read. What is known of the searcher stays.
+    Unreadable,
+}
+
+/// Why a searcher was passed over because of what it has said of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptKind {
-    /// The first attempt.
-    First,
-    /// A hedge or retry.
-    Extra,
+pub(super) enum Withheld {
+    /// This daemon has used its share of the limit.
+    Limit,
+    /// It is leaving.
+    Leaving,
+    /// It wants no requests for a while, or has just resumed and is at work on some.
+    Rest,
 }
 
-/// The daemons among which the limits of searchers are divided.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Tier {
-    /// Name of the VM of this daemon.
-    pub me: String,
-    /// Number of daemons and of their failure domains.
-    pub size: TierSize,
-    /// The failure domains.
-    pub domains: BTreeSet<String>,
+/// How often searchers were passed over because of what they have said of themselves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct WithheldCounts {
+    /// This daemon had used its share of the limit.
+    pub limit: u64,
+    /// The searcher was leaving.
+    pub leaving: u64,
+    /// The searcher wanted no requests for a while, or had just resumed.
+    pub rest: u64,
 }
 
-impl Tier {
-    /// The share of the limit of a searcher in `domain` that is left to this daemon, which is in
-    /// the domain `home` and has `role` for the pool.
-    fn share(&self, role: PoolRole, domain: &str, home: &str) -> f64 {
-        let TierSize { daemons, domains } = self.size;
-        let others = domains.saturating_sub(1).max(1) as f64;
-        match role {
-            PoolRole::Equal => 1.0 / daemons.max(1) as f64,
-            PoolRole::Owner if domain == home => LOCAL_OWNER_SHARE,
-            PoolRole::Owner if self.domains.contains(domain) => REMOTE_OWNERS_SHARE / others,
-            PoolRole::Owner => (LOCAL_OWNER_SHARE + REMOTE_OWNERS_SHARE) / domains.max(1) as f64,
-            PoolRole::NonOwner => NON_OWNERS_SHARE / daemons.saturating_sub(domains).max(1) as f64,
+impl WithheldCounts {
+    fn add(&mut self, reason: Withheld) {
+        match reason {
+            Withheld::Limit => self.limit += 1,
+            Withheld::Leaving => self.leaving += 1,
+            Withheld::Rest => self.rest += 1,
         }
     }
 }
 
+/// Whether what a searcher has said of itself allows a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// It accepts one.
+    Open,
+    /// It accepts one, but any other searcher of its pool is to be preferred: it is leaving.
+    LastResort,
+    /// It accepts none for this long.
+    Closed(Withheld, Duration),
+}
+
+/// Whether an attempt is the first one at its shard, for the counts in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptKind {
+    /// The first attempt.
+    First,
+    /// A hedge or retry.
+    Extra,
+}
+
 /// What a searcher has said of itself so far, and the requests sent since.
 #[derive(Debug, Default)]
 pub(super) struct Stated {
     limit: Option<StatedLimit>,
+    /// When it first said that it is leaving.
+    pub(super) leaving_at: Option<Time>,
+    /// End of the time for which it wants no requests. Kept for `ramp_period` after that.
+    rest_until: Option<Time>,
+    /// Whether its last answer had a value that can't be read. Logged once.
+    unreadable: bool,
 }
 
 #[derive(Debug)]
@@ -151,10 +179,40 @@
         self.limit.as_ref().map(|limit| limit.per_second)
     }
 
-    /// Time until what the searcher has said of itself allows a request of a daemon with this
-    /// `share` of its limit; zero if one may be sent.
-    fn wait(&self, share: f64, now: Time) -> Duration {
-        self.limit.as_ref().map_or(Duration::ZERO, |limit| limit.wait(share, now))
+    /// How long it still wants no requests at all; zero if it accepts some.
+    pub(super) fn rest_left(&self, now: Time) -> Duration {
+        self.rest_until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
+    }
+
+    /// Whether a request of a daemon with this `share` of its limit may be sent while `outstanding`
+    /// are in flight.
+    fn admission(
+        &self,
+        settings: &FleetSettings,
+        share: f64,
+        outstanding: usize,
+        now: Time,
+    ) -> Admission {
+        let rest = self.rest_left(now);
+        if !rest.is_zero() {
+            return Admission::Closed(Withheld::Rest, rest);
+        }
+        if self.leaving_at.is_some_and(|at| at + settings.leaving_period <= now) {
+            return Admission::Closed(Withheld::Leaving, Duration::MAX);
+        }
+        if let Some(until) = self.rest_until {
+            let resumed = now.saturating_sub(until);
+            let allowed = 1 + (resumed.as_nanos() / settings.ramp_step.as_nanos().max(1)) as usize;
+            if resumed < settings.ramp_period && outstanding >= allowed {
+                return Admission::Closed(Withheld::Rest, settings.ramp_step);
+            }
+        }
+        let wait = self.limit.as_ref().map_or(Duration::ZERO, |limit| limit.wait(share, now));
+        match (wait.is_zero(), self.leaving_at) {
+            (false, _) => Admission::Closed(Withheld::Limit, wait),
+            (true, Some(_)) => Admission::LastResort,
+            (true, None) => Admission::Open,
+        }
     }
 
     fn take(&mut self, kind: AttemptKind, share: f64, now: Time) {
@@ -177,18 +235,66 @@
     }
 
     /// Applies the answer to a request that was sent at `sent_at`. A new limit starts with
-    /// `first_sends` requests. Returns a log line if something has changed, and at intervals while
-    /// a limit is in force.
+    /// `first_sends` requests. Returns what is to be logged: changes, and at intervals a limit that
+    /// stays in force.
     fn apply(
         &mut self,
+        settings: &FleetSettings,
         statement: &Statement,
         first_sends: f64,
         sent_at: Time,
         now: Time,
+    ) -> Vec<String> {
+        let mut lines = Vec::new();
+        let unreadable =
+            statement.rate == StatedRate::Unreadable || statement.rest == StatedRest::Unreadable;
+        if unreadable && !self.unreadable {
+            lines.push(format!("unreadable rate={:?} rest={:?}", statement.rate, statement.rest));
+        }
+        self.unreadable = unreadable;
+        lines.extend(self.apply_rate(statement.rate, first_sends, sent_at, now));
+        if statement.leaving && self.leaving_at.is_none() {
+            self.leaving_at = Some(now);
+            lines.push("leaving=true".to_owned());
+        }
+        lines.extend(self.apply_rest(settings, statement.rest, sent_at, now));
+        lines
+    }
+
+    fn apply_rest(
+        &mut self,
+        settings: &FleetSettings,
+        rest: StatedRest,
+        sent_at: Time,
+        now: Time,
+    ) -> Option<String> {
+        match rest {
+            StatedRest::Unreadable => None,
+            StatedRest::Absent => {
+                let until = self.rest_until?;
+                (until + settings.ramp_period <= sent_at).then(|| {
+                    self.rest_until = None;
+                    "rest=ended".to_owned()
+                })
+            }
+            StatedRest::For(rest) => {
+                let until = now + rest.min(settings.max_rest);
+                let is_new = self.rest_left(now).is_zero();
+                self.rest_until = self.rest_until.max(Some(until));
+                is_new.then(|| format!("rest_ms={}", (until - now).as_millis()))
+            }
+        }
+    }
+
+    fn apply_rate(
+        &mut self,
+        rate: StatedRate,
+        first_sends: f64,
+        sent_at: Time,
+        now: Time,
     ) -> Option<String> {
-        match (statement.rate, &mut self.limit) {
-            (StatedRate::Unreadable, _) => Some("limit=unreadable".to_owned()),
-            (StatedRate::Absent, None) => None,
+        match (rate, &mut self.limit) {
+            (StatedRate::Unreadable, _) | (StatedRate::Absent, None) => None,
             // An older answer may arrive after a newer one.
             (StatedRate::Absent, Some(limit)) if sent_at < limit.heard_at => None,
             (StatedRate::Absent, Some(limit)) => {
@@ -230,15 +336,15 @@
     }
 
     /// Records what an answer says of its searcher. To be called before the attempt `token` is
-    /// recorded as ended. Returns a log line if there is something to report.
+    /// recorded as ended. Returns what is to be logged.
     pub fn record_statement(
         &mut self,
         key: SearcherKey,
         token: u64,
         statement: &Statement,
         now: Time,
-    ) -> Option<String> {
-        let tracked = self.searchers.get_mut(&key)?;
+    ) -> Vec<String> {
+        let Some(tracked) = self.searchers.get_mut(&key) else { return Vec::new() };
         // Many daemons may hear a limit at the same time. Each begins at another point between
         // two sends, so that they don't all send their first request at once.
         let seed = xxh3_64_with_seed(self.tier.me.as_bytes(), 0);
@@ -246,7 +352,7 @@
         let first_sends = hash as f64 / u64::MAX as f64;
         let sent = tracked.outstanding.iter().find(|(other, _)| *other == token);
         let sent_at = sent.map_or(Time::ZERO, |&(_, sent_at)| sent_at);
-        tracked.stated.apply(statement, first_sends, sent_at, now)
+        tracked.stated.apply(&self.settings, statement, first_sends, sent_at, now)
     }
 
     /// Takes one request to a searcher from what it accepts of this daemon.
@@ -263,21 +369,73 @@
         }
     }
 
+    /// Whether a request that was planned earlier must not be sent any more, since the searcher has
+    /// asked for no requests meanwhile.
+    pub fn is_withheld(&mut self, key: SearcherKey, now: Time) -> bool {
+        let settings = &self.settings;
+        let Some(tracked) = self.searchers.get(&key) else { return false };
+        // The request counts as outstanding and against the limit already.
+        match tracked.stated.admission(settings, 1.0, 0, now) {
+            Admission::Closed(reason @ (Withheld::Rest | Withheld::Leaving), _) => {
+                self.withheld.add(reason);
+                true
+            }
+            Admission::Closed(Withheld::Limit, _) | Admission::Open | Admission::LastResort => {
+                false
+            }
+        }
+    }
+
+    /// When a searcher first said that it is leaving.
+    pub(crate) fn leaving_at(&self, key: SearcherKey) -> Option<Time> {
+        self.searchers.get(&key)?.stated.leaving_at
+    }
+
+    /// Records that a searcher said at the time `at` that it is leaving.
+    pub(crate) fn record_leaving(&mut self, key: SearcherKey, at: Time) {
+        if let Some(tracked) = self.searchers.get_mut(&key) {
+            tracked.stated.leaving_at = Some(at);
+        }
+    }
+
     /// Time until a searcher of `pool` accepts a request of this daemon, by what the searchers say
-    /// of themselves; `None` if none of them is registered as ready.
+    /// of themselves; `None` if all are leaving or not registered as ready.
     pub fn pool_wait(&self, pool: PoolKey, role: PoolRole, now: Time) -> Option<Duration> {
         let ready = self.pool_searchers(pool).filter(|(_, tracked)| tracked.searcher.ready);
-        ready.map(|(_, tracked)| self.stated_wait(tracked, role, now)).min()
+        let waits = ready.filter_map(|(_, tracked)| match self.admission(tracked, role, now) {
+            Admission::Open | Admission::LastResort => Some(Duration::ZERO),
+            Admission::Closed(Withheld::Leaving, _) => None,
+            Admission::Closed(Withheld::Limit | Withheld::Rest, wait) => Some(wait),
+        });
+        waits.min()
+    }
+
+    /// Counts the searchers of `pool` that a choice passes over because of what they have said.
+    pub(crate) fn count_withheld(&mut self, pool: PoolKey, role: PoolRole, now: Time) {
+        let mut counts = self.withheld;
+        for (_, tracked) in self.pool_searchers(pool) {
+            match self.admission(tracked, role, now) {
+                Admission::Open => {}
+                Admission::LastResort => counts.add(Withheld::Leaving),
+                Admission::Closed(reason, _) => counts.add(reason),
+            }
+        }
+        self.withheld = counts;
+    }
+
+    /// How often searchers were passed over because of what they have said of themselves.
+    pub fn withheld_counts(&self) -> WithheldCounts {
+        self.withheld
     }
 
-    /// Time until what a searcher has said of itself allows a request of this daemon.
-    pub(super) fn stated_wait(
+    /// Whether what a searcher has said of itself allows a request of this daemon.
+    pub(super) fn admission(
         &self,
         tracked: &TrackedSearcher,
         role: PoolRole,
         now: Time,
-    ) -> Duration {
+    ) -> Admission {
         let share = self.tier.share(role, &tracked.searcher.domain, &self.home);
-        tracked.stated.wait(share, now)
+        tracked.stated.admission(&self.settings, share, tracked.outstanding.len(), now)
     }
 }
--- a/crates/serve/src/fleet/status.rs
+++ b/crates/serve/src/fleet/status.rs
@@ -21,7 +21,10 @@
     Unreachable(Duration),
     /// It gets no requests until its heartbeat advances: another searcher has its address.
     Moved,
-    /// It gets no requests: it is registered as leaving.
+    /// It gets no requests for this long: it has asked for that.
+    Resting(Duration),
+    /// It gets no requests, or only if no other searcher of its pool does: it is registered as
+    /// leaving or has said so.
     Leaving,
 }
 
@@ -74,7 +77,7 @@
 }
 
 fn availability(tracked: &TrackedSearcher, now: Time) -> Availability {
-    if !tracked.searcher.ready {
+    if !tracked.searcher.ready || tracked.stated.leaving_at.is_some() {
         return Availability::Leaving;
     }
     if tracked.closed_until == Time::MAX {
@@ -83,6 +86,10 @@
     if tracked.closed_until > now {
         return Availability::Unreachable(tracked.closed_until - now);
     }
+    let rest = tracked.stated.rest_left(now);
+    if !rest.is_zero() {
+        return Availability::Resting(rest);
+    }
     if tracked.ejected_until > now {
         return Availability::Ejected(tracked.ejected_until - now);
     }
--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -447,6 +447,7 @@
     ) -> Option<PlannedAttempt> {
         let hedge_delay = self.plan.hedge_delay;
         let state = &mut self.shards[shard];
+        fleet.count_withheld(state.pool, state.role, now);
         let searcher = fleet.choose(state.pool, state.role, &state.tried, hedge_delay, now)?;
         let kind = match state.tried.is_empty() {
             true => AttemptKind::First,
--- a/crates/serve/src/registry.rs
+++ b/crates/serve/src/registry.rs
@@ -66,6 +66,18 @@
     }
 }
 
+/// How long it is remembered that a searcher which is no longer listed was leaving. Listings that
+/// still have it are older by far less.
+const DEPARTED_PERIOD: Duration = Duration::from_secs(60);
+
+/// A searcher that has said that it is leaving and is no longer listed.
+#[derive(Debug)]
+struct Departed {
+    record: SearcherRecord,
+    leaving_at: Time,
+    removed_at: Time,
+}
+
 #[derive(Debug)]
 struct KnownSearcher {
     record: SearcherRecord,
@@ -77,12 +89,14 @@
 pub struct Registry {
     settings: RegistrySettings,
     known: HashMap<String, KnownSearcher>,
+    /// By id.
+    departed: HashMap<String, Departed>,
 }
 
 impl Registry {
     /// Creates an empty registry.
     pub fn new(settings: RegistrySettings) -> Registry {
-        Registry { settings, known: HashMap::new() }
+        Registry { settings, known: HashMap::new(), departed: HashMap::new() }
     }
 
     /// Whether searchers are kept that `listing`, the newest one, lacks.
@@ -100,6 +114,7 @@
         now: Time,
     ) -> Vec<String> {
         let mut changes = Vec::new();
+        self.departed.retain(|_, it| now < it.removed_at + DEPARTED_PERIOD);
         let mut absent: Vec<String> = self.known.keys().cloned().collect();
         for record in listing {
             absent.retain(|id| *id != record.id);
@@ -109,6 +124,7 @@
         if !in_grace {
             for id in absent {
                 if let Some(known) = self.known.remove(&id) {
+                    self.remember_leaving(fleet, &known, now);
                     fleet.remove(known.key);
                     changes.push(format!("searcher={id} state=gone"));
                 }
@@ -117,6 +133,14 @@
         changes
     }
 
+    /// Remembers that a searcher said that it is leaving, in case its registration comes back.
+    fn remember_leaving(&mut self, fleet: &Fleet, known: &KnownSearcher, now: Time) {
+        let Some(leaving_at) = fleet.leaving_at(known.key) else { return };
+        let record = known.record.clone();
+        let departed = Departed { record, leaving_at, removed_at: now };
+        self.departed.insert(known.record.id.clone(), departed);
+    }
+
     fn apply_record(
         &mut self,
         fleet: &mut Fleet,
@@ -161,6 +185,10 @@
             cold_until: now + record.cold_left,
             ready: record.state == SearcherState::Ready,
         });
+        let departed = self.departed.get(&record.id);
+        if let Some(departed) = departed.filter(|it| is_same_incarnation(&it.record, &record)) {
+            fleet.record_leaving(key, departed.leaving_at);
+        }
         self.known.insert(record.id.clone(), KnownSearcher { record, key });
     }
 }
@@ -188,6 +216,14 @@
     Restarted,
 }
 
+/// Whether two records of one id are of the same start of the searcher.
+fn is_same_incarnation(known: &SearcherRecord, new: &SearcherRecord) -> bool {
+    match (known.started_unix_ms, new.started_unix_ms) {
+        (Some(before), Some(after)) => before == after,
+        _ => known.create_revision == new.create_revision,
+    }
+}
+
 /// Compares a record with the known one of the same id. A delayed heartbeat must not undo what a
 /// later one has reported.
 fn compare(known: &SearcherRecord, new: &SearcherRecord) -> Relation {
--- a/crates/serve/tests/stated_limits.rs
+++ b/crates/serve/tests/stated_limits.rs
@@ -50,7 +50,7 @@
 }
 
 fn says(per_second: f64) -> Statement {
-    Statement { rate: StatedRate::PerSecond(per_second) }
+    Statement { rate: StatedRate::PerSecond(per_second), ..Statement::default() }
 }
 
 /// One daemon and its view of a pool with one searcher, in the domain `d0`.
@@ -99,7 +99,7 @@
         fleet.take_send(*searcher, *role, AttemptKind::First, now);
         fleet.record_sent(*searcher, 1, now);
         let rate = limit.map_or(StatedRate::Absent, StatedRate::PerSecond);
-        fleet.record_statement(*searcher, 1, &Statement { rate }, now);
+        fleet.record_statement(*searcher, 1, &Statement { rate, ..Statement::default() }, now);
         fleet.record_ended(*searcher, 1);
         *told_at = told_at.or(limit.map(|_| now));
         true
@@ -206,12 +206,12 @@
     let key = *searcher;
     fleet.record_sent(key, 1, ms(0));
     fleet.record_sent(key, 2, ms(5));
-    assert!(fleet.record_statement(key, 2, &says(4.0), ms(20)).is_some());
+    assert!(!fleet.record_statement(key, 2, &says(4.0), ms(20)).is_empty());
     assert_eq!(fleet.status(ms(20))[0].rate_limit, Some(4.0));
     fleet.record_statement(key, 1, &Statement::default(), ms(25));
     assert_eq!(fleet.status(ms(25))[0].rate_limit, Some(4.0), "sent before the limit was heard");
     fleet.record_sent(key, 3, ms(30));
-    let unreadable = Statement { rate: StatedRate::Unreadable };
+    let unreadable = Statement { rate: StatedRate::Unreadable, ..Statement::default() };
     fleet.record_statement(key, 3, &unreadable, ms(40));
     assert_eq!(fleet.status(ms(40))[0].rate_limit, Some(4.0));
     fleet.record_statement(key, 3, &Statement::default(), ms(50));
