fix: answer every request before a stopping entry ends

Cause: the deadline of a request followed from the caller and the route only. An entry takes requests on open connections for 3.7 s after SIGTERM and ends at 5.4 s, so a route of 3 s and more outlives it.

Change: the stop sets a time, 150 ms before the process ends, at which all requests that are still open get their final answer (504: it may have run). One that comes so late that the route's usual latency no longer fits is refused at once as not run.

Tried first: refusing when less than the route's objective is left.

--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 /// Number of stops. By hand, `STOP_ROUNDS` sets another one.
@@ -106,3 +107,55 @@
     assert!(counts.answered.load(Ordering::Relaxed) > CALLERS, "requests are answered meanwhile");
     assert_eq!(counts.lost.load(Ordering::Relaxed), 0, "{counts:?}");
 }
+
+/// Sends a request on an open connection at the time `at` and returns the status of its answer, or
+/// `None` if the connection ends without a whole head.
+async fn ask_at(mut stream: TcpStream, at: Instant, path: &str, id: String) -> Option<u16> {
+    sleep_until(at).await;
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 9000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.ok()?;
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        answer.push(timeout(Duration::from_secs(9), stream.read_u8()).await.ok()?.ok()?);
+    }
+    String::from_utf8(answer).ok()?.split(' ').nth(1)?.parse().ok()
+}
+
+// Guards against requests that a stopping entry takes late and cuts without an answer when its time
+// is over, among them some that may not be repeated.
+#[tokio::test]
+async fn requests_taken_late_in_a_stop_are_answered_before_its_end() {
+    let store = start_store().await;
+    store.put("op/config", &config(1, &["p0"], 0.5));
+    let searcher = Searcher::start(&store, "s0", "one", "d0", Behavior::Answer(vec![1; 64])).await;
+    let mut vm = Vm::new(77, 0, store.address(), &[free_address().await]).await;
+    vm.start();
+    let ready = async {
+        let headers = [("x-request-id", "ready")];
+        while get(vm.front, "/one/", &headers).await.map(|answer| answer.status) != Some(200) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(Duration::from_secs(20), ready).await.expect("the entry serves");
+    searcher.set_behavior(Behavior::Silent);
+    let mut requests = Vec::new();
+    let start = Instant::now();
+    for (index, at_ms) in [500, 2600, 3000, 3300, 3550].into_iter().enumerate() {
+        for path in ["/one/", "/once/"] {
+            let stream = TcpStream::connect(vm.front).await.expect("a connection");
+            let at = start + Duration::from_millis(at_ms);
+            let id = format!("late-{index}{}", path.trim_matches('/'));
+            requests.push((id.clone(), tokio::spawn(ask_at(stream, at, path, id))));
+        }
+    }
+    vm.signal(Signal::SIGTERM);
+    for (id, request) in requests {
+        let status = request.await.expect("a caller ends");
+        assert!(status.is_some(), "{id} was cut without an answer");
+        let ran = searcher.run_ids().contains(&id);
+        assert!(status != Some(503) || !ran, "{id} was refused and ran");
+    }
+    vm.reap();
+}
--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -77,9 +77,9 @@
     }
     let drain_start = Instant::now();
     log::info!("daemon: state=draining connections={}", connections.count());
-    entry.start_drain();
-    heartbeats::send_round(&entry, &heartbeats).await;
     let grace = entry.boot().bounds.grace.saturating_sub(settings.stop_margin);
+    entry.start_drain(drain_start + grace.saturating_sub(settings.answer_margin));
+    heartbeats::send_round(&entry, &heartbeats).await;
     sleep_until(drain_start + settings.drain_period.min(grace)).await;
     // Fails only if all connections have ended.
     let _ = stop_sender.send(StopStage::ClosingConnections);
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -11,7 +11,10 @@
 
 use bytes::Bytes;
 use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::bounded::AnswerMemory;
 use crate::clock::Clock;
@@ -76,6 +79,8 @@
     /// By the name of the route.
     caller_waits: Mutex<HashMap<String, CallerWait>>,
     draining: AtomicBool,
+    /// Until when all requests must be answered, once the daemon stops.
+    answers_due: watch::Sender<Option<Instant>>,
     wake_guard: Mutex<WakeGuard>,
     /// Notified when the process wakes from a pause.
     pub(crate) woken: Notify,
@@ -147,6 +152,7 @@
             latency_estimates: Mutex::new(HashMap::new()),
             caller_waits: Mutex::new(HashMap::new()),
             draining: AtomicBool::new(false),
+            answers_due: watch::Sender::new(None),
             wake_guard: Mutex::new(WakeGuard::default()),
             woken: Notify::new(),
             config_read_at: Mutex::new(None),
@@ -330,8 +336,27 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn start_drain(&self) {
+    /// Starts to drain. All requests must be answered until `answers_due`.
+    pub(crate) fn start_drain(&self, answers_due: Instant) {
         self.draining.store(true, Ordering::Relaxed);
+        self.answers_due.send_replace(Some(answers_due));
+    }
+
+    /// Time in which a request must be answered because the daemon stops.
+    pub(crate) fn time_to_stop(&self) -> Option<Duration> {
+        let due = *self.answers_due.borrow();
+        due.map(|due| due.saturating_duration_since(Instant::now()))
+    }
+
+    /// Completes when all requests must be answered because the daemon stops.
+    pub(crate) async fn answers_due(&self) {
+        let mut due = self.answers_due.subscribe();
+        // Can't fail: the entry holds the sender.
+        if let Ok(due) = due.wait_for(Option::is_some).await.map(|due| *due)
+            && let Some(due) = due
+        {
+            sleep_until(due).await;
+        }
     }
 
     /// Whether the directory may send callers to this daemon.
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -80,11 +80,25 @@
         Ok(Err(_)) => return answer::error(StatusCode::BAD_REQUEST, "the body is cut", None),
         Err(_) => return answer::error(StatusCode::REQUEST_TIMEOUT, "the body is late", None),
     };
+    // A request that most likely can't be answered before the stop can run at another entry.
+    if entry.time_to_stop().is_some_and(|left| left < usual_latency(&entry, &route)) {
+        log::info!("request: id={id} outcome=refused cause=stopping");
+        metrics::count_refused("stopping");
+        return not_run_response(&entry, Refusal::Busy, "stopping", caller_timeout);
+    }
     let reserve = entry.objective_reserve(&route.route, caller_timeout);
     let request = RoutedRequest { entry, active_config, route, start, deadline, reserve };
     request.run(id, head, body, timer_deadline).await
 }
 
+/// The latency that most requests of a route stay below.
+fn usual_latency(entry: &Entry, route: &CompiledRoute) -> Duration {
+    let settings = &entry.settings.latency_estimate;
+    entry.with_latency_estimate(&route.route.name, |estimate| {
+        estimate.hedge_delay(settings, route.route.objective)
+    })
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -156,7 +170,11 @@
             query_indices: None,
         };
         let mut running = planned.start(RelayScope::All);
-        let verdict = running.verdict().await;
+        let verdict = tokio::select! {
+            verdict = running.verdict() => verdict,
+            // Whether it has run can't be known before the process ends.
+            () = self.entry.answers_due() => Verdict::Fail(Failure::Timeout),
+        };
         outgoing.finished.store(true, Ordering::Relaxed);
         let RunningRequest { query, replies, .. } = running;
         self.finish(&outgoing, verdict, &query, replies)
@@ -175,15 +193,12 @@
             CompiledTarget::Split(rotation) => (vec![rotation.next()?], 1),
             CompiledTarget::Gather { pools, min_shards, .. } => (pools.clone(), *min_shards),
         };
-        let hedge_delay = self.entry.with_latency_estimate(&route.name, |estimate| {
-            estimate.hedge_delay(&settings.latency_estimate, route.objective)
-        });
         Some(Plan {
             pools,
             min_shards,
             max_attempts: route.max_attempts,
             repeat: route.repeat,
-            hedge_delay,
+            hedge_delay: usual_latency(&self.entry, &self.route),
             cutoff: self.start + route.objective.saturating_sub(self.reserve),
             deadline: self.deadline.saturating_sub(settings.deadline_margin).max(self.start),
         })
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -66,6 +66,8 @@
     pub drain_period: Duration,
     /// Time reserved before the platform kills the process.
     pub stop_margin: Duration,
+    /// Time reserved before the process ends for sending the last answers.
+    pub answer_margin: Duration,
     /// Idle time after which a connection is not used for a request that may run at most once:
     /// the searcher may have closed it.
     pub at_most_once_idle_timeout: Duration,
@@ -100,6 +102,7 @@
             retry_after: RetryAfterSettings::default(),
             drain_period: Duration::from_millis(3400),
             stop_margin: Duration::from_millis(600),
+            answer_margin: Duration::from_millis(150),
             at_most_once_idle_timeout: Duration::from_millis(800),
             connection_ratio: 0.9,
         }
