--- a/crates/front/tests/support/searcher.rs
+++ b/crates/front/tests/support/searcher.rs
@@ -29,6 +29,8 @@
     OtherId,
     /// Closes the connection in the middle of the body.
     CutShort,
+    /// Closes the connection after so many bytes of an answer.
+    CutAfter(usize),
     /// Closes the connection without an answer.
     Close,
     /// Never answers.
@@ -207,6 +209,11 @@
         self.received.lock().expect("no holder panics").request_heads.clone()
     }
 
+    /// Returns the length of the answer of [`Behavior::CutAfter`] if it is not cut.
+    pub fn whole_answer_len(&self, id: &str) -> usize {
+        self.answer(id, &[7; 64]).len()
+    }
+
     /// Returns the number of connections that were closed while a request was open.
     pub fn closed_count(&self) -> usize {
         self.received.lock().expect("no holder panics").closed_count
@@ -246,6 +253,11 @@
                     bytes.truncate(bytes.len() - 16);
                     bytes
                 }
+                Behavior::CutAfter(length) => {
+                    let mut bytes = self.answer(&id, &[7; 64]);
+                    bytes.truncate(*length);
+                    bytes
+                }
                 Behavior::Close => return,
                 Behavior::Silent => {
                     let mut rest = [0; 16];
@@ -262,7 +274,8 @@
                 Behavior::Fail => empty_answer(500, &id, "X-Server-Stamp: failed\r\n"),
                 Behavior::Moved => empty_answer(421, &id, "X-Instance-Id: other\r\n"),
             };
-            if stream.write_all(&bytes).await.is_err() || behavior == Behavior::CutShort {
+            let is_cut = matches!(behavior, Behavior::CutShort | Behavior::CutAfter(_));
+            if stream.write_all(&bytes).await.is_err() || is_cut {
                 return;
             }
         }
