fix: tell which delegated shards were sent to no searcher

What callers saw: a query whose shards lie behind a relay, while their searchers all rest or are past their limit, ended with 502, which leaves open whether it has run, and each further one made the relays work for it again.

Cause: a relay returned the parts that it had and nothing of the rest; the entry had to take each missing shard as one that may have run.

Change: a relay names the shards that it sent nowhere, and how long its searchers accept nothing. If no shard was sent, the request is refused as not run, with that time. Until then, half a second at most, queries that need these shards are refused before any relay gets them. 2 + 6 bytes for each such shard.

Tested in tt-serve and between two entries on real sockets.

--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -52,7 +52,10 @@
     ));
     print_rows(&status["daemons"], &["vm", "domain", "state", "version", "heard_ms_ago"]);
     let columns = ["pool", "id", "domain", "availability", "left_ms", "outstanding"];
-    print_rows(&status["searchers"], &[&columns[..], &["slowness", "faults"]].concat());
+    print_rows(
+        &status["searchers"],
+        &[&columns[..], &["slowness", "faults", "limit_per_s"]].concat(),
+    );
 }
 
 fn cell(value: &Value) -> String {
--- a/crates/front/src/execution.rs
+++ b/crates/front/src/execution.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -80,6 +81,12 @@
     AttemptEnded(AttemptReport),
     /// A relay has returned the answers of some shards.
     PartReceived(Part),
+    /// A relay has sent a shard to no searcher, and will not.
+    ShardUnsent {
+        shard: usize,
+        /// Time until one of its searchers accepts a request again; zero if that is not known.
+        wait: Duration,
+    },
     /// A relay returns no more of these shards.
     RelayEnded {
         /// All shards that were delegated to it.
@@ -178,6 +185,13 @@
                 }
                 Vec::new()
             }
+            Ok(Some(Event::ShardUnsent { shard, wait })) => {
+                let now = entry.now();
+                let pool = self.planned.plan.pools[shard];
+                lock(&entry.fleet).record_unsent(pool, now + wait, now);
+                self.query.record_unsent(shard);
+                Vec::new()
+            }
             Ok(Some(Event::RelayEnded { shards, outcome })) => self.relay_ended(&shards, outcome),
             // Not reached: `self.sender` keeps the channel open.
             Ok(None) => Vec::new(),
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -26,6 +26,7 @@
 use super::message::GatherResponse;
 use super::message::Header;
 use super::message::MAX_MESSAGE_BYTES;
+use super::message::UnsentShard;
 use super::message::next_message;
 use crate::attempt::OutgoingRequest;
 use crate::connections::AcquireOptions;
@@ -181,6 +182,11 @@
             received.extend_from_slice(&data);
             while let Some(message) = next_message(&mut received)? {
                 self.answered.store(true, Ordering::Relaxed);
+                for UnsentShard { shard, wait_ms } in &message.unsent {
+                    let shard = self.plan_index(*shard)?;
+                    let wait = Duration::from_millis(u64::from(*wait_ms));
+                    let _ = self.events.send(Event::ShardUnsent { shard, wait });
+                }
                 let part = self.decode_part(message)?;
                 // The request may have ended without these shards.
                 let _ = self.events.send(Event::PartReceived(part));
@@ -231,12 +237,14 @@
         self.query_indices.as_ref().map_or(shard as u32, |query_indices| query_indices[shard])
     }
 
+    /// Converts the index of a delegated shard in the whole query to its index in the plan.
+    fn plan_index(&self, query_index: u32) -> Option<usize> {
+        self.shards.iter().copied().find(|&shard| self.query_index(shard) == query_index)
+    }
+
     fn decode_part(&self, message: GatherResponse) -> Option<Part> {
-        let plan_index = |query_index: &u32| {
-            self.shards.iter().find(|&&shard| self.query_index(shard) == *query_index)
-        };
         let shards: Option<Vec<usize>> =
-            message.shards.iter().map(|index| plan_index(index).copied()).collect();
+            message.shards.iter().map(|&index| self.plan_index(index)).collect();
         let shards = shards.filter(|shards| shards.len() == message.signatures.len())?;
         let signatures: Result<Vec<HeaderValue>, _> =
             message.signatures.into_iter().map(HeaderValue::try_from).collect();
--- a/crates/front/src/relay/message.rs
+++ b/crates/front/src/relay/message.rs
@@ -69,6 +69,21 @@
     /// The greatest records of these shards, encoded.
     #[prost(bytes = "vec", tag = "3")]
     pub(crate) records: Vec<u8>,
+    /// Shards that were sent to no searcher, and never will be for this request.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) unsent: Vec<UnsentShard>,
+}
+
+/// A shard that was sent to no searcher.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct UnsentShard {
+    /// Its index in the whole query.
+    #[prost(uint32, tag = "1")]
+    pub(crate) shard: u32,
+    /// Time until one of its searchers accepts a request again, in milliseconds; 0 if that is not
+    /// known.
+    #[prost(uint32, tag = "2")]
+    pub(crate) wait_ms: u32,
 }
 
 /// Removes the next message from `received`. Returns `Some(None)` if it is still incomplete, `None`
--- a/crates/front/src/relay/server.rs
+++ b/crates/front/src/relay/server.rs
@@ -30,6 +30,7 @@
 use super::message::GatherResponse;
 use super::message::Header;
 use super::message::MAX_MESSAGE_BYTES;
+use super::message::UnsentShard;
 use crate::answer;
 use crate::answer::Body;
 use crate::attempt::OutgoingRequest;
@@ -37,6 +38,7 @@
 use crate::entry::Entry;
 use crate::execution::PlannedRequest;
 use crate::execution::RunningRequest;
+use crate::sync::lock;
 use tt_adapter::headers;
 use tt_serve::CompiledTarget;
 use tt_serve::Plan;
@@ -198,7 +200,7 @@
     while let Verdict::Wait(wake) = running.query.verdict(entry.now()) {
         running.step(wake).await;
         let response = next_response(&message, &mut running, max_records);
-        if response.shards.is_empty() {
+        if response.shards.is_empty() && response.unsent.is_empty() {
             continue;
         }
         let frame = Frame::data(Bytes::from(response.encode_length_delimited_to_vec()));
@@ -221,5 +223,22 @@
         shards: shards.map(|&index| message.shards[index]).collect(),
         signatures: signatures.map(|signature| signature.as_bytes().to_vec()).collect(),
         records: merge_records(parts.iter().map(|part| part.records.as_ref()), max_records),
+        unsent: unsent_shards(message, running),
     }
 }
+
+/// The shards that were sent to no searcher. Empty until all shards have ended.
+fn unsent_shards(message: &GatherRequest, running: &RunningRequest) -> Vec<UnsentShard> {
+    let entry = running.entry();
+    let unsent = running.query.unsent_shards();
+    if unsent.is_empty() {
+        return Vec::new();
+    }
+    let (fleet, now) = (lock(&entry.fleet), entry.now());
+    let wait_ms = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+    let unsent = unsent.into_iter().map(|shard| UnsentShard {
+        shard: message.shards[shard],
+        wait_ms: running.query.shard_wait(shard, &fleet, now).map_or(0, wait_ms),
+    });
+    unsent.collect()
+}
--- a/crates/front/tests/statements.rs
+++ b/crates/front/tests/statements.rs
@@ -7,6 +7,7 @@
 use support::config::config;
 use support::searcher::Behavior;
 use support::searcher::Searcher;
+use support::start_entry;
 use support::start_ready_entry;
 use support::start_store;
 use tokio::time::Instant;
@@ -143,3 +144,31 @@
     assert!(wait.is_some_and(|wait: f64| wait > 0.5 && wait <= 1.0), "{wait:?}");
     assert_eq!(tired.request_ids(), ["first"]);
 }
+
+// Guards against an answer that leaves open whether a query has run, and against work for it at
+// other searchers, while the searchers of its shards in another domain all rest.
+#[tokio::test]
+async fn query_is_refused_at_once_while_all_searchers_behind_a_relay_rest() {
+    let store = start_store().await;
+    store.put("op/config", &config(1, &["p0", "p1"], 1.0));
+    let resting = |pool| Searcher::start(&store, pool, pool, "far", Behavior::ShedFor("30"));
+    let searchers = [resting("p0").await, resting("p1").await];
+    let relay = start_ready_entry("vm-far", "far", &store).await;
+    let entry = start_entry("vm", "near", store.address(), vec![relay.boot.peer]).await;
+    entry.wait_ready().await;
+    let delegated = |answer: &support::Answer| {
+        answer.status == 503 && searchers.iter().all(|it| it.request_ids().len() == 1)
+    };
+    let answer = entry.ask_until("/all/", delegated).await;
+    assert!(answer.header("retry-after").is_some());
+    // The relay has heard it, not the entry.
+    relay.wait_availability("p0", "resting").await;
+    entry.wait_availability("p0", "used").await;
+    for request in 0..20 {
+        let start = Instant::now();
+        let answer = entry.ask("/all/", &format!("later-{request}")).await;
+        assert_eq!(answer.status, 503);
+        assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+    }
+    assert!(searchers.iter().all(|it| it.request_ids().len() == 1));
+}
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -179,6 +179,8 @@
     searchers: HashMap<SearcherKey, TrackedSearcher>,
     next_key: u32,
     withheld: WithheldCounts,
+    /// Until when relays have no searcher of a pool that accepts a request.
+    unsent_until: HashMap<PoolKey, Time>,
     /// Number of choices so far; rotates among searchers of equal cost.
     choices: u64,
 }
@@ -202,6 +204,7 @@
             searchers: HashMap::new(),
             next_key: 0,
             withheld: WithheldCounts::default(),
+            unsent_until: HashMap::new(),
             choices: 0,
         }
     }
--- a/crates/serve/src/fleet/stated.rs
+++ b/crates/serve/src/fleet/stated.rs
@@ -26,6 +26,10 @@
 /// that they notice its end.
 const MIN_RATE: f64 = 0.25;
 
+/// Maximum time for which a pool counts as without a searcher that accepts requests because a relay
+/// has said so: other daemons may know of others.
+const MAX_UNSENT_PERIOD: Duration = Duration::from_millis(500);
+
 /// Time in which unused sends accumulate, so that requests that arrive unevenly can use the limit.
 const BURST_PERIOD: Duration = Duration::from_millis(500);
 
@@ -401,13 +405,26 @@
     /// Time until a searcher of `pool` accepts a request of this daemon, by what the searchers say
     /// of themselves; `None` if all are leaving or not registered as ready.
     pub fn pool_wait(&self, pool: PoolKey, role: PoolRole, now: Time) -> Option<Duration> {
+        let unsent =
+            self.unsent_until.get(&pool).map_or(Duration::ZERO, |until| until.saturating_sub(now));
         let ready = self.pool_searchers(pool).filter(|(_, tracked)| tracked.searcher.ready);
         let waits = ready.filter_map(|(_, tracked)| match self.admission(tracked, role, now) {
             Admission::Open | Admission::LastResort => Some(Duration::ZERO),
             Admission::Closed(Withheld::Leaving, _) => None,
             Admission::Closed(Withheld::Limit | Withheld::Rest, wait) => Some(wait),
         });
-        waits.min()
+        Some(waits.min()?.max(unsent))
+    }
+
+    /// Records that a relay had no searcher of `pool` that accepts a request before `until`.
+    pub fn record_unsent(&mut self, pool: PoolKey, until: Time, now: Time) {
+        self.unsent_until.retain(|_, until| *until > now);
+        self.unsent_until.insert(pool, until.min(now + MAX_UNSENT_PERIOD));
+    }
+
+    /// Whether a relay that gets a request for `pool` now most likely sends it to no searcher.
+    pub fn is_unsent(&self, pool: PoolKey, now: Time) -> bool {
+        self.unsent_until.get(&pool).is_some_and(|until| *until > now)
     }
 
     /// Counts the searchers of `pool` that a choice passes over because of what they have said.
--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -202,6 +202,31 @@
         }
     }
 
+    /// Records that a relay has sent a delegated shard to no searcher; the shard fails.
+    pub fn record_unsent(&mut self, shard: usize) {
+        if self.shards[shard].phase == Phase::Delegated {
+            self.shards[shard].phase = Phase::Open;
+            self.fail(shard);
+        }
+    }
+
+    /// The shards that were sent to no searcher. Empty until each shard has answered or has failed.
+    pub fn unsent_shards(&self) -> Vec<usize> {
+        if !self.all_shards_ended() {
+            return Vec::new();
+        }
+        let is_unsent =
+            |shard: &Shard| shard.phase == Phase::Failed && shard.runs == 0 && shard.in_flight == 0;
+        (0..self.shards.len()).filter(|&shard| is_unsent(&self.shards[shard])).collect()
+    }
+
+    /// Time until a searcher of a shard accepts a request of this daemon; `None` if that is not
+    /// known.
+    pub fn shard_wait(&self, shard: usize, fleet: &Fleet, now: Time) -> Option<Duration> {
+        let Shard { pool, role, .. } = &self.shards[shard];
+        fleet.pool_wait(*pool, *role, now)
+    }
+
     /// Records that the relay has finished without the answers of these shards; they fail.
     pub fn record_missing(&mut self, shards: &[usize]) {
         for &shard in shards {
@@ -268,7 +293,10 @@
                 None => self.fail(shard),
             }
         }
-        if self.shards.len() - self.failed < self.plan.min_shards {
+        // A relay would send these to no searcher.
+        let is_unsent = |it: &&Shard| it.phase == Phase::Delegated && fleet.is_unsent(it.pool, now);
+        let unsent = self.shards.iter().filter(is_unsent).count();
+        if self.shards.len() - self.failed - unsent < self.plan.min_shards {
             for attempt in &attempts {
                 fleet.put_back_send(attempt.searcher.key, attempt.kind);
                 let state = &mut self.shards[attempt.shard];
--- a/crates/serve/tests/stated_limits.rs
+++ b/crates/serve/tests/stated_limits.rs
@@ -325,3 +325,41 @@
     members.update_status(vm(1, 2), status, ms(0));
     assert_eq!(members.tier(ms(0)).domains.len(), 2);
 }
+
+// Guards against a refusal that says that a request may have run although no relay has sent any of
+// its shards, and against further requests that relays work on in vain.
+#[test]
+fn a_query_whose_relays_could_send_too_few_shards_has_not_run() {
+    let (mut fleet, pools) = limited_pools(3, 0);
+    let mut query = Query::new(plan(pools.clone(), 2));
+    query.delegate(&[0, 1, 2]);
+    assert!(query.start(&mut fleet, ms(0)).is_empty());
+    assert!(matches!(query.verdict(ms(0)), Verdict::Wait(_)), "the relays may know better");
+    for (shard, &pool) in pools.iter().enumerate() {
+        fleet.record_unsent(pool, ms(300 + 100 * shard as u64), ms(5));
+        query.record_unsent(shard);
+    }
+    assert_eq!(query.verdict(ms(5)), Verdict::Fail(Failure::NotRun));
+    assert_eq!(query.unsent_shards(), [0, 1, 2]);
+    let started = |fleet: &mut Fleet, now: Time| {
+        let mut query = Query::new(plan(pools.clone(), 2));
+        query.delegate(&[0, 1, 2]);
+        query.start(fleet, now);
+        query.verdict(now)
+    };
+    assert_eq!(started(&mut fleet, ms(399)), Verdict::Fail(Failure::NotRun), "at once");
+    assert!(matches!(started(&mut fleet, ms(400)), Verdict::Wait(_)), "two of three may be sent");
+}
+
+// Guards against a relay that says a shard was not sent although an attempt may have run.
+#[test]
+fn a_shard_that_may_have_run_is_not_reported_as_unsent() {
+    let (mut fleet, pools) = limited_pools(3, 2);
+    let mut query = Query::new(plan(pools, 0));
+    assert_eq!(query.start(&mut fleet, ms(0)).len(), 2);
+    assert!(query.unsent_shards().is_empty(), "others are in flight");
+    query.record_outcome(0, AttemptOutcome::Unknown, &mut fleet, |_| false, ms(5));
+    query.record_outcome(1, AttemptOutcome::Refused, &mut fleet, |_| false, ms(5));
+    assert_eq!(query.unsent_shards(), [1, 2]);
+    assert!(query.shard_wait(2, &fleet, ms(5)).is_some_and(|wait| wait > ms(0)));
+}
