internal: soak of what searchers say of themselves

Checks the users' rules from what searchers got, and that nothing is sent to a leaving searcher after its entry has passed that on.

--- a/crates/daemon/tests/soak/process.rs
+++ b/crates/daemon/tests/soak/process.rs
@@ -41,7 +41,8 @@
             "seeds": peers,
             "platform": {"address": store, "min_ttl_ms": 1000},
             "bounds": {"config_apply_ms": 3000, "grace_s": 6, "retry_budget_ratio": 0.2,
-                       "budget_window_s": 10, "retry_budget_extra": 58, "ttl_max_s": 5},
+                       "budget_window_s": 10, "retry_budget_extra": 58, "ttl_max_s": 5,
+                       "drain_ms": 3000},
         });
         fs::write(folder.join("boot.json"), settings.to_string()).expect("settings");
         Vm { name, front, directory, folder, child: None }
--- a/crates/front/tests/support/searcher.rs
+++ b/crates/front/tests/support/searcher.rs
@@ -10,6 +10,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use tt_standin::Platform;
@@ -115,9 +116,18 @@
     pub sequence: u64,
 }
 
+/// A request that a searcher has received, and how it was handled.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub id: String,
+    pub at: Instant,
+    pub behavior: Behavior,
+}
+
 /// The requests that a searcher has received.
 #[derive(Debug, Default)]
 struct Received {
+    arrivals: Vec<Arrival>,
     request_ids: Vec<String>,
     run_ids: Vec<String>,
     request_heads: Vec<String>,
@@ -199,6 +209,11 @@
         self.received.lock().expect("no holder panics").request_ids.clone()
     }
 
+    /// Returns all requests that it received, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.received.lock().expect("no holder panics").arrivals.clone()
+    }
+
     /// Returns the ids of the requests that it ran, in order.
     pub fn run_ids(&self) -> Vec<String> {
         self.received.lock().expect("no holder panics").run_ids.clone()
@@ -286,6 +301,8 @@
         if !matches!(behavior, Behavior::Shed | Behavior::ShedFor(_) | Behavior::Moved) {
             received.run_ids.push(id.to_owned());
         }
+        let behavior = behavior.clone();
+        received.arrivals.push(Arrival { id: id.to_owned(), at: Instant::now(), behavior });
         received.request_ids.push(id.to_owned());
         received.request_heads.push(head);
     }
