fix: send no hedges to a leaving searcher while another one is used

A searcher that leaves may serve as the last one of its pool, and the choice for a hedge or retry left out the searchers that had had the request, so that the leaving one looked like the last.

The users' rule was kept, since that ends after half of their time; our aim, nothing at all while another searcher accepts requests, was not. A searcher that has had the request now counts as one that is used.

Test: a_searcher_that_leaves_gets_no_hedge_while_another_one_is_used, failed before.

--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -30,8 +30,11 @@
 /// Fault ratio from which a searcher does not count as usable in its failure domain.
 const MAX_FAULT_RATIO: f64 = 0.25;
 
+/// Class of a searcher that has had the request; nothing of a higher class is chosen.
+const TRIED_CLASS: u8 = 3;
+
 /// Class of a searcher that is chosen only if its pool has no other.
-const LAST_RESORT_CLASS: u8 = 3;
+const LAST_RESORT_CLASS: u8 = 4;
 
 /// Key of a pool, valid for the life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -310,7 +313,7 @@
     /// Chooses the searcher of `pool` with the lowest cost that is not in `tried`, among those that
     /// accept a request of this daemon in its `role`. A searcher with an attempt in flight for
     /// longer than `stall_timeout` counts as stalled and is chosen only if all are stalled or
-    /// ejected.
+    /// ejected. One that is leaving is chosen only if no other accepts requests, tried or not.
     pub fn choose(
         &mut self,
         pool: PoolKey,
@@ -323,17 +326,23 @@
         let rotation = self.choices;
         let best = self
             .pool_searchers(pool)
-            .filter(|(key, tracked)| tracked.is_open(now) && !tried.contains(key))
+            .filter(|(_, tracked)| tracked.is_open(now))
             .filter_map(|(key, tracked)| {
                 let (class, cost) = self.class_and_cost(tracked, stall_timeout, now);
                 let class = match self.admission(tracked, role, now) {
+                    // Keeps requests from a leaving searcher, though it can't be chosen.
+                    Admission::Open if tried.contains(&key) => TRIED_CLASS,
                     Admission::Open => class,
+                    Admission::LastResort if tried.contains(&key) => return None,
                     Admission::LastResort => LAST_RESORT_CLASS,
                     Admission::Closed(..) => return None,
                 };
                 Some((class, cost, (u64::from(key.0) + rotation) % 7, key))
             })
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)))?;
+        if best.0 == TRIED_CLASS {
+            return None;
+        }
         let key = best.3;
         let searcher = self.get(key)?;
         Some(Choice { key, id: searcher.id.clone(), address: searcher.address })
--- a/crates/serve/tests/stated_rest.rs
+++ b/crates/serve/tests/stated_rest.rs
@@ -86,6 +86,23 @@
     assert_eq!(fleet.pool_wait(pool, PoolRole::Equal, end), None);
 }
 
+// Guards against hedges and retries at a searcher that leaves while the only other one of its pool,
+// which has had the request already, accepts requests (found by soak seed 121).
+#[test]
+fn a_searcher_that_leaves_gets_no_hedge_while_another_one_is_used() {
+    let mut fleet = fleet();
+    let pool = fleet.pool("pool");
+    let leaves = add(&mut fleet, pool, "leaves", "home");
+    let other = add(&mut fleet, pool, "other", "away");
+    fleet.record_statement(leaves, 1, &leaving(), ms(0));
+    let after = |fleet: &mut Fleet, now| {
+        fleet.choose(pool, PoolRole::Equal, &[other], ms(30), now).map(|choice| choice.key)
+    };
+    assert_eq!(after(&mut fleet, ms(10)), None);
+    fleet.record_unreachable(other, ms(10));
+    assert_eq!(after(&mut fleet, ms(20)), Some(leaves), "it is the last one");
+}
+
 // Guards against a searcher that is used again after an older listing, or a registration that
 // lapsed and was written again, and against one that is never used again after it has restarted.
 #[test]
