--- a/crates/daemon/tests/statements.rs
+++ b/crates/daemon/tests/statements.rs
@@ -190,13 +190,16 @@
     arrivals.iter().filter(is_own).collect()
 }
 
-/// Requests that reach a searcher in the time for which it has asked for none.
-fn rest_violations(arrivals: &[&Arrival]) -> Vec<String> {
+/// Requests that reach a searcher in the time for which it has asked for none. A new start of it
+/// knows nothing of that.
+fn rest_violations(arrivals: &[&Arrival], restarts: &[Instant]) -> Vec<String> {
     let mut violations = Vec::new();
     for shed in arrivals {
         let Behavior::ShedFor(seconds) = &shed.behavior else { continue };
         let rest = RESTS.iter().find(|(text, _)| text == seconds).expect("a known time").1;
+        let restart = restarts.iter().copied().find(|restart| *restart > shed.at);
         let end = shed.at + Duration::from_secs_f64(rest);
+        let end = restart.map_or(end, |restart| restart.min(end));
         let within = |it: &&&Arrival| shed.at + REACTION < it.at && it.at < end;
         let count = arrivals.iter().filter(within).count();
         if count > MAX_IN_REST {
@@ -208,6 +211,7 @@
 
 /// Requests that a caller sent after the entry had passed on that the searcher is leaving.
 fn leaving_violations(
+    searcher: &str,
     arrivals: &[&Arrival],
     sent: &HashMap<&str, &Sent>,
     restarts: &[Instant],
@@ -220,7 +224,10 @@
         let told = arrivals.iter().filter(|it| is_within(it.at)).filter_map(|it| {
             let sent = sent[it.id.as_str()];
             let answer = sent.request.answer.as_ref()?;
-            (answer.header("server-leaving") == Some("1")).then_some(sent.answered_at)
+            // A retry may have been answered by another searcher, which leaves too.
+            let is_own = answer.header("x-server-stamp")?.starts_with(&format!("{searcher}."));
+            let is_leaving = answer.header("server-leaving") == Some("1");
+            (is_own && is_leaving).then_some(sent.answered_at)
         });
         let Some(told) = told.min() else { continue };
         let late = |it: &&&Arrival| is_within(it.at) && sent[it.id.as_str()].sent_at > told;
@@ -338,8 +345,9 @@
             .map(|vm| arrivals_of(vm, &arrivals, &sent))
             .collect();
         for arrivals in &by_vm {
-            violations.extend(rest_violations(arrivals));
-            violations.extend(leaving_violations(arrivals, &sent, restarts));
+            violations.extend(rest_violations(arrivals, restarts));
+            let id = &searchers[index].id;
+            violations.extend(leaving_violations(id, arrivals, &sent, restarts));
         }
         violations.extend(limit_violations(&by_vm));
     }
