--- a/crates/bench/tests/stops.rs
+++ b/crates/bench/tests/stops.rs
@@ -66,7 +66,7 @@
 
 /// Guards against a draining searcher that keeps getting sub-queries, with the store up or down.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_leaving_searcher_gets_no_new_work() {
+async fn a_leaving_searcher_gets_no_new_work_of_daemons() {
     let fleet = support::serving_fleet(4).await;
     let load = tokio::spawn(Load::new(support::load(&fleet, 13, SEARCHES_PER_S, 0.0)).run());
     sleep(Duration::from_secs(1)).await;
