--- a/crates/daemon/tests/statements.rs
+++ b/crates/daemon/tests/statements.rs
@@ -22,19 +22,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use check::CallerRequest;
+use check::ExpectedSearcher;
 use nix::sys::signal::Signal;
+use process::Vm;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::net::TcpStream;
-use tokio::time::Instant;
-use tokio::time::sleep;
-use tokio::time::sleep_until;
-use tokio::time::timeout;
-
-use check::CallerRequest;
-use check::ExpectedSearcher;
-use process::Vm;
 use support::CallerConnection;
 use support::config::config;
 use support::free_address;
@@ -44,6 +38,12 @@
 use support::searcher::Incarnation;
 use support::searcher::Searcher;
 use support::start_store;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
 use tt_standin::Platform;
 
 /// Seeds that run in CI.
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -12,11 +12,11 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::stated::Admission;
+use self::stated::Stated;
 use crate::Time;
 use crate::members::TierSize;
 use crate::routes::PoolRole;
-use stated::Admission;
-use stated::Stated;
 
 pub use shares::Tier;
 pub use stated::AttemptKind;
