--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -286,11 +286,6 @@
         self.pool_searchers(pool).any(|(_, tracked)| tracked.is_open(now))
     }
 
-    /// Whether the pool has a searcher that is registered as ready, reachable or not.
-    pub fn has_ready(&self, pool: PoolKey) -> bool {
-        self.pool_searchers(pool).any(|(_, tracked)| tracked.searcher.ready)
-    }
-
     /// Whether the pool has a searcher in `domain` that is registered as ready.
     pub fn has_ready_in(&self, pool: PoolKey, domain: &str) -> bool {
         self.pool_searchers(pool)
