--- a/review/standins/src/cases/refusal.rs
+++ b/review/standins/src/cases/refusal.rs
@@ -34,6 +34,9 @@
 const FAILED_PERCENT: u64 = 45;
 const FAILS_FOR: Duration = Duration::from_millis(6500);
 
+/// How often that happens.
+const WINDOWS: usize = 3;
+
 pub fn run(trouble: bool, record: &mut Record) -> Result<bool, String> {
     let block = Block::find();
     let store = Store::new();
@@ -83,18 +86,21 @@
         }
     }
     sleep(Duration::from_secs(4));
-    let from = Instant::now();
-    failing.store(trouble, Ordering::SeqCst);
-    sleep(FAILS_FOR);
-    failing.store(false, Ordering::SeqCst);
-    let until = Instant::now();
-    sleep(Duration::from_secs(3));
+    let mut windows = Vec::new();
+    for _ in 0..WINDOWS {
+        let from = Instant::now();
+        failing.store(trouble, Ordering::SeqCst);
+        sleep(FAILS_FOR);
+        failing.store(false, Ordering::SeqCst);
+        windows.push((from, Instant::now()));
+        sleep(Duration::from_secs(3));
+    }
     stop.store(true, Ordering::SeqCst);
     for consumer in consumers {
         let _ = consumer.join();
     }
     sleep(Duration::from_secs(1));
-    if trouble {
+    for (from, until) in windows.into_iter().filter(|_| trouble) {
         record.line(from, "i-00 begins to fail requests that it runs");
         record.line(until, "i-00 ends that");
     }
