fix: let a relay keep the entry's maxima of records and attempts

Cause: the relay took the maximum of records, and of attempts, from the route that host and path select in its own version. It accepts any version with the same set of shards. With the narrower route in force at the relay only, records of its shards were dropped that belong among the greatest.

Ruled out: lost or doubled parts (signatures and missing parts are right), the entry's own merge, cut answers.

Change: the request to a relay carries both maxima. One without them is refused, as one for another set of shards is.

It works because nothing that decides the content of the answer is read from the relay's version any more; the shards are still checked by their digest.

--- a/crates/front/src/execution.rs
+++ b/crates/front/src/execution.rs
@@ -141,6 +141,7 @@
                 entry: self.entry.clone(),
                 outgoing: self.outgoing.clone(),
                 version: self.active_config.table.version,
+                max_attempts: self.plan.max_attempts,
                 shards_digest: self.shards_digest,
                 cutoff: self.plan.cutoff,
                 deadline: self.plan.deadline,
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -29,6 +29,7 @@
 use super::message::UnsentShard;
 use super::message::next_message;
 use crate::attempt::OutgoingRequest;
+use crate::attempt::RequestKind;
 use crate::connections::AcquireOptions;
 use crate::entry::Entry;
 use crate::execution::Event;
@@ -65,6 +66,8 @@
     pub(crate) outgoing: Arc<OutgoingRequest>,
     /// Version of the configuration that the request was planned with.
     pub(crate) version: u64,
+    /// As in [`Plan`](tt_serve::Plan).
+    pub(crate) max_attempts: u32,
     /// As in [`PlannedRequest`](crate::execution::PlannedRequest).
     pub(crate) shards_digest: u64,
     /// When the answer without the stragglers is due.
@@ -209,6 +212,7 @@
             .headers
             .iter()
             .filter(|(name, _)| !headers_with_fields.contains(&name.as_str()));
+        let RequestKind::Gather { max_records } = outgoing.kind else { return None };
         let message = GatherRequest {
             id: outgoing.id.clone(),
             version: self.version,
@@ -227,6 +231,9 @@
             cutoff_ms: left_ms(self.cutoff.saturating_sub(margin)),
             limit_ms: left_ms(self.deadline.saturating_sub(margin)),
             share: self.scope == RelayScope::All,
+            // A larger maximum than the encoded type can hold is as good as none.
+            max_records: u32::try_from(max_records).unwrap_or(u32::MAX),
+            max_attempts: self.max_attempts,
         };
         let body = Full::new(Bytes::from(message.encode_to_vec()));
         Request::post(PATH).header(header::HOST, "d").body(body).ok()
--- a/crates/front/src/relay/message.rs
+++ b/crates/front/src/relay/message.rs
@@ -45,6 +45,13 @@
     /// Digest of the shards of the whole query, to which the indices apply.
     #[prost(fixed64, tag = "12")]
     pub(crate) shards_digest: u64,
+    /// Maximum number of records in the merged answer. The receiver may have another version of the
+    /// configuration, with another maximum.
+    #[prost(uint32, tag = "13")]
+    pub(crate) max_records: u32,
+    /// Maximum number of searchers of one shard at which the request may run.
+    #[prost(uint32, tag = "14")]
+    pub(crate) max_attempts: u32,
 }
 
 /// A header to forward.
--- a/crates/front/src/relay/server.rs
+++ b/crates/front/src/relay/server.rs
@@ -74,17 +74,19 @@
 }
 
 /// Plans the sub-queries. Returns `None` if the request does not match the configuration in force
-/// or is malformed.
+/// or is malformed. The route that is in force here may be another one than the sender's: only the
+/// names of its pools count, which are the same by their digest.
 fn plan(entry: Arc<Entry>, message: &GatherRequest) -> Option<(PlannedRequest, usize)> {
     let active_config = entry.active_config()?;
     let uri: Uri = message.target.parse().ok()?;
     let route = active_config.table.find(&message.host, uri.path())?.clone();
-    let CompiledTarget::Gather { pools, max_records, digest, .. } = &route.target else {
+    let CompiledTarget::Gather { pools, digest, .. } = &route.target else {
         return None;
     };
-    if *digest != message.shards_digest {
+    if *digest != message.shards_digest || message.max_records == 0 || message.max_attempts == 0 {
         return None;
     }
+    let max_records = message.max_records as usize;
     let shards_digest = *digest;
     let shards: Option<Vec<_>> =
         message.shards.iter().map(|&shard| pools.get(shard as usize).copied()).collect();
@@ -99,7 +101,7 @@
         pools: shards,
         // The coverage is checked by the daemon that delegated the shards.
         min_shards: 0,
-        max_attempts: route.route.max_attempts,
+        max_attempts: message.max_attempts,
         repeat: route.route.repeat,
         hedge_delay,
         cutoff: now + Duration::from_millis(u64::from(message.cutoff_ms)),
@@ -113,7 +115,7 @@
         headers: outgoing_headers(message)?,
         body: Bytes::from(message.body.clone()),
         repeat: route.route.repeat,
-        kind: RequestKind::Gather { max_records: *max_records },
+        kind: RequestKind::Gather { max_records },
         deadline: Instant::now() + deadline.saturating_sub(now),
         finished: AtomicBool::new(false),
     };
@@ -127,7 +129,7 @@
             shards_digest,
             query_indices,
         },
-        *max_records,
+        max_records,
     ))
 }
 
