fix: take only what no daemon could read for an outage of the store

Cause: in an outage registrations lapse and come back, so searchers that are not listed are kept for 2.3 s afterwards. Each call that succeeded after a failed one counted as the end of an outage. The reader of a failure domain passed that on with its listing, and the others took it over.

The log had no line that tells an outage from rejected calls; "store: state=restored unread_ms" is new. Ruled out: stale reads of the store (linearizable), an older listing from a peer (refused by revision).

Change: an outage is a time of two heartbeat intervals of searchers (2.4 s) in which no daemon of the tier has read the store; heartbeats tell of the reads of others already. Each daemon decides for itself.

It works because a registration can't lapse in a shorter time, and while the store serves any daemon what it removes is gone for good.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -36,6 +36,7 @@
 use tt_serve::MemberState;
 use tt_serve::MemberStatus;
 use tt_serve::Members;
+use tt_serve::OutageDetector;
 use tt_serve::PoolKey;
 use tt_serve::Registry;
 use tt_serve::RetryBudget;
@@ -84,6 +85,8 @@
     wake_guard: Mutex<WakeGuard>,
     /// Notified when the process wakes from a pause.
     pub(crate) woken: Notify,
+    /// Whether the store has been down, or only this daemon's calls have failed.
+    outage: Mutex<OutageDetector>,
     /// When this daemon last heard from the store about the configuration.
     config_read_at: Mutex<Option<Time>>,
 }
@@ -104,9 +107,6 @@
     read_at: Option<Time>,
     /// Revision of the store at that time.
     revision: u64,
-    /// When the store became reachable again for the daemon that read the listing, if it had been
-    /// unreachable.
-    restored_at: Option<Time>,
     /// When this daemon itself last read the listing from the store.
     own_read_at: Option<Time>,
 }
@@ -145,7 +145,6 @@
                 history: ListingHistory::default(),
                 read_at: None,
                 revision: 0,
-                restored_at: None,
                 own_read_at: None,
             }),
             retry_budgets: Mutex::new(HashMap::new()),
@@ -155,6 +154,7 @@
             answers_due: watch::Sender::new(None),
             wake_guard: Mutex::new(WakeGuard::default()),
             woken: Notify::new(),
+            outage: Mutex::new(OutageDetector::default()),
             config_read_at: Mutex::new(None),
         }
     }
@@ -204,11 +204,11 @@
     pub(crate) fn adopt_listing(
         &self,
         listing: Vec<SearcherRecord>,
-        restored_at: Option<Time>,
         revision: u64,
         read_at: Time,
         source: &str,
     ) {
+        self.observe_store_read(read_at);
         let mut state = lock(&self.listing_state);
         if revision < state.revision {
             return;
@@ -216,13 +216,13 @@
         state.revision = revision;
         state.history.push(listing);
         state.read_at = state.read_at.max(Some(read_at));
-        state.restored_at = restored_at;
         self.update_registry(&mut state, source);
     }
 
     /// Records that the newest listing was still current at `revision`, which was read at
     /// `read_at`.
     pub(crate) fn confirm_listing(&self, revision: u64, read_at: Time) {
+        self.observe_store_read(read_at);
         let mut state = lock(&self.listing_state);
         if (revision, Some(read_at)) <= (state.revision, state.read_at) {
             return;
@@ -237,8 +237,9 @@
     fn update_registry(&self, state: &mut ListingState, source: &str) {
         let now = self.now();
         let listing = state.history.newest().to_vec();
+        let restored_at = lock(&self.outage).restored_at();
         let mut fleet = lock(&self.fleet);
-        let changes = state.registry.adopt(&mut fleet, listing, state.restored_at, now);
+        let changes = state.registry.adopt(&mut fleet, listing, restored_at, now);
         for change in &changes {
             log::info!("fleet: {change} source={source}");
         }
@@ -258,10 +259,14 @@
         lock(&self.listing_state).history.delta_since(digest)
     }
 
-    /// When the store became reachable again before the newest listing was read, if it had been
-    /// unreachable.
-    pub(crate) fn store_restored_at(&self) -> Option<Time> {
-        lock(&self.listing_state).restored_at
+    /// Records that a daemon of the tier has read the store, which shows that it is not down.
+    fn observe_store_read(&self, read_at: Time) {
+        // A pause must be noticed first: reads during it could not be heard of.
+        self.observe_life();
+        let gap = lock(&self.outage).observe(&self.settings.outage, read_at);
+        if let Some(gap) = gap {
+            log::info!("store: state=restored unread_ms={}", gap.as_millis());
+        }
     }
 
     /// Records that this daemon itself has read the listing from the store.
@@ -287,6 +292,7 @@
         if let Some(pause) = guard.observe(&self.settings.wake, self.clock.boot_time(), self.now())
         {
             log::warn!("daemon: state=woke paused_ms={}", pause.as_millis());
+            lock(&self.outage).forget_reads();
             self.woken.notify_waiters();
         }
     }
@@ -385,6 +391,9 @@
         if vm.name == self.vm.name {
             return;
         }
+        if let Some(read_at) = status.listing_read_at {
+            self.observe_store_read(read_at);
+        }
         let name = vm.name.clone();
         let mut members = lock(&self.members);
         if members.update_status(vm, status, heard_at) {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -7,6 +7,7 @@
 use tt_serve::LatencyEstimateSettings;
 use tt_serve::ListingSettings;
 use tt_serve::MemberSettings;
+use tt_serve::OutageSettings;
 use tt_serve::RegistrySettings;
 use tt_serve::RetryAfterSettings;
 use tt_serve::WakeSettings;
@@ -20,6 +21,8 @@
     pub fleet: FleetSettings,
     /// Treatment of searchers that are missing from a listing.
     pub registry: RegistrySettings,
+    /// When the store counts as having been down.
+    pub outage: OutageSettings,
     /// Timeouts of the other daemons, and the assumed size of the tier after a start.
     pub members: MemberSettings,
     /// Latency estimate of each route.
@@ -82,6 +85,7 @@
             metrics_port: None,
             fleet: FleetSettings::default(),
             registry: RegistrySettings::default(),
+            outage: OutageSettings::default(),
             members: MemberSettings::default(),
             latency_estimate: LatencyEstimateSettings::default(),
             listing: ListingSettings::default(),
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -16,7 +16,6 @@
 use tt_serve::ListingDelta;
 use tt_serve::ReadDecision;
 use tt_serve::SearcherRecord;
-use tt_serve::Time;
 use tt_serve::Vm;
 use tt_serve::leaves_first_reads;
 use tt_serve::read_decision;
@@ -37,19 +36,16 @@
     calls: &'static str,
     /// Number of failed calls since the last that succeeded.
     failures: u32,
-    /// When calls last succeeded again after failures.
-    restored_at: Option<Time>,
 }
 
 impl StoreStatus {
     fn new(calls: &'static str) -> StoreStatus {
-        StoreStatus { calls, failures: 0, restored_at: None }
+        StoreStatus { calls, failures: 0 }
     }
 
-    fn record_success(&mut self, now: Time) {
+    fn record_success(&mut self) {
         if self.failures > 0 {
             log::info!("store: calls={} state=regained", self.calls);
-            self.restored_at = Some(now);
             self.failures = 0;
         }
     }
@@ -90,7 +86,7 @@
         };
         match result {
             Ok(ConfigRead { config, bytes, revision }) => {
-                status.record_success(entry.now());
+                status.record_success();
                 if let Some(config) = config {
                     entry.adopt_config(&config, Bytes::from(bytes), "store");
                 }
@@ -144,7 +140,7 @@
         match result {
             Ok((update, newly_ignored, revision)) => {
                 history_complete = true;
-                status.record_success(entry.now());
+                status.record_success();
                 for line in newly_ignored.iter().filter(|line| !ignored.contains(*line)) {
                     log::warn!("fleet: ignored {line}");
                 }
@@ -158,7 +154,7 @@
                     }
                     ListingUpdate::Changes(delta) => delta.apply(&entry.listing()),
                 };
-                entry.adopt_listing(listing, status.restored_at, revision, read_at, "store");
+                entry.adopt_listing(listing, revision, read_at, "store");
             }
             Err(PlatformError::Compacted) => {
                 log::info!("store: calls=searchers history=dropped");
@@ -221,7 +217,7 @@
         let read_list = round % RENEWALS_PER_LIST_READ == 0;
         round += 1;
         match renew(&entry, &platform, &mut registration, read_list).await {
-            Ok(()) => status.record_success(entry.now()),
+            Ok(()) => status.record_success(),
             Err(error) => status.record_failure(&error),
         }
         sleep(renew_interval).await;
--- a/crates/front/src/views.rs
+++ b/crates/front/src/views.rs
@@ -55,9 +55,6 @@
     revision: u64,
     /// Time since the listing was read from the store, in milliseconds; `None` if there is none.
     listing_age: Option<u64>,
-    /// Time since the store became reachable again for the daemon that read the listing, in
-    /// milliseconds.
-    restored_age: Option<u64>,
 }
 
 /// The searchers of a view.
@@ -139,8 +136,7 @@
         }
     }
     if let Some(age) = view.listing_age {
-        let at = |age: u64| entry.now().saturating_sub(Duration::from_millis(age));
-        let restored_at = view.restored_age.map(at);
+        let read_at = entry.now().saturating_sub(Duration::from_millis(age));
         let listing = match view.searchers {
             Searchers::All(listing) => listing,
             Searchers::Since(digest, delta) if digest == entry.status().digest => {
@@ -149,7 +145,7 @@
             // The own listing has changed since the request; the next comparison handles it.
             Searchers::Since(..) => return,
         };
-        entry.adopt_listing(listing, restored_at, view.revision, at(age), "peer");
+        entry.adopt_listing(listing, view.revision, read_at, "peer");
     }
 }
 
@@ -191,7 +187,6 @@
         },
         revision,
         listing_age: listing_read_at.map(|read_at| age_ms(entry, read_at)),
-        restored_age: entry.store_restored_at().map(|at| age_ms(entry, at)),
     };
     match serde_json::to_vec(&view) {
         Ok(bytes) => Response::new(answer::full_body(bytes)),
--- /dev/null
+++ b/crates/serve/src/outage.rs
@@ -0,0 +1,58 @@
+//! Tells an outage of the store from calls that the store rejects or loses for one daemon.
+//!
+//! In an outage registrations lapse although their searchers run, and are written again afterwards.
+//! While the store serves any daemon it serves searchers too, and a registration that is removed
+//! then is removed for good. So only a time in which no daemon of the tier has read the store
+//! counts.
+
+use std::time::Duration;
+
+use crate::Time;
+
+/// When the store counts as having been down.
+#[derive(Debug, Clone, Copy)]
+pub struct OutageSettings {
+    /// Time between two reads of the store, by any daemon, from which it counts as having been
+    /// down. A registration lapses after three heartbeat intervals of its searcher, so in an outage
+    /// of two at the earliest. Longer than the time in which another daemon takes over the reads.
+    pub min_outage: Duration,
+}
+
+impl Default for OutageSettings {
+    fn default() -> Self {
+        // The platform's heartbeat interval is 1.2 s.
+        OutageSettings { min_outage: Duration::from_millis(2400) }
+    }
+}
+
+/// The reads of the store that this daemon knows of.
+#[derive(Debug, Default)]
+pub struct OutageDetector {
+    /// The latest one.
+    read_at: Option<Time>,
+    /// The first one after the latest outage.
+    restored_at: Option<Time>,
+}
+
+impl OutageDetector {
+    /// Records that a daemon has read the store at the time `read_at`. Returns the length of the
+    /// outage that this read ends, if there was one.
+    pub fn observe(&mut self, settings: &OutageSettings, read_at: Time) -> Option<Duration> {
+        let gap = self.read_at.map_or(Duration::ZERO, |last| read_at.saturating_sub(last));
+        self.read_at = self.read_at.max(Some(read_at));
+        (gap >= settings.min_outage).then(|| {
+            self.restored_at = Some(read_at);
+            gap
+        })
+    }
+
+    /// Records that this daemon has been paused, so that it could not know of reads.
+    pub fn forget_reads(&mut self) {
+        self.read_at = None;
+    }
+
+    /// When the store was first read after the latest outage.
+    pub fn restored_at(&self) -> Option<Time> {
+        self.restored_at
+    }
+}
--- a/crates/serve/src/registry.rs
+++ b/crates/serve/src/registry.rs
@@ -104,8 +104,8 @@
         self.known.len() > listing.len()
     }
 
-    /// Applies a whole listing to the fleet at the time `now`. `restored_at` is when the store last
-    /// became reachable again after failed calls. Returns one log line for each change.
+    /// Applies a whole listing to the fleet at the time `now`. `restored_at` is when the store was
+    /// first read after its last outage. Returns one log line for each change.
     pub fn adopt(
         &mut self,
         fleet: &mut Fleet,
