fix: keep what a searcher has said when its registration changes

Cause: statements are kept with the key of a registration. A new start is heard before its registration is read, under the key of the earlier one, which was then removed with all that had been heard. Removal kept only leaving, and answers that came under a removed key were dropped.

Ruled out: attempts that waited for a connection, and daemons that had not been told.

Change: what a removed searcher has said is remembered. The same start gets all of it. A new start gets what was heard since the last read that showed the earlier one, less 2 s for its registration. Leaving then holds for 10 s, since the earlier start may have said it, and not at all if that was registered as leaving. Weighed: born against the time of day (it may jump); the age of the connection (says nothing of a process behind a proxy).

only_a_new_start_of_a_searcher_ends_its_leaving now passes the time of the earlier read, which decides; its checks are the same.

It works because no request to the searcher is planned or sent without asking the newest key, whose statements outlive registrations.

--- a/crates/daemon/tests/statements.rs
+++ b/crates/daemon/tests/statements.rs
@@ -50,7 +50,10 @@
 const CI_SEEDS: Range<u64> = 1..3;
 
 /// Seeds that failed in the past, with the cause.
-const REGRESSIONS: &[(u64, &str)] = &[(101, "hedges went to a searcher that leaves")];
+const REGRESSIONS: &[(u64, &str)] = &[
+    (101, "hedges went to a searcher that leaves"),
+    (137, "what a new start said was forgotten when its registration was read"),
+];
 
 /// The entry that is killed, stopped and paused.
 const EXCUSED_VM: usize = 0;
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -27,6 +27,7 @@
 use tt_adapter::Boot;
 use tt_serve::CallerWait;
 use tt_serve::Config;
+use tt_serve::EarlierReads;
 use tt_serve::Fleet;
 use tt_serve::FleetSettings;
 use tt_serve::LatencyEstimate;
@@ -213,10 +214,11 @@
         if revision < state.revision {
             return;
         }
+        let listed_until = state.read_at;
         state.revision = revision;
         state.history.push(listing);
         state.read_at = state.read_at.max(Some(read_at));
-        self.update_registry(&mut state, source);
+        self.update_registry(&mut state, listed_until, source);
     }
 
     /// Records that the newest listing was still current at `revision`, which was read at
@@ -230,16 +232,18 @@
         state.revision = revision;
         state.read_at = state.read_at.max(Some(read_at));
         if state.registry.has_lapsed(state.history.newest()) {
-            self.update_registry(&mut state, "confirmed");
+            let listed_until = state.read_at;
+            self.update_registry(&mut state, listed_until, "confirmed");
         }
     }
 
-    fn update_registry(&self, state: &mut ListingState, source: &str) {
+    /// Applies the newest listing. The one before was current until it was read at `listed_until`.
+    fn update_registry(&self, state: &mut ListingState, listed_until: Option<Time>, source: &str) {
         let now = self.now();
         let listing = state.history.newest().to_vec();
-        let restored_at = lock(&self.outage).restored_at();
+        let reads = EarlierReads { listed_until, restored_at: lock(&self.outage).restored_at() };
         let mut fleet = lock(&self.fleet);
-        let changes = state.registry.adopt(&mut fleet, listing, restored_at, now);
+        let changes = state.registry.adopt(&mut fleet, listing, reads, now);
         for change in &changes {
             log::info!("fleet: {change} source={source}");
         }
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -4,6 +4,7 @@
 mod shares;
 mod stated;
 mod status;
+mod succession;
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -14,6 +15,7 @@
 
 use self::stated::Admission;
 use self::stated::Stated;
+use self::succession::FormerSearchers;
 use crate::Time;
 use crate::members::TierSize;
 use crate::routes::PoolRole;
@@ -26,6 +28,7 @@
 pub use stated::WithheldCounts;
 pub use status::Availability;
 pub use status::SearcherStatus;
+pub(crate) use succession::Succession;
 
 /// Fault ratio from which a searcher does not count as usable in its failure domain.
 const MAX_FAULT_RATIO: f64 = 0.25;
@@ -97,6 +100,9 @@
     /// How long a searcher that says it is leaving may still get requests if its pool has no other
     /// one. The platform allows them for longer.
     pub leaving_period: Duration,
+    /// How long a searcher that has started again counts as leaving if only its earlier start may
+    /// have said so. One that does leave is registered so, or is no longer registered, by then.
+    pub doubt_period: Duration,
     /// Maximum time for which a searcher gets no requests because it asked for that once. One that
     /// asks again afterwards gets none for as long again.
     pub max_rest: Duration,
@@ -122,6 +128,7 @@
             unreachable_period: Duration::from_millis(300),
             shed_period: Duration::from_millis(30),
             leaving_period: Duration::from_secs(1),
+            doubt_period: Duration::from_secs(10),
             max_rest: Duration::from_secs(300),
             ramp_period: Duration::from_secs(1),
             ramp_step: Duration::from_millis(100),
@@ -180,6 +187,7 @@
     name_hashes: Vec<u64>,
     pools: Vec<Vec<SearcherKey>>,
     searchers: HashMap<SearcherKey, TrackedSearcher>,
+    former: FormerSearchers,
     next_key: u32,
     withheld: WithheldCounts,
     /// Until when relays have no searcher of a pool that accepts a request.
@@ -205,6 +213,7 @@
             name_hashes: Vec::new(),
             pools: Vec::new(),
             searchers: HashMap::new(),
+            former: FormerSearchers::default(),
             next_key: 0,
             withheld: WithheldCounts::default(),
             unsent_until: HashMap::new(),
@@ -258,7 +267,7 @@
         if let Some(tracked) = self.searchers.get_mut(&key) {
             if alive && ready && !tracked.searcher.ready {
                 // It was registered as leaving, and has changed its mind since.
-                tracked.stated.leaving_at = None;
+                tracked.stated.retract_leaving();
             }
             tracked.searcher.ready = ready;
             tracked.searcher.cold_until = cold_until;
@@ -268,10 +277,11 @@
         }
     }
 
-    /// Removes a searcher.
-    pub fn remove(&mut self, key: SearcherKey) {
+    /// Removes a searcher. What it has said of itself is remembered, in case that it comes back.
+    pub fn remove(&mut self, key: SearcherKey, now: Time) {
         if let Some(tracked) = self.searchers.remove(&key) {
             self.pools[tracked.searcher.pool.0 as usize].retain(|&other| other != key);
+            self.former.add(key, tracked.stated, now);
         }
     }
 
@@ -297,7 +307,7 @@
         self.pool_searchers(pool).any(|(_, tracked)| {
             tracked.searcher.domain == domain
                 && tracked.is_open(now)
-                && tracked.stated.leaving_at.is_none()
+                && !tracked.stated.is_leaving(now)
                 && tracked.stated.rest_left(now).is_zero()
                 && tracked.ejected_until <= now
                 && self.slowness(tracked, now) < self.settings.remote_cost_factor
--- a/crates/serve/src/fleet/stated.rs
+++ b/crates/serve/src/fleet/stated.rs
@@ -133,14 +133,33 @@
 #[derive(Debug, Default)]
 pub(super) struct Stated {
     limit: Option<StatedLimit>,
-    /// When it first said that it is leaving.
-    pub(super) leaving_at: Option<Time>,
-    /// End of the time for which it wants no requests. Kept for `ramp_period` after that.
-    rest_until: Option<Time>,
+    leaving: Option<StatedLeaving>,
+    /// Kept for `ramp_period` after its end.
+    rest: Option<StatedPause>,
     /// Whether its last answer had a value that can't be read. Logged once.
     unreadable: bool,
 }
 
+/// The searcher has said that it is leaving.
+#[derive(Debug, Clone, Copy)]
+struct StatedLeaving {
+    /// When it first said so.
+    at: Time,
+    /// When it last said so.
+    heard_at: Time,
+    /// From then on it counts as not leaving; [`Time::MAX`] unless an earlier start may have said
+    /// so.
+    until: Time,
+}
+
+/// The searcher wants no requests.
+#[derive(Debug, Clone, Copy)]
+struct StatedPause {
+    until: Time,
+    /// When it last said so.
+    heard_at: Time,
+}
+
 #[derive(Debug)]
 struct StatedLimit {
     per_second: f64,
@@ -210,7 +229,42 @@
 
     /// How long it still wants no requests at all; zero if it accepts some.
     pub(super) fn rest_left(&self, now: Time) -> Duration {
-        self.rest_until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
+        self.rest.map_or(Duration::ZERO, |rest| rest.until.saturating_sub(now))
+    }
+
+    /// Whether it has said that it is leaving.
+    pub(super) fn is_leaving(&self, now: Time) -> bool {
+        self.leaving(now).is_some()
+    }
+
+    fn leaving(&self, now: Time) -> Option<StatedLeaving> {
+        self.leaving.filter(|leaving| now < leaving.until)
+    }
+
+    /// Forgets that it has said that it is leaving.
+    pub(super) fn retract_leaving(&mut self) {
+        self.leaving = None;
+    }
+
+    /// What a start of the searcher that began after `began_after` may have said of it. Whether it
+    /// leaves is the statement of an earlier start if that `was_leaving`.
+    pub(super) fn heard_since(
+        self,
+        settings: &FleetSettings,
+        began_after: Time,
+        was_leaving: bool,
+    ) -> Stated {
+        let is_new = |heard_at: Time| heard_at >= began_after;
+        let leaving = self.leaving.filter(|leaving| !was_leaving && is_new(leaving.heard_at));
+        Stated {
+            limit: self.limit.filter(|limit| is_new(limit.heard_at)),
+            leaving: leaving.map(|leaving| StatedLeaving {
+                until: leaving.heard_at + settings.doubt_period,
+                ..leaving
+            }),
+            rest: self.rest.filter(|rest| is_new(rest.heard_at)),
+            unreadable: false,
+        }
     }
 
     /// Whether a request of a daemon with this `share` of its limit may be sent while `outstanding`
@@ -226,21 +280,22 @@
         if !rest.is_zero() {
             return Admission::Closed(Withheld::Rest, rest);
         }
-        if self.leaving_at.is_some_and(|at| at + settings.leaving_period <= now) {
+        let leaving = self.leaving(now);
+        if leaving.is_some_and(|leaving| leaving.at + settings.leaving_period <= now) {
             return Admission::Closed(Withheld::Leaving, Duration::MAX);
         }
-        if let Some(until) = self.rest_until {
-            let resumed = now.saturating_sub(until);
+        if let Some(rest) = self.rest {
+            let resumed = now.saturating_sub(rest.until);
             let allowed = 1 + (resumed.as_nanos() / settings.ramp_step.as_nanos().max(1)) as usize;
             if resumed < settings.ramp_period && outstanding >= allowed {
                 return Admission::Closed(Withheld::Rest, settings.ramp_step);
             }
         }
         let wait = self.limit.as_ref().map_or(Duration::ZERO, |limit| limit.wait(share, now));
-        match (wait.is_zero(), self.leaving_at) {
+        match (wait.is_zero(), leaving.is_some()) {
             (false, _) => Admission::Closed(Withheld::Limit, wait),
-            (true, Some(_)) => Admission::LastResort,
-            (true, None) => Admission::Open,
+            (true, true) => Admission::LastResort,
+            (true, false) => Admission::Open,
         }
     }
 
@@ -282,9 +337,13 @@
         }
         self.unreadable = unreadable;
         lines.extend(self.apply_rate(statement.rate, first_sends, sent_at, now));
-        if statement.leaving && self.leaving_at.is_none() {
-            self.leaving_at = Some(now);
-            lines.push("leaving=true".to_owned());
+        if statement.leaving {
+            let known = self.leaving(now);
+            if known.is_none() {
+                lines.push("leaving=true".to_owned());
+            }
+            let at = known.map_or(now, |leaving| leaving.at);
+            self.leaving = Some(StatedLeaving { at, heard_at: now, until: Time::MAX });
         }
         lines.extend(self.apply_rest(settings, statement.rest, sent_at, now));
         lines
@@ -300,16 +359,17 @@
         match rest {
             StatedRest::Unreadable => None,
             StatedRest::Absent => {
-                let until = self.rest_until?;
+                let until = self.rest?.until;
                 (until + settings.ramp_period <= sent_at).then(|| {
-                    self.rest_until = None;
+                    self.rest = None;
                     "rest=ended".to_owned()
                 })
             }
             StatedRest::For(rest) => {
                 let until = now + rest.min(settings.max_rest);
                 let is_new = self.rest_left(now).is_zero();
-                self.rest_until = self.rest_until.max(Some(until));
+                let until_before = self.rest.map_or(Time::ZERO, |rest| rest.until);
+                self.rest = Some(StatedPause { until: until_before.max(until), heard_at: now });
                 is_new.then(|| format!("rest_ms={}", (until - now).as_millis()))
             }
         }
@@ -364,8 +424,9 @@
         self.tier = tier;
     }
 
-    /// Records what an answer says of its searcher. To be called before the attempt `token` is
-    /// recorded as ended. Returns what is to be logged.
+    /// Records what an answer says of its searcher, also after its registration was removed or
+    /// replaced. To be called before the attempt `token` is recorded as ended. Returns what is to be
+    /// logged.
     pub fn record_statement(
         &mut self,
         key: SearcherKey,
@@ -373,15 +434,21 @@
         statement: &Statement,
         now: Time,
     ) -> Vec<String> {
-        let Some(tracked) = self.searchers.get_mut(&key) else { return Vec::new() };
         // Many daemons may hear a limit at the same time. Each begins at another point between
         // two sends, so that they don't all send their first request at once.
         let seed = xxh3_64_with_seed(self.tier.me.as_bytes(), 0);
-        let hash = xxh3_64_with_seed(tracked.searcher.id.as_bytes(), seed);
+        let tracked = self.searchers.get(&key);
+        let id = tracked.map_or("", |tracked| tracked.searcher.id.as_str());
+        let hash = xxh3_64_with_seed(id.as_bytes(), seed);
         let first_sends = hash as f64 / u64::MAX as f64;
-        let sent = tracked.outstanding.iter().find(|(other, _)| *other == token);
+        let mut outstanding = tracked.iter().flat_map(|tracked| &tracked.outstanding);
+        let sent = outstanding.find(|(other, _)| *other == token);
+        // Not known if the registration was replaced since.
         let sent_at = sent.map_or(Time::ZERO, |&(_, sent_at)| sent_at);
-        tracked.stated.apply(&self.settings, statement, first_sends, sent_at, now)
+        let settings = self.settings;
+        self.stated_mut(key).map_or_else(Vec::new, |stated| {
+            stated.apply(&settings, statement, first_sends, sent_at, now)
+        })
     }
 
     /// Takes one request to a searcher from what it accepts of this daemon.
@@ -401,10 +468,10 @@
     /// Whether a request that was planned earlier must not be sent any more, since the searcher has
     /// asked for no requests meanwhile.
     pub fn is_withheld(&mut self, key: SearcherKey, now: Time) -> bool {
-        let settings = &self.settings;
-        let Some(tracked) = self.searchers.get(&key) else { return false };
+        let settings = self.settings;
+        let Some(stated) = self.stated_mut(key) else { return false };
         // The request counts as outstanding and against the limit already.
-        match tracked.stated.admission(settings, Share { ratio: 1.0, daemons: 1 }, 0, now) {
+        match stated.admission(&settings, Share { ratio: 1.0, daemons: 1 }, 0, now) {
             Admission::Closed(reason @ (Withheld::Rest | Withheld::Leaving), _) => {
                 self.withheld.add(reason);
                 true
@@ -415,18 +482,6 @@
         }
     }
 
-    /// When a searcher first said that it is leaving.
-    pub(crate) fn leaving_at(&self, key: SearcherKey) -> Option<Time> {
-        self.searchers.get(&key)?.stated.leaving_at
-    }
-
-    /// Records that a searcher said at the time `at` that it is leaving.
-    pub(crate) fn record_leaving(&mut self, key: SearcherKey, at: Time) {
-        if let Some(tracked) = self.searchers.get_mut(&key) {
-            tracked.stated.leaving_at = Some(at);
-        }
-    }
-
     /// Time until a searcher of `pool` accepts a request of this daemon, by what the searchers say
     /// of themselves; `None` if all are leaving or not registered as ready.
     pub fn pool_wait(&self, pool: PoolKey, role: PoolRole, now: Time) -> Option<Duration> {
--- a/crates/serve/src/fleet/status.rs
+++ b/crates/serve/src/fleet/status.rs
@@ -77,7 +77,7 @@
 }
 
 fn availability(tracked: &TrackedSearcher, now: Time) -> Availability {
-    if !tracked.searcher.ready || tracked.stated.leaving_at.is_some() {
+    if !tracked.searcher.ready || tracked.stated.is_leaving(now) {
         return Availability::Leaving;
     }
     if tracked.closed_until == Time::MAX {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -89,6 +89,7 @@
 pub use query::PlannedAttempt;
 pub use query::Query;
 pub use query::Verdict;
+pub use registry::EarlierReads;
 pub use registry::Registry;
 pub use registry::RegistrySettings;
 pub use registry::SearcherRecord;
--- a/crates/serve/src/registry.rs
+++ b/crates/serve/src/registry.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::Searcher;
 use crate::fleet::SearcherKey;
+use crate::fleet::Succession;
 
 /// The record of one searcher in a listing.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -58,24 +59,27 @@
     /// Time after an outage of the store in which a searcher that is no longer listed is kept: its
     /// registration may have lapsed during the outage and be written again.
     pub outage_grace: Duration,
+    /// Maximum time from the start of a searcher until it is registered.
+    pub registration_delay: Duration,
 }
 
 impl Default for RegistrySettings {
     fn default() -> Self {
-        RegistrySettings { outage_grace: Duration::from_millis(2300) }
+        RegistrySettings {
+            outage_grace: Duration::from_millis(2300),
+            // As long as the platform gives lapsed registrations to be written again.
+            registration_delay: Duration::from_secs(2),
+        }
     }
 }
 
-/// How long it is remembered that a searcher which is no longer listed was leaving. Listings that
-/// still have it are older by far less.
-const DEPARTED_PERIOD: Duration = Duration::from_secs(60);
-
-/// A searcher that has said that it is leaving and is no longer listed.
-#[derive(Debug)]
-struct Departed {
-    record: SearcherRecord,
-    leaving_at: Time,
-    removed_at: Time,
+/// What is known of earlier reads of the store when a listing is adopted.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EarlierReads {
+    /// The latest read at which the listing was still as adopted before.
+    pub listed_until: Option<Time>,
+    /// The first read after the last outage of the store.
+    pub restored_at: Option<Time>,
 }
 
 #[derive(Debug)]
@@ -89,8 +93,8 @@
 pub struct Registry {
     settings: RegistrySettings,
     known: HashMap<String, KnownSearcher>,
-    /// By id.
-    departed: HashMap<String, Departed>,
+    /// Searchers that are no longer listed, by id.
+    departed: HashMap<String, KnownSearcher>,
 }
 
 impl Registry {
@@ -104,50 +108,51 @@
         self.known.len() > listing.len()
     }
 
-    /// Applies a whole listing to the fleet at the time `now`. `restored_at` is when the store was
-    /// first read after its last outage. Returns one log line for each change.
+    /// Applies a whole listing to the fleet at the time `now`. Returns one log line for each change.
     pub fn adopt(
         &mut self,
         fleet: &mut Fleet,
         listing: Vec<SearcherRecord>,
-        restored_at: Option<Time>,
+        reads: EarlierReads,
         now: Time,
     ) -> Vec<String> {
         let mut changes = Vec::new();
-        self.departed.retain(|_, it| now < it.removed_at + DEPARTED_PERIOD);
+        self.departed.retain(|_, it| fleet.remembers(it.key));
+        // A searcher that is listed as started again had not started long before the read at which
+        // it was still listed as before.
+        let began_after = reads
+            .listed_until
+            .map_or(Time::ZERO, |at| at.saturating_sub(self.settings.registration_delay));
         let mut absent: Vec<String> = self.known.keys().cloned().collect();
         for record in listing {
             absent.retain(|id| *id != record.id);
-            self.apply_record(fleet, record, now, &mut changes);
+            self.apply_record(fleet, record, began_after, now, &mut changes);
         }
-        let in_grace = restored_at.is_some_and(|at| now < at + self.settings.outage_grace);
+        let in_grace = reads.restored_at.is_some_and(|at| now < at + self.settings.outage_grace);
         if !in_grace {
             for id in absent {
                 if let Some(known) = self.known.remove(&id) {
-                    self.remember_leaving(fleet, &known, now);
-                    fleet.remove(known.key);
+                    fleet.remove(known.key, now);
                     changes.push(format!("searcher={id} state=gone"));
+                    self.departed.insert(id, known);
                 }
             }
         }
         changes
     }
 
-    /// Remembers that a searcher said that it is leaving, in case its registration comes back.
-    fn remember_leaving(&mut self, fleet: &Fleet, known: &KnownSearcher, now: Time) {
-        let Some(leaving_at) = fleet.leaving_at(known.key) else { return };
-        let record = known.record.clone();
-        let departed = Departed { record, leaving_at, removed_at: now };
-        self.departed.insert(known.record.id.clone(), departed);
-    }
-
     fn apply_record(
         &mut self,
         fleet: &mut Fleet,
         record: SearcherRecord,
+        began_after: Time,
         now: Time,
         changes: &mut Vec<String>,
     ) {
+        let departed = self.departed.remove(&record.id);
+        let mut former = departed
+            .filter(|it| is_same_incarnation(&it.record, &record))
+            .map(|it| (it.key, Succession::SameStart));
         if let Some(known) = self.known.get_mut(&record.id) {
             if known.record == record {
                 // What is left of the time after its start counts from when it was first read.
@@ -168,7 +173,11 @@
                     known.record = record;
                     return;
                 }
-                Relation::Restarted => fleet.remove(known.key),
+                Relation::Restarted => {
+                    let was_leaving = known.record.state == SearcherState::Draining;
+                    fleet.remove(known.key, now);
+                    former = Some((known.key, Succession::NewStart { began_after, was_leaving }));
+                }
             }
         }
         changes.push(format!(
@@ -185,9 +194,8 @@
             cold_until: now + record.cold_left,
             ready: record.state == SearcherState::Ready,
         });
-        let departed = self.departed.get(&record.id);
-        if let Some(departed) = departed.filter(|it| is_same_incarnation(&it.record, &record)) {
-            fleet.record_leaving(key, departed.leaving_at);
+        if let Some((former, succession)) = former {
+            fleet.inherit(key, former, succession);
         }
         self.known.insert(record.id.clone(), KnownSearcher { record, key });
     }
--- a/crates/serve/tests/registry.rs
+++ b/crates/serve/tests/registry.rs
@@ -6,6 +6,7 @@
 use common::ms;
 use common::record;
 
+use tt_serve::EarlierReads;
 use tt_serve::Fleet;
 use tt_serve::PoolRole;
 use tt_serve::Registry;
@@ -26,9 +27,9 @@
 #[test]
 fn a_searcher_that_is_no_longer_listed_is_removed() {
     let (mut fleet, mut registry) = (fleet(), registry());
-    registry.adopt(&mut fleet, vec![record("s", 1)], None, ms(0));
+    registry.adopt(&mut fleet, vec![record("s", 1)], EarlierReads::default(), ms(0));
     assert!(has_open(&mut fleet));
-    registry.adopt(&mut fleet, Vec::new(), None, ms(1000));
+    registry.adopt(&mut fleet, Vec::new(), EarlierReads::default(), ms(1000));
     assert!(!has_open(&mut fleet));
 }
 
@@ -37,12 +38,13 @@
 #[test]
 fn a_lapsed_registration_is_kept_for_a_while_after_an_outage() {
     let (mut fleet, mut registry) = (fleet(), registry());
-    registry.adopt(&mut fleet, vec![record("s", 1)], None, ms(0));
-    registry.adopt(&mut fleet, Vec::new(), Some(ms(9000)), ms(9000));
+    registry.adopt(&mut fleet, vec![record("s", 1)], EarlierReads::default(), ms(0));
+    let restored = EarlierReads { restored_at: Some(ms(9000)), ..EarlierReads::default() };
+    registry.adopt(&mut fleet, Vec::new(), restored, ms(9000));
     assert!(has_open(&mut fleet));
-    registry.adopt(&mut fleet, Vec::new(), Some(ms(9000)), ms(11_000));
+    registry.adopt(&mut fleet, Vec::new(), restored, ms(11_000));
     assert!(has_open(&mut fleet));
-    registry.adopt(&mut fleet, Vec::new(), Some(ms(9000)), ms(11_400));
+    registry.adopt(&mut fleet, Vec::new(), restored, ms(11_400));
     assert!(!has_open(&mut fleet));
 }
 
@@ -51,11 +53,11 @@
 fn an_earlier_heartbeat_does_not_undo_a_drain() {
     let (mut fleet, mut registry) = (fleet(), registry());
     let drained = SearcherRecord { state: SearcherState::Draining, ..record("s", 5) };
-    registry.adopt(&mut fleet, vec![drained], None, ms(0));
-    registry.adopt(&mut fleet, vec![record("s", 4)], None, ms(1000));
+    registry.adopt(&mut fleet, vec![drained], EarlierReads::default(), ms(0));
+    registry.adopt(&mut fleet, vec![record("s", 4)], EarlierReads::default(), ms(1000));
     assert!(!has_open(&mut fleet));
     let older = SearcherRecord { started_unix_ms: Some(900), ..record("s", 9) };
-    registry.adopt(&mut fleet, vec![older], None, ms(2000));
+    registry.adopt(&mut fleet, vec![older], EarlierReads::default(), ms(2000));
     assert!(!has_open(&mut fleet));
 }
 
@@ -63,11 +65,11 @@
 #[test]
 fn a_restarted_searcher_is_a_new_incarnation() {
     let (mut fleet, mut registry) = (fleet(), registry());
-    registry.adopt(&mut fleet, vec![record("s", 5)], None, ms(0));
+    registry.adopt(&mut fleet, vec![record("s", 5)], EarlierReads::default(), ms(0));
     let pool = fleet.pool("pool");
     let before = fleet.choose(pool, PoolRole::Equal, &[], ms(30), ms(0)).expect("one is there").key;
     let restarted = SearcherRecord { started_unix_ms: Some(2000), ..record("s", 1) };
-    registry.adopt(&mut fleet, vec![restarted], None, ms(1000));
+    registry.adopt(&mut fleet, vec![restarted], EarlierReads::default(), ms(1000));
     let after =
         fleet.choose(pool, PoolRole::Equal, &[], ms(30), ms(1000)).expect("one is there").key;
     assert_ne!(before, after);
@@ -78,10 +80,10 @@
 #[test]
 fn a_searcher_with_another_address_replaces_the_earlier_one() {
     let (mut fleet, mut registry) = (fleet(), registry());
-    registry.adopt(&mut fleet, vec![record("s", 5)], None, ms(0));
+    registry.adopt(&mut fleet, vec![record("s", 5)], EarlierReads::default(), ms(0));
     let address = "127.0.0.1:9001".parse().expect("an address");
     let moved = SearcherRecord { address, ..record("s", 6) };
-    registry.adopt(&mut fleet, vec![moved], None, ms(1000));
+    registry.adopt(&mut fleet, vec![moved], EarlierReads::default(), ms(1000));
     let pool = fleet.pool("pool");
     let chosen = fleet.choose(pool, PoolRole::Equal, &[], ms(30), ms(1000)).expect("one is there");
     assert_eq!(chosen.address, address);
--- a/crates/serve/tests/stated_rest.rs
+++ b/crates/serve/tests/stated_rest.rs
@@ -11,6 +11,7 @@
 
 use tt_serve::AttemptKind;
 use tt_serve::Availability;
+use tt_serve::EarlierReads;
 use tt_serve::Failure;
 use tt_serve::Fleet;
 use tt_serve::FleetSettings;
@@ -110,17 +111,18 @@
     let listed = |sequence| vec![record("s", sequence)];
     let mut fleet = fleet();
     let mut registry = Registry::new(RegistrySettings::default());
-    registry.adopt(&mut fleet, listed(5), None, ms(0));
+    registry.adopt(&mut fleet, listed(5), EarlierReads::default(), ms(0));
     let pool = fleet.pool("pool");
     let key = chosen(&mut fleet, pool, ms(0)).expect("it is used");
     fleet.record_statement(key, 1, &leaving(), ms(10));
     let late = ms(5000);
     for listing in [listed(4), listed(6), vec![], listed(7)] {
-        registry.adopt(&mut fleet, listing, None, late);
+        registry.adopt(&mut fleet, listing, EarlierReads::default(), late);
         assert_eq!(chosen(&mut fleet, pool, late), None);
     }
     let restarted = tt_serve::SearcherRecord { started_unix_ms: Some(2000), ..record("s", 1) };
-    registry.adopt(&mut fleet, vec![restarted], None, late);
+    let listed = EarlierReads { listed_until: Some(late), ..EarlierReads::default() };
+    registry.adopt(&mut fleet, vec![restarted], listed, late);
     assert!(chosen(&mut fleet, pool, late).is_some());
 }
 
@@ -130,13 +132,13 @@
 fn a_searcher_that_registers_as_ready_again_is_used() {
     let mut fleet = fleet();
     let mut registry = Registry::new(RegistrySettings::default());
-    registry.adopt(&mut fleet, vec![record("s", 5)], None, ms(0));
+    registry.adopt(&mut fleet, vec![record("s", 5)], EarlierReads::default(), ms(0));
     let pool = fleet.pool("pool");
     let key = chosen(&mut fleet, pool, ms(0)).expect("it is used");
     fleet.record_statement(key, 1, &leaving(), ms(10));
     let draining = tt_serve::SearcherRecord { state: SearcherState::Draining, ..record("s", 6) };
-    registry.adopt(&mut fleet, vec![draining], None, ms(3000));
-    registry.adopt(&mut fleet, vec![record("s", 7)], None, ms(4000));
+    registry.adopt(&mut fleet, vec![draining], EarlierReads::default(), ms(3000));
+    registry.adopt(&mut fleet, vec![record("s", 7)], EarlierReads::default(), ms(4000));
     assert_eq!(chosen(&mut fleet, pool, ms(4000)), Some(key));
 }
 
