fix: keep a request that ends its searchers from ending all of them

Cause: a connection that breaks off without an answer counted as a fault of its searcher alone, so that each shard, relay, entry and repeat sent the request on to the next searcher.

So a suspicion is kept by method, host, target and body.

Change: a broken connection to a searcher that refuses another one counts as its end under the request. Until a searcher has survived the request, attempts go one at a time and nothing is hedged. Status, logs and counters show it.

The first query with a deadly content still ends one searcher of each shard.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -14,10 +14,12 @@
 use hyper::Uri;
 use hyper::header;
 use hyper::header::HeaderValue;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 use crate::answer;
 use crate::connections::AcquireError;
@@ -31,6 +33,7 @@
 use tt_serve::AttemptKind;
 use tt_serve::AttemptOutcome;
 use tt_serve::Choice;
+use tt_serve::ContentKey;
 use tt_serve::RepeatPolicy;
 use tt_serve::Statement;
 
@@ -40,6 +43,10 @@
 /// How long before the end of the announced keep-alive time an idle connection is closed.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Timeout for finding out whether a searcher has ended. An address at which nothing listens refuses
+/// connections at once.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// A caller's request, as shared by all its attempts.
 #[derive(Debug)]
 pub(crate) struct OutgoingRequest {
@@ -50,6 +57,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What other requests are compared with.
+    pub(crate) content: ContentKey,
     pub(crate) repeat: RepeatPolicy,
     pub(crate) kind: RequestKind,
     /// When the request ends, answered or not.
@@ -224,14 +233,17 @@
             }
             AttemptOutcome::Refused if result.cause == Cause::Moved => fleet.record_moved(key),
             AttemptOutcome::Refused => fleet.record_shed(key, now),
-            AttemptOutcome::Failed | AttemptOutcome::Unknown => fleet.record_failure(key, now),
+            AttemptOutcome::Failed | AttemptOutcome::Unknown | AttemptOutcome::Ended => {
+                fleet.record_failure(key, now);
+            }
         }
         drop(fleet);
         for change in changes {
             let (id, version) = (&self.searcher.id, entry.config_version());
             log::info!("fleet: searcher={id} says {change} version={version}");
         }
-        if result.outcome == AttemptOutcome::Unknown || result.cause == Cause::Unreachable {
+        let is_dead = matches!(result.outcome, AttemptOutcome::Unknown | AttemptOutcome::Ended);
+        if is_dead || result.cause == Cause::Unreachable {
             entry.searcher_connections.server(key).close_idle();
         }
         if result.outcome != AttemptOutcome::Answer {
@@ -290,7 +302,13 @@
         let response = match sender.try_send_request(request).await {
             Ok(response) => response,
             Err(error) if error.message().is_some() => return None,
-            Err(_) => return Some(AttemptResult::failure(AttemptOutcome::Unknown, Cause::Broken)),
+            Err(_) => {
+                let outcome = match self.has_ended().await {
+                    true => AttemptOutcome::Ended,
+                    false => AttemptOutcome::Unknown,
+                };
+                return Some(AttemptResult::failure(outcome, Cause::Broken));
+            }
         };
         let (head, body) = response.into_parts();
         let statement = self.statement(&head);
@@ -309,6 +327,13 @@
         Some(result)
     }
 
+    /// Whether the searcher refuses connections, after one has broken. One that has only closed the
+    /// connection accepts another.
+    async fn has_ended(&self) -> bool {
+        let connecting = TcpStream::connect(self.searcher.address);
+        matches!(timeout(END_CHECK_TIMEOUT, connecting).await, Ok(Err(_)))
+    }
+
     /// What the head of an answer says of the searcher that the request was sent to. `None` if it
     /// answers another request or comes from another searcher.
     fn statement(&self, head: &hyper::http::response::Parts) -> Option<Statement> {
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -27,7 +27,9 @@
 use tt_adapter::Boot;
 use tt_serve::CallerWait;
 use tt_serve::Config;
+use tt_serve::ContentKey;
 use tt_serve::EarlierReads;
+use tt_serve::Effect;
 use tt_serve::Fleet;
 use tt_serve::FleetSettings;
 use tt_serve::LatencyEstimate;
@@ -46,8 +48,11 @@
 use tt_serve::RouteTable;
 use tt_serve::SearcherKey;
 use tt_serve::SearcherRecord;
+use tt_serve::SuspectStatus;
+use tt_serve::Suspects;
 use tt_serve::TierSize;
 use tt_serve::Time;
+use tt_serve::Trust;
 use tt_serve::Vm;
 use tt_serve::WakeGuard;
 use tt_serve::objective_reserve;
@@ -88,6 +93,10 @@
     pub(crate) woken: Notify,
     /// Whether the store has been down, or only this daemon's calls have failed.
     outage: Mutex<OutageDetector>,
+    /// Contents of requests under which searchers have ended.
+    suspects: Mutex<Suspects>,
+    /// Notified when other daemons must be told of such a content.
+    pub(crate) suspects_changed: Notify,
     /// When this daemon last heard from the store about the configuration.
     config_read_at: Mutex<Option<Time>>,
 }
@@ -156,6 +165,8 @@
             wake_guard: Mutex::new(WakeGuard::default()),
             woken: Notify::new(),
             outage: Mutex::new(OutageDetector::default()),
+            suspects: Mutex::new(Suspects::new(settings.suspects)),
+            suspects_changed: Notify::new(),
             config_read_at: Mutex::new(None),
         }
     }
@@ -405,6 +416,48 @@
         }
     }
 
+    /// How much of a request with this content may be sent at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time for which it is refused, since it ends each searcher that runs it.
+    pub(crate) fn trust(&self, content: ContentKey) -> Result<Trust, Duration> {
+        lock(&self.suspects).trust(content, self.now())
+    }
+
+    /// Records what the request `id` with this content has done to `ended` searchers.
+    pub(crate) fn record_effect(&self, id: &str, content: ContentKey, effect: Effect, ended: u32) {
+        if !lock(&self.suspects).record(content, effect, self.now()) {
+            return;
+        }
+        metrics::count_suspect(effect);
+        log::warn!(
+            "suspect: id={id} content={:016x} effect={effect:?} ended={ended} version={}",
+            content.0,
+            self.config_version()
+        );
+        self.suspects_changed.notify_one();
+    }
+
+    /// Applies what another daemon tells of a content.
+    pub(crate) fn learn_suspect(&self, told: SuspectStatus) {
+        if lock(&self.suspects).learn(told, self.now()) {
+            let SuspectStatus { key, knowledge, .. } = told;
+            log::info!("suspect: content={:016x} knowledge={knowledge:?} source=peer", key.0);
+            self.suspects_changed.notify_one();
+        }
+    }
+
+    /// The contents to tell other daemons of.
+    pub(crate) fn told_suspects(&self) -> Vec<SuspectStatus> {
+        lock(&self.suspects).told(self.now())
+    }
+
+    /// All contents under which searchers have ended.
+    pub(crate) fn suspects(&self) -> Vec<SuspectStatus> {
+        lock(&self.suspects).status(self.now())
+    }
+
     /// Returns the size of the tier by which shared limits are divided.
     pub(crate) fn tier_size(&self) -> TierSize {
         lock(&self.members).tier_size(self.now())
--- a/crates/front/src/execution.rs
+++ b/crates/front/src/execution.rs
@@ -26,7 +26,9 @@
 use crate::sync::lock;
 use tt_serve::Assignment;
 use tt_serve::AttemptOutcome;
+use tt_serve::ContentKey;
 use tt_serve::Delegation;
+use tt_serve::Effect;
 use tt_serve::Member;
 use tt_serve::Plan;
 use tt_serve::PlannedAttempt;
@@ -35,12 +37,17 @@
 use tt_serve::Query;
 use tt_serve::RelayScope;
 use tt_serve::Time;
+use tt_serve::Trust;
 use tt_serve::Verdict;
 use tt_serve::assign;
 
 /// Token of the next attempt, by which the fleet identifies it.
 static NEXT_TOKEN: AtomicU64 = AtomicU64::new(0);
 
+/// Number of searchers that have ended under a running request from which it is a suspect. One may
+/// end by itself.
+const MIN_ENDED_TO_TELL: u32 = 2;
+
 /// Argument `rotation` of the next call of [`assign`]; spreads delegated shards over the daemons of
 /// a failure domain.
 static NEXT_RELAY_ROTATION: AtomicUsize = AtomicUsize::new(0);
@@ -72,6 +79,8 @@
     events: UnboundedReceiver<Event>,
     pub(crate) query: Query,
     pub(crate) replies: Replies,
+    /// Whether the request was recorded as a suspect while it runs.
+    told: bool,
 }
 
 /// What the tasks of a request report to it.
@@ -87,6 +96,8 @@
         /// Time until one of its searchers accepts a request again; zero if that is not known.
         wait: Duration,
     },
+    /// Further searchers have ended under the shards that a relay was left.
+    SearchersEnded(u32),
     /// A relay returns no more of these shards.
     RelayEnded {
         /// All shards that were delegated to it.
@@ -116,7 +127,8 @@
             self.delegate(delegations, &sender);
         }
         let replies = Replies::default();
-        let running = RunningRequest { planned: self, owned, sender, events, query, replies };
+        let running =
+            RunningRequest { planned: self, owned, sender, events, query, replies, told: false };
         running.start_attempts(first_attempts);
         running
     }
@@ -163,6 +175,11 @@
         self.planned.entry.clone()
     }
 
+    /// What other requests are compared with.
+    pub(crate) fn content(&self) -> ContentKey {
+        self.planned.outgoing.content
+    }
+
     /// Processes events, hedges and retries until the verdict is final.
     pub(crate) async fn verdict(&mut self) -> Verdict {
         loop {
@@ -193,15 +210,34 @@
                 self.query.record_unsent(shard);
                 Vec::new()
             }
+            Ok(Some(Event::SearchersEnded(count))) => {
+                self.query.record_relayed_ends(count);
+                Vec::new()
+            }
             Ok(Some(Event::RelayEnded { shards, outcome })) => self.relay_ended(&shards, outcome),
             // Not reached: `self.sender` keeps the channel open.
             Ok(None) => Vec::new(),
             Err(_) => {
+                if entry.trust(self.content()) != Ok(Trust::Usual) {
+                    self.query.suspect();
+                }
                 let take_extra = |pool| entry.try_take_extra_attempt(pool);
                 self.query.hedge(&mut lock(&entry.fleet), take_extra, entry.now())
             }
         };
         self.start_attempts(attempts);
+        self.tell_suspicion();
+    }
+
+    /// Tells of a request under which searchers end while it still runs: callers may send others
+    /// with the same content meanwhile.
+    fn tell_suspicion(&mut self) {
+        let (effect, ended) = (self.query.effect(), self.query.ended_count());
+        if !self.told && ended >= MIN_ENDED_TO_TELL && effect != Effect::Harmless {
+            self.told = true;
+            let PlannedRequest { entry, outgoing, .. } = &self.planned;
+            entry.record_effect(&outgoing.id, outgoing.content, effect, ended);
+        }
     }
 
     fn attempt_ended(&mut self, report: AttemptReport) -> Vec<PlannedAttempt> {
--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -14,11 +14,14 @@
 
 use crate::entry::Entry;
 use crate::sync::lock;
+use tt_serve::ContentKey;
 use tt_serve::DomainSummary;
 use tt_serve::Gossip;
+use tt_serve::Knowledge;
 use tt_serve::Member;
 use tt_serve::MemberState;
 use tt_serve::MemberStatus;
+use tt_serve::SuspectStatus;
 use tt_serve::Time;
 use tt_serve::Vm;
 
@@ -46,6 +49,22 @@
     /// Summaries of daemons that have no record in this heartbeat.
     #[prost(message, repeated, tag = "3")]
     summaries: Vec<SummaryRecord>,
+    /// Contents of requests under which searchers have ended lately.
+    #[prost(message, repeated, tag = "4")]
+    suspects: Vec<SuspectRecord>,
+}
+
+/// A content of requests under which searchers have ended.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct SuspectRecord {
+    #[prost(fixed64, tag = "1")]
+    key: u64,
+    /// 0 harmless, 1 suspect, 2 deadly.
+    #[prost(uint32, tag = "2")]
+    knowledge: u32,
+    /// How long requests with it are refused, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    refused_ms: u32,
 }
 
 /// Stands for daemons of one failure domain that have no record in the heartbeat.
@@ -163,8 +182,12 @@
         let end = Instant::now() + entry.settings.heartbeat_interval;
         // A new version of the configuration is announced without delay.
         while Instant::now() < end && entry.config_version() == version {
-            sleep(VERSION_POLL_INTERVAL).await;
             entry.observe_life();
+            tokio::select! {
+                () = sleep(VERSION_POLL_INTERVAL) => {}
+                // So is a content that ends searchers.
+                () = entry.suspects_changed.notified() => break,
+            }
         }
     }
 }
@@ -198,6 +221,19 @@
         records: records.iter().map(|member| record(member, now)).collect(),
         hello: false,
         summaries: summaries.collect(),
+        suspects: entry.told_suspects().into_iter().map(suspect_record).collect(),
+    }
+}
+
+fn suspect_record(status: SuspectStatus) -> SuspectRecord {
+    SuspectRecord {
+        key: status.key.0,
+        knowledge: match status.knowledge {
+            Knowledge::Harmless => 0,
+            Knowledge::Suspect => 1,
+            Knowledge::Deadly => 2,
+        },
+        refused_ms: u32::try_from(status.refused_for.as_millis()).unwrap_or(u32::MAX),
     }
 }
 
@@ -278,6 +314,22 @@
             None => log::warn!("peer: from={from} malformed=record"),
         }
     }
+    for SuspectRecord { key, knowledge, refused_ms } in heartbeat.suspects {
+        let knowledge = match knowledge {
+            0 => Knowledge::Harmless,
+            1 => Knowledge::Suspect,
+            2 => Knowledge::Deadly,
+            _ => {
+                log::warn!("peer: from={from} malformed=suspect");
+                continue;
+            }
+        };
+        entry.learn_suspect(SuspectStatus {
+            key: ContentKey(key),
+            knowledge,
+            refused_for: Duration::from_millis(u64::from(refused_ms)),
+        });
+    }
     let mut is_complete = true;
     let mut members = lock(&entry.members);
     for SummaryRecord { domain, digest, age } in heartbeat.summaries {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -26,6 +26,7 @@
 use crate::entry::Entry;
 use crate::sync::lock;
 use tt_serve::AttemptOutcome;
+use tt_serve::Effect;
 use tt_serve::WithheldCounts;
 
 /// Path of the metrics in the text format of Prometheus.
@@ -119,6 +120,11 @@
     counter!("entry_refused_total", "cause" => cause).increment(1);
 }
 
+/// Counts a content under which searchers have ended.
+pub(crate) fn count_suspect(effect: Effect) {
+    counter!("entry_suspects_total", "effect" => format!("{effect:?}")).increment(1);
+}
+
 pub(crate) fn count_attempt(outcome: AttemptOutcome, cause: Cause, latency: Option<Duration>) {
     counter!(
         "entry_sends_total",
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -180,6 +180,7 @@
     /// malformed.
     async fn read_parts(&self, mut body: Incoming) -> Option<()> {
         let mut received = BytesMut::new();
+        let mut ended = 0;
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.ok()?.into_data() else { continue };
             received.extend_from_slice(&data);
@@ -190,6 +191,10 @@
                     let wait = Duration::from_millis(u64::from(*wait_ms));
                     let _ = self.events.send(Event::ShardUnsent { shard, wait });
                 }
+                if message.ended > ended {
+                    let _ = self.events.send(Event::SearchersEnded(message.ended - ended));
+                    ended = message.ended;
+                }
                 let part = self.decode_part(message)?;
                 // The request may have ended without these shards.
                 let _ = self.events.send(Event::PartReceived(part));
--- a/crates/front/src/relay/message.rs
+++ b/crates/front/src/relay/message.rs
@@ -79,6 +79,9 @@
     /// Shards that were sent to no searcher, and never will be for this request.
     #[prost(message, repeated, tag = "4")]
     pub(crate) unsent: Vec<UnsentShard>,
+    /// Number of searchers that have ended under the request so far.
+    #[prost(uint32, tag = "5")]
+    pub(crate) ended: u32,
 }
 
 /// A shard that was sent to no searcher.
--- a/crates/front/src/relay/server.rs
+++ b/crates/front/src/relay/server.rs
@@ -41,8 +41,10 @@
 use crate::sync::lock;
 use tt_adapter::headers;
 use tt_serve::CompiledTarget;
+use tt_serve::ContentKey;
 use tt_serve::Plan;
 use tt_serve::RelayScope;
+use tt_serve::Trust;
 use tt_serve::Verdict;
 use tt_serve::merge_records;
 
@@ -106,6 +108,7 @@
         hedge_delay,
         cutoff: now + Duration::from_millis(u64::from(message.cutoff_ms)),
         deadline,
+        trust: Trust::Delegated,
     };
     let outgoing = OutgoingRequest {
         id: message.id.clone(),
@@ -114,6 +117,7 @@
         uri,
         headers: outgoing_headers(message)?,
         body: Bytes::from(message.body.clone()),
+        content: ContentKey::new(&message.method, &message.host, &message.target, &message.body),
         repeat: route.route.repeat,
         kind: RequestKind::Gather { max_records },
         deadline: Instant::now() + deadline.saturating_sub(now),
@@ -199,10 +203,13 @@
 ) {
     running.query.await_all();
     let entry = running.entry();
+    let mut ended = running.query.ended_count();
     while let Verdict::Wait(wake) = running.query.verdict(entry.now()) {
         running.step(wake).await;
         let response = next_response(&message, &mut running, max_records);
-        if response.shards.is_empty() && response.unsent.is_empty() {
+        let is_news = response.ended > ended;
+        ended = response.ended;
+        if response.shards.is_empty() && response.unsent.is_empty() && !is_news {
             continue;
         }
         let frame = Frame::data(Bytes::from(response.encode_length_delimited_to_vec()));
@@ -218,6 +225,11 @@
     running: &mut RunningRequest,
     max_records: usize,
 ) -> GatherResponse {
+    if running.query.all_shards_ended() && running.query.ended_count() > 0 {
+        let (effect, ended) = (running.query.effect(), running.query.ended_count());
+        let content = running.content();
+        running.entry().record_effect(&message.id, content, effect, ended);
+    }
     let parts = running.replies.parts.take_new();
     let shards = parts.iter().flat_map(|part| &part.shards);
     let signatures = parts.iter().flat_map(|part| &part.signatures);
@@ -226,6 +238,7 @@
         signatures: signatures.map(|signature| signature.as_bytes().to_vec()).collect(),
         records: merge_records(parts.iter().map(|part| part.records.as_ref()), max_records),
         unsent: unsent_shards(message, running),
+        ended: running.query.ended_count(),
     }
 }
 
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -31,12 +31,14 @@
 use tt_adapter::headers;
 use tt_serve::CompiledRoute;
 use tt_serve::CompiledTarget;
+use tt_serve::ContentKey;
 use tt_serve::Failure;
 use tt_serve::Plan;
 use tt_serve::Query;
 use tt_serve::Refusal;
 use tt_serve::RelayScope;
 use tt_serve::Time;
+use tt_serve::Trust;
 use tt_serve::Verdict;
 use tt_serve::retry_after;
 
@@ -135,7 +137,14 @@
         body: Bytes,
         timer_deadline: Instant,
     ) -> Response<Body> {
-        let Some(plan) = self.plan() else {
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+        let host = header_text(&head.headers, header::HOST.as_str()).unwrap_or_default();
+        let content = ContentKey::new(head.method.as_str(), host, target, &body);
+        let trust = match self.entry.trust(content) {
+            Ok(trust) => trust,
+            Err(refused_for) => return self.refuse_deadly(&id, content, refused_for),
+        };
+        let Some(plan) = self.plan(trust) else {
             return not_run_response(
                 &self.entry,
                 Refusal::Unserved,
@@ -153,6 +162,7 @@
             uri: head.uri,
             headers,
             body,
+            content,
             repeat: plan.repeat,
             kind: match self.route.target {
                 CompiledTarget::One(_) | CompiledTarget::Split(_) => RequestKind::One,
@@ -169,7 +179,11 @@
             shards_digest: self.route.target.shards_digest().unwrap_or(0),
             query_indices: None,
         };
-        let mut running = planned.start(RelayScope::All);
+        let mut running = planned.start(match trust {
+            Trust::Usual | Trust::Delegated => RelayScope::All,
+            // A relay would send its shards at once.
+            Trust::Trial => RelayScope::None,
+        });
         let verdict = tokio::select! {
             verdict = running.verdict() => verdict,
             // Whether it has run can't be known before the process ends.
@@ -185,7 +199,20 @@
         self.deadline.saturating_sub(self.entry.now())
     }
 
-    fn plan(&self) -> Option<Plan> {
+    /// Refuses a request whose content ends each searcher that runs it.
+    fn refuse_deadly(
+        &self,
+        id: &str,
+        content: ContentKey,
+        refused_for: Duration,
+    ) -> Response<Body> {
+        log::info!("request: id={id} outcome=refused cause=deadly content={:016x}", content.0);
+        metrics::count_refused("deadly");
+        let refusal = Refusal::Limited(refused_for);
+        not_run_response(&self.entry, refusal, "ends searchers", Some(self.time_left()))
+    }
+
+    fn plan(&self, trust: Trust) -> Option<Plan> {
         let settings = &self.entry.settings;
         let route = &self.route.route;
         let (pools, min_shards) = match &self.route.target {
@@ -201,6 +228,7 @@
             hedge_delay: usual_latency(&self.entry, &self.route),
             cutoff: self.start + route.objective.saturating_sub(self.reserve),
             deadline: self.deadline.saturating_sub(settings.deadline_margin).max(self.start),
+            trust,
         })
     }
 
@@ -213,6 +241,10 @@
     ) -> Response<Body> {
         let now = self.entry.now();
         let duration = now.saturating_sub(self.start);
+        if query.ended_count() > 0 || query.trust() == Trust::Trial {
+            let (effect, ended) = (query.effect(), query.ended_count());
+            self.entry.record_effect(&outgoing.id, outgoing.content, effect, ended);
+        }
         let last_cause = replies.last_cause;
         let (outcome, response) = match verdict {
             Verdict::Answer => ("answered", self.success_response(outgoing, query, replies)),
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -10,6 +10,7 @@
 use tt_serve::OutageSettings;
 use tt_serve::RegistrySettings;
 use tt_serve::RetryAfterSettings;
+use tt_serve::SuspectSettings;
 use tt_serve::WakeSettings;
 
 /// Settings of an entry. Only `metrics_port` comes from the command line.
@@ -23,6 +24,8 @@
     pub registry: RegistrySettings,
     /// When the store counts as having been down.
     pub outage: OutageSettings,
+    /// How long the contents of requests are remembered under which searchers have ended.
+    pub suspects: SuspectSettings,
     /// Timeouts of the other daemons, and the assumed size of the tier after a start.
     pub members: MemberSettings,
     /// Latency estimate of each route.
@@ -86,6 +89,7 @@
             fleet: FleetSettings::default(),
             registry: RegistrySettings::default(),
             outage: OutageSettings::default(),
+            suspects: SuspectSettings::default(),
             members: MemberSettings::default(),
             latency_estimate: LatencyEstimateSettings::default(),
             listing: ListingSettings::default(),
--- a/crates/front/src/status.rs
+++ b/crates/front/src/status.rs
@@ -12,6 +12,7 @@
 use tt_serve::Member;
 use tt_serve::MemberStatus;
 use tt_serve::SearcherStatus;
+use tt_serve::SuspectStatus;
 use tt_serve::TierSize;
 use tt_serve::Time;
 
@@ -49,6 +50,15 @@
         "limits": { "daemons": daemons, "domains": domains },
         "daemons": others,
         "searchers": searchers,
+        "suspects": entry.suspects().iter().map(suspect).collect::<Vec<Value>>(),
+    })
+}
+
+fn suspect(status: &SuspectStatus) -> Value {
+    json!({
+        "content": format!("{:016x}", status.key.0),
+        "knowledge": format!("{:?}", status.knowledge),
+        "refused_ms": status.refused_for.as_millis() as u64,
     })
 }
 
--- a/crates/front/tests/support/searcher.rs
+++ b/crates/front/tests/support/searcher.rs
@@ -10,6 +10,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -34,6 +35,9 @@
     CutAfter(usize),
     /// Closes the connection without an answer.
     Close,
+    /// Answers with these encoded records, but ends at a request whose head contains this text: it
+    /// closes all connections and accepts no more.
+    EndsAt(&'static str, Vec<u8>),
     /// Never answers.
     Silent,
     /// Declines the request because of overload (503, not run).
@@ -144,6 +148,7 @@
     pub address: SocketAddr,
     behavior: Arc<Mutex<Behavior>>,
     received: Arc<Mutex<Received>>,
+    ended: Arc<watch::Sender<bool>>,
 }
 
 impl Searcher {
@@ -161,12 +166,20 @@
             address: listener.local_addr().expect("an address"),
             behavior: Arc::new(Mutex::new(behavior)),
             received: Arc::default(),
+            ended: Arc::new(watch::Sender::new(false)),
         };
         searcher.register(store, pool, domain, "ready", 1);
         let serving = searcher.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serving.clone().serve(stream));
+            let mut ended = serving.ended.subscribe();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => tokio::spawn(serving.clone().serve_until_end(stream)),
+                        Err(_) => return,
+                    },
+                    _ = ended.changed() => return,
+                };
             }
         });
         searcher
@@ -236,11 +249,24 @@
         self.received.lock().expect("no holder panics").closed_count
     }
 
+    async fn serve_until_end(self, stream: TcpStream) {
+        let mut ended = self.ended.subscribe();
+        tokio::select! {
+            () = self.clone().serve(stream) => {}
+            _ = ended.wait_for(|ended| *ended) => {}
+        }
+    }
+
+    /// Whether a request has ended it.
+    pub fn has_ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+
     async fn serve(self, mut stream: TcpStream) {
         while let Some(head) = read_head(&mut stream).await {
             let id = header_value(&head, "x-request-id").unwrap_or_default();
             let behavior = self.behavior.lock().expect("no holder panics").clone();
-            self.record(&id, head, &behavior);
+            self.record(&id, head.clone(), &behavior);
             let bytes = match &behavior {
                 Behavior::Endless(endless) => {
                     let (start, piece) = endless.bytes(&self.head(&id), self.answer(&id, &[7; 64]));
@@ -251,7 +277,11 @@
                     self.received.lock().expect("no holder panics").closed_count += 1;
                     return;
                 }
-                Behavior::Answer(body) => self.answer(&id, body),
+                Behavior::EndsAt(text, _) if head.contains(text) => {
+                    self.ended.send_replace(true);
+                    return;
+                }
+                Behavior::Answer(body) | Behavior::EndsAt(_, body) => self.answer(&id, body),
                 Behavior::AnswerWith(line, body) => {
                     let head = format!("{}{line}\r\n", self.head(&id));
                     let length = format!("Content-Length: {}\r\n\r\n", body.len());
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -296,6 +296,11 @@
         self.pool_searchers(pool).any(|(_, tracked)| tracked.is_open(now))
     }
 
+    /// Number of searchers of the pool that are ready and count neither as unreachable nor as moved.
+    pub fn open_count(&self, pool: PoolKey, now: Time) -> usize {
+        self.pool_searchers(pool).filter(|(_, tracked)| tracked.is_open(now)).count()
+    }
+
     /// Whether the pool has a searcher in `domain` that is registered as ready.
     pub fn has_ready_in(&self, pool: PoolKey, domain: &str) -> bool {
         self.pool_searchers(pool)
--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -3,6 +3,8 @@
 //! A request over many shards and a request to a single searcher differ only in the number of
 //! pools and in how many of them must answer.
 
+mod pace;
+
 use std::time::Duration;
 
 use crate::Time;
@@ -15,6 +17,8 @@
 use crate::retry_after::Refusal;
 use crate::routes::PoolRole;
 
+pub use pace::Effect;
+
 /// The parameters of a request.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -32,6 +36,20 @@
     pub cutoff: Time,
     /// When the request fails if it has not been answered.
     pub deadline: Time,
+    /// How much may be sent at once.
+    pub trust: Trust,
+}
+
+/// How much of a request may be sent at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trust {
+    /// All its shards.
+    Usual,
+    /// One attempt, until a searcher has survived it: others have ended under earlier requests with
+    /// the same content.
+    Trial,
+    /// All of them, for another daemon that has the whole request.
+    Delegated,
 }
 
 /// An attempt that is to be made.
@@ -58,6 +76,8 @@
     Failed,
     /// It may have run: the connection broke, or there was no valid answer.
     Unknown,
+    /// It may have run, and its searcher has ended meanwhile.
+    Ended,
 }
 
 /// Why a request failed.
@@ -107,6 +127,8 @@
     in_flight: u32,
     /// When the next hedge is due.
     hedge_at: Time,
+    /// When an attempt that was held back is due; [`Time::MAX`] if there is none.
+    resume_at: Time,
     phase: Phase,
 }
 
@@ -131,6 +153,16 @@
     /// The last failure that rules out [`Failure::NotRun`]; `NotRun` if there was none.
     failure: Failure,
     hedges: u32,
+    /// Whether searchers have ended under requests with the same content.
+    suspected: bool,
+    /// Searchers that have ended under it.
+    ended: u32,
+    /// Whether a searcher has run it to an end.
+    survived: bool,
+    /// Shard of the attempt that is made alone, since searchers have ended under it.
+    probe: Option<usize>,
+    /// Whether a searcher has ended under such an attempt.
+    deadly: bool,
 }
 
 impl Query {
@@ -143,10 +175,24 @@
             runs: 0,
             in_flight: 0,
             hedge_at: Time::MAX,
+            resume_at: Time::MAX,
             phase: Phase::Open,
         });
         let shards = shards.collect();
-        Query { plan, shards, answered: 0, failed: 0, failure: Failure::NotRun, hedges: 0 }
+        let suspected = plan.trust == Trust::Trial;
+        Query {
+            plan,
+            shards,
+            answered: 0,
+            failed: 0,
+            failure: Failure::NotRun,
+            hedges: 0,
+            suspected,
+            ended: 0,
+            survived: false,
+            probe: None,
+            deadly: false,
+        }
     }
 
     /// Number of hedges so far.
@@ -198,6 +244,7 @@
                 state.runs = self.plan.max_attempts;
                 state.phase = Phase::Answered;
                 self.answered += 1;
+                self.survived = true;
             }
         }
     }
@@ -288,11 +335,17 @@
             if self.shards[shard].phase == Phase::Delegated {
                 continue;
             }
+            if self.plan.trust == Trust::Trial {
+                self.shards[shard].resume_at = now;
+                continue;
+            }
             match self.plan_attempt(shard, fleet, now) {
                 Some(attempt) => attempts.push(attempt),
                 None => self.fail(shard),
             }
         }
+        // Only first attempts are due, which take nothing from a retry budget.
+        attempts.extend(self.resume(fleet, &mut |_| true, now));
         // A relay would send these to no searcher.
         let is_unsent = |it: &&Shard| it.phase == Phase::Delegated && fleet.is_unsent(it.pool, now);
         let unsent = self.shards.iter().filter(is_unsent).count();
@@ -325,8 +378,16 @@
     {
         let state = &mut self.shards[shard];
         state.in_flight = state.in_flight.saturating_sub(1);
+        if outcome == AttemptOutcome::Ended {
+            self.record_end(shard);
+        }
+        if self.probe == Some(shard) {
+            self.probe = None;
+        }
+        let state = &mut self.shards[shard];
         match outcome {
             AttemptOutcome::Answer => {
+                self.survived = true;
                 if state.phase == Phase::Answered {
                     return None;
                 }
@@ -338,16 +399,21 @@
                 return None;
             }
             AttemptOutcome::NotSent | AttemptOutcome::Refused => state.runs -= 1,
-            AttemptOutcome::Failed => self.failure = Failure::Failed,
-            AttemptOutcome::Unknown => self.failure = Failure::Unknown,
+            AttemptOutcome::Failed => {
+                self.survived = true;
+                self.failure = Failure::Failed;
+            }
+            AttemptOutcome::Unknown | AttemptOutcome::Ended => self.failure = Failure::Unknown,
         }
         if state.phase != Phase::Open {
             return None;
         }
-        let max_tried = self.plan.max_attempts + MAX_SPARE_ATTEMPTS;
-        let pool = state.pool;
-        let has_attempt =
-            state.tried.len() < max_tried as usize && state.runs < self.plan.max_attempts;
+        if self.is_suspect() && self.plan.repeat == RepeatPolicy::Idempotent {
+            self.shards[shard].resume_at = now;
+            return self.resume(fleet, &mut take_extra, now).pop();
+        }
+        let pool = self.shards[shard].pool;
+        let has_attempt = self.has_attempt(shard);
         // Nothing is taken from the budget if no searcher accepts the attempt.
         let allowed = has_attempt
             && self.has_candidate(shard, fleet, now)
@@ -377,18 +443,23 @@
     where
         F: FnMut(PoolKey) -> bool,
     {
-        let mut attempts = Vec::new();
+        let mut attempts = self.resume(fleet, &mut take_extra, now);
         if self.plan.repeat == RepeatPolicy::AtMostOnce {
             return attempts;
         }
         let late = self.shards.iter().filter(|it| it.phase == Phase::Open).count();
-        let max_late = (self.shards.len() as f64 * MAX_STRAGGLER_RATIO).ceil() as usize;
+        let max_late = match self.survived {
+            true => (self.shards.len() as f64 * MAX_STRAGGLER_RATIO).ceil() as usize,
+            // If none of several searchers has answered, the cause is not a single one either.
+            false => 1,
+        };
+        let is_suspect = self.is_suspect();
         for shard in 0..self.shards.len() {
             let state = &mut self.shards[shard];
             if state.phase != Phase::Open || state.hedge_at > now {
                 continue;
             }
-            if late > max_late {
+            if late > max_late || is_suspect {
                 state.hedge_at = now + HEDGE_RETRY_DELAY;
                 continue;
             }
@@ -446,7 +517,8 @@
         let open = self.shards.iter().filter(|it| it.phase == Phase::Open);
         let hedge = open.map(|it| it.hedge_at).min().unwrap_or(Time::MAX);
         let cutoff = if enough { self.plan.cutoff } else { Time::MAX };
-        Verdict::Wait(hedge.min(cutoff).min(self.plan.deadline))
+        let next = hedge.min(self.resume_at());
+        Verdict::Wait(next.min(cutoff).min(self.plan.deadline))
     }
 
     /// Why the request fails. [`Failure::NotRun`] is a promise to the caller, so it is given only
@@ -460,6 +532,13 @@
         }
     }
 
+    /// Whether a further attempt of a shard is allowed.
+    fn has_attempt(&self, shard: usize) -> bool {
+        let state = &self.shards[shard];
+        let max_tried = self.plan.max_attempts + MAX_SPARE_ATTEMPTS;
+        state.tried.len() < max_tried as usize && state.runs < self.plan.max_attempts
+    }
+
     /// Whether a searcher that was not tried yet accepts an attempt of a shard.
     fn has_candidate(&self, shard: usize, fleet: &mut Fleet, now: Time) -> bool {
         let Shard { pool, role, tried, .. } = &self.shards[shard];
@@ -486,6 +565,10 @@
         state.runs += 1;
         state.in_flight += 1;
         state.hedge_at = now + hedge_delay;
+        state.resume_at = Time::MAX;
+        if self.is_suspect() {
+            self.probe = Some(shard);
+        }
         Some(PlannedAttempt { shard, searcher, kind })
     }
 
--- a/crates/serve/tests/query.rs
+++ b/crates/serve/tests/query.rs
@@ -16,6 +16,7 @@
 use tt_serve::Query;
 use tt_serve::Refusal;
 use tt_serve::RepeatPolicy;
+use tt_serve::Trust;
 use tt_serve::Verdict;
 
 const HEDGE_DELAY: Duration = Duration::from_millis(20);
@@ -41,6 +42,7 @@
         hedge_delay: HEDGE_DELAY,
         cutoff: ms(88),
         deadline: ms(590),
+        trust: Trust::Usual,
     }
 }
 
--- a/crates/serve/tests/stated_limits.rs
+++ b/crates/serve/tests/stated_limits.rs
@@ -32,6 +32,7 @@
 use tt_serve::StatedRate;
 use tt_serve::Statement;
 use tt_serve::Time;
+use tt_serve::Trust;
 use tt_serve::Verdict;
 use tt_serve::Vm;
 use tt_serve::retry_after;
@@ -278,6 +279,7 @@
         hedge_delay: ms(20),
         cutoff: ms(88),
         deadline: ms(590),
+        trust: Trust::Usual,
     }
 }
 
--- a/crates/serve/tests/stated_rest.rs
+++ b/crates/serve/tests/stated_rest.rs
@@ -29,6 +29,7 @@
 use tt_serve::StatedRest;
 use tt_serve::Statement;
 use tt_serve::Time;
+use tt_serve::Trust;
 use tt_serve::Verdict;
 use tt_serve::retry_after;
 
@@ -227,6 +228,7 @@
         hedge_delay: ms(20),
         cutoff: ms(88),
         deadline: ms(590),
+        trust: Trust::Usual,
     };
     let mut query = Query::new(plan);
     assert!(query.start(&mut fleet, ms(0)).is_empty());
