fix: do not wake up for hedges of requests that may run once

Cause: the verdict names the time of the next hedge, which is never made for such requests and never moved.

Change: their attempts plan no hedge. The new property test of random histories fails before (minimal case: two shards, one attempt) and finds no other wake-up without effect.

--- a/crates/serve/src/query.rs
+++ b/crates/serve/src/query.rs
@@ -564,7 +564,10 @@
         state.tried.push(searcher.key);
         state.runs += 1;
         state.in_flight += 1;
-        state.hedge_at = now + hedge_delay;
+        state.hedge_at = match self.plan.repeat {
+            RepeatPolicy::Idempotent => now + hedge_delay,
+            RepeatPolicy::AtMostOnce => Time::MAX,
+        };
         state.resume_at = Time::MAX;
         if self.is_suspect() {
             self.probe = Some(shard);
