fix: follow a searcher that starts again with an earlier start time

Cause: a record with an earlier born than the known one is taken for a delayed heartbeat of an earlier start, for good.

Change: it is, until heartbeats with that born advance. A delayed heartbeat is read once; the guard against it is unchanged and tested. Weighed: the revision at which the registration was created (the same after a quick restart), the order of reads alone (a delayed write of an earlier start would win for a heartbeat).

--- a/crates/serve/src/registry.rs
+++ b/crates/serve/src/registry.rs
@@ -86,6 +86,8 @@
 struct KnownSearcher {
     record: SearcherRecord,
     key: SearcherKey,
+    /// The latest record with an earlier start than `record`.
+    earlier: Option<SearcherRecord>,
 }
 
 /// The registered searchers, by id.
@@ -159,7 +161,10 @@
                 return;
             }
             match compare(&known.record, &record) {
-                Relation::Stale => return,
+                Relation::Stale if !is_advancing(known.earlier.as_ref(), &record) => {
+                    known.earlier = Some(record);
+                    return;
+                }
                 Relation::Same => {
                     if known.record.state != record.state {
                         changes.push(format!(
@@ -171,9 +176,10 @@
                     let alive = record.sequence > known.record.sequence;
                     fleet.update(known.key, ready, now + record.cold_left, alive);
                     known.record = record;
+                    known.earlier = None;
                     return;
                 }
-                Relation::Restarted => {
+                Relation::Stale | Relation::Restarted => {
                     let was_leaving = known.record.state == SearcherState::Draining;
                     fleet.remove(known.key, now);
                     former = Some((known.key, Succession::NewStart { began_after, was_leaving }));
@@ -197,7 +203,7 @@
         if let Some((former, succession)) = former {
             fleet.inherit(key, former, succession);
         }
-        self.known.insert(record.id.clone(), KnownSearcher { record, key });
+        self.known.insert(record.id.clone(), KnownSearcher { record, key, earlier: None });
     }
 }
 
@@ -232,6 +238,17 @@
     }
 }
 
+/// Whether a record with an earlier start than the known one comes from a searcher that runs: its
+/// heartbeats advance, so the time of day of its machine has gone back before it started again. A
+/// delayed heartbeat of an earlier start is read once.
+fn is_advancing(before: Option<&SearcherRecord>, new: &SearcherRecord) -> bool {
+    before.is_some_and(|before| {
+        before.started_unix_ms.is_some()
+            && before.started_unix_ms == new.started_unix_ms
+            && before.sequence < new.sequence
+    })
+}
+
 /// Compares a record with the known one of the same id. A delayed heartbeat must not undo what a
 /// later one has reported.
 fn compare(known: &SearcherRecord, new: &SearcherRecord) -> Relation {
--- a/crates/serve/tests/registry.rs
+++ b/crates/serve/tests/registry.rs
@@ -61,6 +61,25 @@
     assert!(!has_open(&mut fleet));
 }
 
+// Guards against a searcher that stays known as it was, its drain included, because it has started
+// again after the time of day of its machine had gone back (review, "restart").
+#[test]
+fn a_restart_with_an_earlier_start_time_is_followed_once_its_heartbeats_advance() {
+    let (mut fleet, mut registry) = (fleet(), registry());
+    let adopt = |registry: &mut Registry, fleet: &mut Fleet, record, at| {
+        registry.adopt(fleet, vec![record], EarlierReads::default(), ms(at));
+    };
+    adopt(&mut registry, &mut fleet, record("s", 9), 0);
+    let restarted =
+        |sequence| SearcherRecord { started_unix_ms: Some(900), ..record("s", sequence) };
+    adopt(&mut registry, &mut fleet, restarted(1), 1000);
+    let drained = SearcherRecord { state: SearcherState::Draining, ..restarted(2) };
+    adopt(&mut registry, &mut fleet, drained, 2000);
+    assert!(!has_open(&mut fleet));
+    adopt(&mut registry, &mut fleet, restarted(3), 3000);
+    assert!(has_open(&mut fleet));
+}
+
 // Guards against using the failures and latency of an earlier incarnation for a new one.
 #[test]
 fn a_restarted_searcher_is_a_new_incarnation() {
