fix: try a content at once after a single searcher has ended under it

Change: it is refused if several searchers have ended under one request, else tried at one searcher. A trial without an outcome (refused, late) no longer counts as survived. A second deadly trial is told to the other daemons, which would each have made their own.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -427,7 +427,7 @@
 
     /// Records what the request `id` with this content has done to `ended` searchers.
     pub(crate) fn record_effect(&self, id: &str, content: ContentKey, effect: Effect, ended: u32) {
-        if !lock(&self.suspects).record(content, effect, self.now()) {
+        if !lock(&self.suspects).record(content, effect, ended, self.now()) {
             return;
         }
         metrics::count_suspect(effect);
--- a/crates/front/src/execution.rs
+++ b/crates/front/src/execution.rs
@@ -219,7 +219,7 @@
             Ok(None) => Vec::new(),
             Err(_) => {
                 if entry.trust(self.content()) != Ok(Trust::Usual) {
-                    self.query.suspect();
+                    self.query.mark_suspect();
                 }
                 let take_extra = |pool| entry.try_take_extra_attempt(pool);
                 self.query.hedge(&mut lock(&entry.fleet), take_extra, entry.now())
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -241,7 +241,7 @@
     ) -> Response<Body> {
         let now = self.entry.now();
         let duration = now.saturating_sub(self.start);
-        if query.ended_count() > 0 || query.trust() == Trust::Trial {
+        if query.is_telling() {
             let (effect, ended) = (query.effect(), query.ended_count());
             self.entry.record_effect(&outgoing.id, outgoing.content, effect, ended);
         }
--- a/crates/front/tests/deadly.rs
+++ b/crates/front/tests/deadly.rs
@@ -102,10 +102,8 @@
     for path in ["/one/deadly?a=1", "/once/deadly"] {
         let tier = Tier::start().await;
         assert_eq!(tier.entries[0].ask(path, "first").await.status, 502);
-        let ended = tier.ended_count();
-        assert!(ended <= 2, "{ended} searchers have ended");
         assert_eq!(tier.repeat(path).await.status, 503);
-        assert_eq!(tier.ended_count(), ended);
+        assert_eq!(tier.ended_count(), 2);
         assert_eq!(tier.entries[0].ask("/all/other", "other").await.status, 200);
     }
 }
--- a/crates/serve/src/query/pace.rs
+++ b/crates/serve/src/query/pace.rs
@@ -9,6 +9,7 @@
 use super::Phase;
 use super::PlannedAttempt;
 use super::Query;
+use super::Shard;
 use super::Trust;
 use crate::Time;
 use crate::fleet::Fleet;
@@ -38,9 +39,10 @@
         }
     }
 
-    /// How much of the request might be sent at once at its start.
-    pub fn trust(&self) -> Trust {
-        self.plan.trust
+    /// Whether what it has done tells anything of its content: searchers have ended under it, or one
+    /// has survived a trial.
+    pub fn is_telling(&self) -> bool {
+        self.ended > 0 || (self.plan.trust == Trust::Trial && self.survived)
     }
 
     /// Number of searchers that have ended under the request, as far as is known here.
@@ -49,7 +51,7 @@
     }
 
     /// Records that searchers have ended under other requests with the same content.
-    pub fn suspect(&mut self) {
+    pub fn mark_suspect(&mut self) {
         self.suspected = true;
     }
 
@@ -73,7 +75,7 @@
 
     /// Whether attempts must wait for the outcome of those that are under way.
     fn is_held(&self) -> bool {
-        let is_under_way = |it: &super::Shard| it.in_flight > 0 || it.phase == Phase::Delegated;
+        let is_under_way = |it: &Shard| it.in_flight > 0 || it.phase == Phase::Delegated;
         self.is_suspect() && self.shards.iter().any(is_under_way)
     }
 
--- a/crates/serve/src/suspects.rs
+++ b/crates/serve/src/suspects.rs
@@ -1,9 +1,9 @@
 //! Contents of requests under which searchers have ended, as the daemons tell one another.
 //!
 //! A request is known by its content, since callers repeat it under another id and at another daemon.
-//! Once searchers have ended under one and none has survived it, others with its content are refused
-//! until these searchers may have started again. Then one is tried at a single searcher. If that one
-//! ends too, they are refused for longer.
+//! Once several searchers have ended under one and none has survived it, others with its content are
+//! refused until these searchers may have started again. Then, or at once if only one has ended, one
+//! is tried at a single searcher. If that one ends too, they are refused for longer.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -21,8 +21,8 @@
 pub struct SuspectSettings {
     /// How long requests with a deadly content are refused. Then one is tried again.
     pub refusal_period: Duration,
-    /// How long requests with a suspect content are refused: about the time in which searchers that
-    /// have ended are registered again.
+    /// How long requests with a content are refused under which several searchers have ended: about
+    /// the time in which these are registered again.
     pub hold_period: Duration,
     /// How long a content is tried at one searcher first, after searchers have ended under it.
     pub trial_period: Duration,
@@ -119,25 +119,30 @@
         }
     }
 
-    /// Records what a request with this content has done. Returns whether that changes what is known
-    /// and other daemons must be told.
-    pub fn record(&mut self, key: ContentKey, effect: Effect, now: Time) -> bool {
-        let known = self.records.get(&key).map(|it| it.knowledge);
+    /// Records what a request with this content has done to `ended` searchers. Returns whether that
+    /// changes what is known and other daemons must be told.
+    pub fn record(&mut self, key: ContentKey, effect: Effect, ended: u32, now: Time) -> bool {
+        let known = self.records.get(&key).filter(|it| !self.is_forgotten(it, now));
+        let is_refused = known.is_some_and(|it| it.refused_until > now);
+        let known = known.map(|it| it.knowledge);
+        // A single searcher may have ended by itself.
+        let is_held = ended > 1;
         let knowledge = match (effect, known) {
             (Effect::Harmless, None | Some(Knowledge::Harmless)) => return false,
             (Effect::Harmless, Some(Knowledge::Suspect | Knowledge::Deadly)) => Knowledge::Harmless,
             // A request that was under way when the content was found to be deadly.
-            (Effect::Suspect, Some(Knowledge::Suspect | Knowledge::Deadly)) => return false,
+            (Effect::Suspect, Some(Knowledge::Deadly)) => return false,
+            (Effect::Suspect, Some(Knowledge::Suspect)) if is_refused || !is_held => return false,
             (Effect::Suspect, _) => Knowledge::Suspect,
             (Effect::Deadly, _) => Knowledge::Deadly,
         };
         let refused_for = match knowledge {
             Knowledge::Deadly => self.settings.refusal_period,
-            Knowledge::Suspect => self.settings.hold_period,
-            Knowledge::Harmless => Duration::ZERO,
+            Knowledge::Suspect if is_held => self.settings.hold_period,
+            Knowledge::Suspect | Knowledge::Harmless => Duration::ZERO,
         };
         self.insert(SuspectStatus { key, knowledge, refused_for }, now);
-        known != Some(knowledge)
+        known != Some(knowledge) || !refused_for.is_zero()
     }
 
     /// Applies what another daemon tells. Returns whether that is new and others must be told.
@@ -148,12 +153,11 @@
             (_, Knowledge::Harmless) => false,
             (None, _) => true,
             // A searcher that has survived it here outweighs others that have ended.
-            (Some(_), Knowledge::Suspect) => false,
-            (
-                Some(Record { knowledge: Knowledge::Deadly, refused_until, .. }),
-                Knowledge::Deadly,
-            ) => *refused_until <= now && told.refused_for > self.settings.tell_period,
-            (Some(_), Knowledge::Deadly) => true,
+            (Some(Record { knowledge: Knowledge::Harmless, .. }), Knowledge::Suspect) => false,
+            (Some(known), _) if known.knowledge == told.knowledge => {
+                known.refused_until <= now && told.refused_for > self.settings.tell_period
+            }
+            (Some(known), _) => known.knowledge < told.knowledge,
         };
         if !is_news {
             return false;
--- a/crates/serve/tests/deadly.rs
+++ b/crates/serve/tests/deadly.rs
@@ -146,6 +146,7 @@
     let first = setup.start();
     assert_eq!(first.len(), 1);
     assert!(setup.wake(ms(25)).is_empty(), "no hedge");
+    assert!(!setup.query.is_telling(), "it may still end");
     let mut deadly = Setup::new(SHARDS, Trust::Trial);
     let only = deadly.start()[0].shard;
     assert_eq!(deadly.outcome(only, AttemptOutcome::Ended, ms(9)), None);
@@ -208,7 +209,7 @@
     for shard in 1..SHARDS {
         setup.outcome(shard, AttemptOutcome::Refused, ms(1));
     }
-    setup.query.suspect();
+    setup.query.mark_suspect();
     for step in 0..50 {
         assert!(setup.wake(ms(20 + 10 * step)).is_empty(), "{step}");
     }
@@ -225,18 +226,44 @@
     let settings = SuspectSettings::default();
     let mut suspects = Suspects::new(settings);
     assert_eq!(suspects.trust(key(1), ms(0)), Ok(Trust::Usual));
-    assert!(suspects.record(key(1), Effect::Suspect, ms(0)));
-    assert!(!suspects.record(key(1), Effect::Suspect, ms(100)), "the others know it");
+    assert!(suspects.record(key(1), Effect::Suspect, 2, ms(0)));
+    assert!(!suspects.record(key(1), Effect::Suspect, 2, ms(100)), "the others know it");
     assert_eq!(suspects.trust(key(1), ms(1000)), Err(settings.hold_period - ms(1000)));
     assert_eq!(suspects.trust(key(2), ms(1000)), Ok(Trust::Usual), "others are served");
     let tried_at = settings.hold_period;
     assert_eq!(suspects.trust(key(1), tried_at), Ok(Trust::Trial));
-    assert!(suspects.record(key(1), Effect::Deadly, tried_at));
+    assert!(suspects.record(key(1), Effect::Deadly, 2, tried_at));
     assert_eq!(suspects.trust(key(1), tried_at), Err(settings.refusal_period));
     let again = tried_at + settings.refusal_period;
     assert_eq!(suspects.trust(key(1), again), Ok(Trust::Trial));
-    assert!(suspects.record(key(1), Effect::Harmless, again));
+    assert!(suspects.record(key(1), Effect::Deadly, 2, again), "the others would try it too");
+    assert_eq!(suspects.trust(key(1), again), Err(settings.refusal_period));
+    let again = again + settings.refusal_period;
+    assert!(suspects.record(key(1), Effect::Harmless, 2, again));
     assert_eq!(suspects.trust(key(1), again), Ok(Trust::Usual));
+    suspects.record(key(1), Effect::Suspect, 2, again);
+    let forgotten = again + settings.trial_period;
+    assert_eq!(suspects.trust(key(1), forgotten), Ok(Trust::Usual));
+    assert!(suspects.record(key(1), Effect::Suspect, 2, forgotten));
+}
+
+// Guards against refusing all requests with one content, maybe all of a route, since one searcher has
+// ended by itself.
+#[test]
+fn a_content_is_tried_at_once_after_a_single_searcher_has_ended() {
+    let settings = SuspectSettings::default();
+    let (mut here, mut there) = (Suspects::new(settings), Suspects::new(settings));
+    assert!(here.record(key(1), Effect::Suspect, 1, ms(0)));
+    assert!(there.learn(here.told(ms(1))[0], ms(2)));
+    for suspects in [&here, &there] {
+        assert_eq!(suspects.trust(key(1), ms(2)), Ok(Trust::Trial));
+    }
+    // Another request was under way, and more searchers have ended.
+    assert!(here.record(key(1), Effect::Suspect, 3, ms(3)));
+    assert!(there.learn(here.told(ms(4))[0], ms(5)));
+    for suspects in [&here, &there] {
+        assert!(suspects.trust(key(1), ms(5)).is_err());
+    }
 }
 
 // Guards against a content that stays a suspect though a searcher has survived it, here or
@@ -245,10 +272,10 @@
 fn a_content_that_a_searcher_has_survived_is_no_suspect_on_any_daemon() {
     let (mut here, mut there) =
         (Suspects::new(SuspectSettings::default()), Suspects::new(SuspectSettings::default()));
-    here.record(key(1), Effect::Suspect, ms(0));
+    here.record(key(1), Effect::Suspect, 2, ms(0));
     assert!(there.learn(here.told(ms(1))[0], ms(2)));
     assert!(there.trust(key(1), ms(2)).is_err());
-    here.record(key(1), Effect::Harmless, ms(10));
+    here.record(key(1), Effect::Harmless, 2, ms(10));
     assert!(there.learn(here.told(ms(11))[0], ms(12)));
     assert_eq!(there.trust(key(1), ms(12)), Ok(Trust::Usual));
     // A message that was sent earlier arrives late.
@@ -262,7 +289,7 @@
 fn what_daemons_tell_one_another_ends() {
     let settings = SuspectSettings::default();
     let mut daemons = [Suspects::new(settings), Suspects::new(settings)];
-    daemons[0].record(key(1), Effect::Deadly, ms(0));
+    daemons[0].record(key(1), Effect::Deadly, 2, ms(0));
     let mut last_change = ms(0);
     for step in 0..10_000_u64 {
         let now = ms(10 * step);
@@ -284,7 +311,7 @@
     let settings = SuspectSettings::default();
     let mut suspects = Suspects::new(settings);
     for value in 0..3000 {
-        suspects.record(key(value), Effect::Suspect, ms(value));
+        suspects.record(key(value), Effect::Suspect, 2, ms(value));
     }
     let now = ms(3000);
     assert_eq!(suspects.status(now).len(), settings.max_contents);
