--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -217,7 +217,7 @@
     R: Rng,
 {
     let Behavior::Answer(body) = normal_behavior else { return normal_behavior.clone() };
-    match rng.random_range(0..8) {
+    match rng.random_range(0..9) {
         0 => Behavior::AnswerTwice(body.clone()),
         1 => Behavior::OtherId,
         2 => Behavior::CutShort,
@@ -225,6 +225,7 @@
         4 => Behavior::Silent,
         5 => Behavior::Shed,
         6 => Behavior::Fail,
+        7 => Behavior::FailWith(429),
         _ => Behavior::Moved,
     }
 }
