--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -420,7 +420,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with the time for which it is refused, since it ends each searcher that runs it.
+    /// Fails with the time for which it is refused, since it ends the searchers that run it.
     pub(crate) fn trust(&self, content: ContentKey) -> Result<Trust, Duration> {
         lock(&self.suspects).trust(content, self.now())
     }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -199,7 +199,7 @@
         self.deadline.saturating_sub(self.entry.now())
     }
 
-    /// Refuses a request whose content ends each searcher that runs it.
+    /// Refuses a request whose content is known to end searchers, or is suspected of it.
     fn refuse_deadly(
         &self,
         id: &str,
--- a/crates/front/tests/deadly.rs
+++ b/crates/front/tests/deadly.rs
@@ -95,6 +95,15 @@
     }
 }
 
+// Guards against a query that ends more searchers than the three that the users' issue allows.
+#[tokio::test]
+async fn deadly_query_over_many_shards_ends_three_searchers_at_most() {
+    let tier = Tier::start().await;
+    tier.entries[0].ask("/all/deadly", "first").await;
+    let ended = tier.ended_count();
+    assert!(ended <= 3, "{ended} searchers have ended");
+}
+
 // Guards against a request to one searcher that ends all of its pool, and against other requests
 // that are refused after it.
 #[tokio::test]
--- a/crates/serve/src/suspects.rs
+++ b/crates/serve/src/suspects.rs
@@ -67,7 +67,7 @@
     Harmless,
     /// Searchers have ended under it.
     Suspect,
-    /// One more has ended when it was tried alone. Requests with it are refused.
+    /// One more has ended when it was tried alone.
     Deadly,
 }
 
@@ -107,7 +107,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with that time if the content is deadly.
+    /// Fails with that time if the content is deadly, or if several searchers have just ended under it.
     pub fn trust(&self, key: ContentKey, now: Time) -> Result<Trust, Duration> {
         let record = self.records.get(&key).filter(|it| !self.is_forgotten(it, now));
         match record {
