feat: log and count how entries catch up with a configuration

Nothing told whether an entry that serves an old version has heard of a later one, what it has tried to get it, or how much of a view arrived before its fetch was given up.

* `config: state=behind` once a second from a second behind on, with the newest version, the failed fetches, the rank, and the ages of the listing and of the last answer of the store about the configuration; `behind_ms` where a version comes into force.
* `peer: view` lines of failed fetches tell what was wanted, what arrived and how long it took.
* entry_config_behind_seconds, entry_views_total, entry_view_bytes_total, entry_views_served_total, entry_view_bytes_served_total.

When something is fetched, from whom and with which timeout is as before.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -33,6 +33,7 @@
 use tt_adapter::Boot;
 use tt_serve::Allowances;
 use tt_serve::CallerWait;
+use tt_serve::CatchUp;
 use tt_serve::Config;
 use tt_serve::ConfigProof;
 use tt_serve::ContentKey;
@@ -116,6 +117,8 @@
     requires_evacuations: bool,
     /// Allowances of organisations over all daemons.
     pub(crate) allowances: Mutex<Allowances>,
+    /// Whether other daemons have a later configuration.
+    pub(crate) catch_up: Mutex<CatchUp>,
     /// When this daemon last heard from the store about the configuration.
     config_read_at: Mutex<Option<Time>>,
     /// The last part of the limits of the tier that was logged.
@@ -214,6 +217,7 @@
             evacuations: Mutex::new(Evacuations::default()),
             requires_evacuations,
             allowances: Mutex::new(allowances),
+            catch_up: Mutex::new(CatchUp::new(settings.catch_up)),
             config_read_at: Mutex::new(None),
             logged_share: Mutex::new(None),
             config_proof: Mutex::new(ConfigProof::new(
@@ -284,7 +288,11 @@
         lock(&self.allowances).set_limits(organisations, self.now());
         *active = Some(Arc::new(ActiveConfig { table, bytes }));
         drop(active);
-        log::info!("config: version={version} before={before} source={source} in_force=true");
+        let behind_ms = lock(&self.catch_up).behind_for(self.now()).as_millis();
+        log::info!(
+            "config: version={version} before={before} source={source} in_force=true \
+             behind_ms={behind_ms}"
+        );
         if ignored_keys > 0 {
             log::warn!("config: version={version} ignored_keys={ignored_keys}");
         }
@@ -380,6 +388,11 @@
         *lock(&self.config_read_at) = Some(read_at);
     }
 
+    /// When this daemon last heard from the store about the configuration.
+    pub(crate) fn last_config_read(&self) -> Option<Time> {
+        *lock(&self.config_read_at)
+    }
+
     /// Records that the process runs, and notices a pause that has just ended. To be called at short
     /// intervals.
     pub(crate) fn observe_life(&self) {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -88,6 +88,8 @@
     loop {
         let now = entry.now();
         gauge!("entry_config_version").set(entry.config_version() as f64);
+        let behind = lock(&entry.catch_up).behind_for(now);
+        gauge!("entry_config_behind_seconds").set(behind.as_secs_f64());
         if let Some(read_at) = entry.listing_read_at() {
             gauge!("entry_listing_age_seconds").set(now.saturating_sub(read_at).as_secs_f64());
         }
@@ -203,6 +205,20 @@
     counter!("entry_config_proofs_total", "source" => source).increment(1);
 }
 
+/// Counts a view that was fetched from a peer, or could not be, and the bytes that arrived.
+pub(crate) fn count_view(is_fetched: bool, bytes: usize) {
+    let outcome = if is_fetched { "fetched" } else { "failed" };
+    counter!("entry_views_total", "outcome" => outcome).increment(1);
+    counter!("entry_view_bytes_total", "outcome" => outcome).increment(bytes as u64);
+}
+
+/// Counts a view that was sent to a peer, with or without the configuration.
+pub(crate) fn count_served_view(has_config: bool, bytes: usize) {
+    let content = if has_config { "config" } else { "listing" };
+    counter!("entry_views_served_total", "content" => content).increment(1);
+    counter!("entry_view_bytes_served_total", "content" => content).increment(bytes as u64);
+}
+
 /// Counts a request or connection that was refused or closed to make room at an interface.
 pub(crate) fn count_memory_event(interface: &'static str, cause: &'static str) {
     counter!("entry_memory_events_total", "interface" => interface, "cause" => cause).increment(1);
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -4,6 +4,7 @@
 
 use tt_serve::CallerMemorySettings;
 use tt_serve::CallerWaitSettings;
+use tt_serve::CatchUpSettings;
 use tt_serve::ConfigProofSettings;
 use tt_serve::CostSettings;
 use tt_serve::FleetSettings;
@@ -49,9 +50,8 @@
     pub lease_ttl: Duration,
     /// Interval between two heartbeats to other daemons.
     pub heartbeat_interval: Duration,
-    /// How long a daemon waits for its own watch to deliver a newer configuration before it
-    /// fetches that from a peer.
-    pub peer_fetch_delay: Duration,
+    /// When a daemon that lacks the newest configuration does more to get it.
+    pub catch_up: CatchUpSettings,
     /// Timeout for opening a connection to a searcher or a peer.
     pub connect_timeout: Duration,
     /// How long an attempt may continue after its request has ended: its answer still shows how
@@ -108,7 +108,7 @@
             watch_timeout: Duration::from_millis(2500),
             lease_ttl: Duration::from_secs(12),
             heartbeat_interval: Duration::from_millis(400),
-            peer_fetch_delay: Duration::from_millis(400),
+            catch_up: CatchUpSettings::default(),
             connect_timeout: Duration::from_millis(250),
             linger_timeout: Duration::from_millis(350),
             disconnect_linger_timeout: Duration::from_millis(250),
--- a/crates/front/src/views.rs
+++ b/crates/front/src/views.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -16,16 +17,20 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::answer;
 use crate::answer::Body;
 use crate::entry::Entry;
+use crate::metrics;
 use crate::sync::lock;
 use tt_adapter::decode_config;
 use tt_serve::EvacuatedDomains;
 use tt_serve::EvacuationUpdate;
+use tt_serve::KnownVersions;
+use tt_serve::Lag;
 use tt_serve::ListingDelta;
 use tt_serve::Member;
 use tt_serve::MemberStatus;
@@ -74,7 +79,6 @@
 
 /// Fetches the view of a peer whenever one has a newer configuration or listing.
 pub(crate) async fn follow_peers(entry: Arc<Entry>) {
-    let mut behind_since = None;
     loop {
         sleep(COMPARE_INTERVAL).await;
         let now = entry.now();
@@ -83,47 +87,82 @@
             // None is newer, so that none is fetched.
             own.evacuation_revision = u64::MAX;
         }
-        let config_overdue =
-            behind_since.is_some_and(|since| since + entry.settings.peer_fetch_delay < now);
-        let (confirmed, peer_to_fetch, is_behind) = {
+        let config_overdue = lock(&entry.catch_up).is_overdue(now);
+        let (confirmed, peer_to_fetch, newest) = {
             let members = lock(&entry.members);
             compare_with_peers(&entry, &members, &own, config_overdue, now)
         };
-        behind_since = if is_behind { behind_since.or(Some(now)) } else { None };
+        let lag = lock(&entry.catch_up).observe(own.versions(), newest, now);
+        if let Some(lag) = lag {
+            log_lag(&entry, &own, &lag, now);
+        }
         if let Some((revision, read_at)) = confirmed {
             entry.confirm_listing(revision, read_at);
         }
         let Some(peer) = peer_to_fetch else { continue };
-        match timeout(FETCH_TIMEOUT, fetch(peer, &own)).await {
-            Ok(Ok(view)) => adopt_view(&entry, view),
-            Ok(Err(error)) => log::info!("peer: view of={peer} error=\"{error}\""),
-            Err(_) => log::info!("peer: view of={peer} error=\"no answer in time\""),
-        }
+        let start = Instant::now();
+        let mut received = 0;
+        let result = timeout(FETCH_TIMEOUT, fetch(peer, &own, &mut received)).await;
+        metrics::count_view(result.as_ref().is_ok_and(Result::is_ok), received);
+        let error = match result {
+            Ok(Ok(view)) => {
+                adopt_view(&entry, view);
+                continue;
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer in time".to_owned(),
+        };
+        lock(&entry.catch_up).record_failure();
+        log::info!(
+            "peer: view of={peer} error=\"{error}\" version={} newest={} received={received} \
+             took_ms={}",
+            own.version,
+            newest.config,
+            start.elapsed().as_millis()
+        );
     }
 }
 
+/// Logs that this daemon lacks something that others have had for some time.
+fn log_lag(entry: &Entry, own: &MemberStatus, lag: &Lag, now: Time) {
+    let age_ms = |at: Time| now.saturating_sub(at).as_millis().to_string();
+    let age_text = |at: Option<Time>| at.map_or_else(|| "none".to_owned(), age_ms);
+    log::warn!(
+        "config: state=behind version={} newest={} evacuations={} newest_evacuations={} \
+         behind_ms={} failed_views={} rank={} listing_age_ms={} config_read_age_ms={}",
+        own.version,
+        lag.newest.config,
+        entry.evacuation_revision(),
+        lag.newest.evacuations,
+        age_ms(lag.since),
+        lag.failures,
+        lock(&entry.members).rank_in_domain(now),
+        age_text(own.listing_read_at),
+        age_text(entry.last_config_read()),
+    );
+}
+
 /// Compares `own` with what the peers report. Returns the latest revision and time at which the own
-/// listing was still current, the peer to fetch from, and whether any peer has a later
-/// configuration or later evacuations. `config_overdue` is whether these have not arrived in time.
+/// listing was still current, the peer to fetch from, and the newest versions that any of them has.
+/// `config_overdue` is whether these have not arrived in time.
 fn compare_with_peers(
     entry: &Entry,
     members: &Members,
     own: &MemberStatus,
     config_overdue: bool,
     now: Time,
-) -> (Option<(u64, Time)>, Option<SocketAddr>, bool) {
+) -> (Option<(u64, Time)>, Option<SocketAddr>, KnownVersions) {
     let domain = entry.vm.domain.as_str();
     let mut confirmed = None;
     let mut best: Option<&Member> = None;
-    let mut is_behind = false;
+    let mut newest = KnownVersions::default();
     let preference = |member: &Member| {
         let status = &member.status;
         let same_domain = member.vm.domain == domain;
         (same_domain, status.version, status.evacuation_revision, status.revision)
     };
     for member in members.live(now) {
-        is_behind |= member.status.version > own.version
-            || member.status.evacuation_revision > own.evacuation_revision;
+        newest = newest.max(member.status.versions());
         match sync_action(member, domain, own, &entry.settings.listing, config_overdue, now) {
             SyncAction::None => {}
             SyncAction::Confirm(revision, read_at) => {
@@ -135,7 +174,7 @@
             SyncAction::Fetch => {}
         }
     }
-    (confirmed, best.map(|member| member.vm.peer), is_behind)
+    (confirmed, best.map(|member| member.vm.peer), newest)
 }
 
 fn adopt_view(entry: &Entry, view: View) {
@@ -167,8 +206,13 @@
 
 type FetchError = Box<dyn std::error::Error + Send + Sync>;
 
-/// Fetches from a peer what it knows beyond `own`.
-async fn fetch(peer: SocketAddr, own: &MemberStatus) -> Result<View, FetchError> {
+/// Fetches from a peer what it knows beyond `own`. Adds the bytes of the answer to `received`, also
+/// if the fetch is given up.
+async fn fetch(
+    peer: SocketAddr,
+    own: &MemberStatus,
+    received: &mut usize,
+) -> Result<View, FetchError> {
     let stream = TcpStream::connect(peer).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
@@ -183,8 +227,14 @@
         .header(hyper::header::HOST, peer.to_string())
         .body(Full::<Bytes>::default())?;
     let response = sender.send_request(request).await?;
-    let body = Limited::new(response.into_body(), MAX_VIEW_BYTES).collect().await?;
-    Ok(serde_json::from_slice(&body.to_bytes())?)
+    let mut body = Limited::new(response.into_body(), MAX_VIEW_BYTES);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        *received += data.len();
+        bytes.extend_from_slice(&data);
+    }
+    Ok(serde_json::from_slice(&bytes)?)
 }
 
 /// Answers a peer that asks for the view. The query names the version and the digest that it has.
@@ -210,7 +260,10 @@
         listing_age: listing_read_at.map(|read_at| age_ms(entry, read_at)),
     };
     match serde_json::to_vec(&view) {
-        Ok(bytes) => Response::new(answer::full_body(bytes)),
+        Ok(bytes) => {
+            metrics::count_served_view(view.config.is_some(), bytes.len());
+            Response::new(answer::full_body(bytes))
+        }
         Err(error) => {
             log::error!("peer: view=\"{error}\"");
             answer::error(StatusCode::INTERNAL_SERVER_ERROR, "no view", None)
--- /dev/null
+++ b/crates/serve/src/catch_up.rs
@@ -0,0 +1,116 @@
+//! Catching up with a configuration that other daemons already have.
+//!
+//! A daemon hears in heartbeats which version its peers have. [`CatchUp`] tracks since when a later
+//! one than its own is known.
+
+use std::time::Duration;
+
+use crate::Time;
+
+/// When a daemon that lacks the newest configuration does more to get it.
+#[derive(Debug, Clone, Copy)]
+pub struct CatchUpSettings {
+    /// Time behind from which the configuration is also fetched from other failure domains. Until
+    /// then the own watch, or that of the first daemon of the domain, usually delivers it.
+    pub remote_delay: Duration,
+    /// Time behind after which it is logged, and interval between two such lines. A version usually
+    /// reaches all daemons in half a second.
+    pub report_interval: Duration,
+}
+
+impl Default for CatchUpSettings {
+    fn default() -> Self {
+        CatchUpSettings {
+            remote_delay: Duration::from_millis(400),
+            report_interval: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What a daemon has, or has heard of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct KnownVersions {
+    /// Version of the configuration; 0 if there is none.
+    pub config: u64,
+    /// Store revision of the newest change of the evacuated failure domains.
+    pub evacuations: u64,
+}
+
+impl KnownVersions {
+    fn is_behind(self, newest: KnownVersions) -> bool {
+        self.config < newest.config || self.evacuations < newest.evacuations
+    }
+
+    /// The later version of each.
+    pub fn max(self, other: KnownVersions) -> KnownVersions {
+        KnownVersions {
+            config: self.config.max(other.config),
+            evacuations: self.evacuations.max(other.evacuations),
+        }
+    }
+}
+
+/// Since when a daemon knows that others have something newer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lag {
+    /// When the daemon first heard of anything newer.
+    pub since: Time,
+    /// The newest versions that it has heard of.
+    pub newest: KnownVersions,
+    /// Number of fetches from peers that have failed since.
+    pub failures: u32,
+    reported_at: Time,
+}
+
+/// Whether this daemon has what its peers have, and what it has tried to get it.
+#[derive(Debug)]
+pub struct CatchUp {
+    settings: CatchUpSettings,
+    lag: Option<Lag>,
+}
+
+impl CatchUp {
+    /// Creates the state of a daemon that has heard of nothing newer.
+    pub fn new(settings: CatchUpSettings) -> CatchUp {
+        CatchUp { settings, lag: None }
+    }
+
+    /// Records what this daemon has, and the newest of what its live peers have. Returns the lag
+    /// whenever it is to be logged.
+    pub fn observe(&mut self, own: KnownVersions, newest: KnownVersions, now: Time) -> Option<Lag> {
+        if !own.is_behind(newest) {
+            self.lag = None;
+            return None;
+        }
+        let start = Lag { since: now, newest, failures: 0, reported_at: now };
+        let lag = self.lag.get_or_insert(start);
+        lag.newest = newest;
+        if lag.reported_at + self.settings.report_interval > now {
+            return None;
+        }
+        lag.reported_at = now;
+        Some(*lag)
+    }
+
+    /// Since when this daemon is behind, if it is.
+    pub fn lag(&self) -> Option<Lag> {
+        self.lag
+    }
+
+    /// Time for which this daemon has been behind.
+    pub fn behind_for(&self, now: Time) -> Duration {
+        self.lag.map_or(Duration::ZERO, |lag| now.saturating_sub(lag.since))
+    }
+
+    /// Whether what is newer is also fetched from other failure domains.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        self.behind_for(now) > self.settings.remote_delay
+    }
+
+    /// Records that a fetch from a peer has failed.
+    pub fn record_failure(&mut self) {
+        if let Some(lag) = &mut self.lag {
+            lag.failures += 1;
+        }
+    }
+}
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::Time;
+use crate::catch_up::KnownVersions;
 use crate::fleet::ListState;
 use crate::fleet::Tier;
 use crate::gossip::LastRound;
@@ -71,6 +72,13 @@
     pub millicores: u32,
 }
 
+impl MemberStatus {
+    /// The versions of what operators have written.
+    pub fn versions(&self) -> KnownVersions {
+        KnownVersions { config: self.version, evacuations: self.evacuation_revision }
+    }
+}
+
 /// Another daemon.
 #[derive(Debug, Clone)]
 pub struct Member {
