--- a/crates/front/tests/keys.rs
+++ b/crates/front/tests/keys.rs
@@ -1,10 +1,14 @@
 //! API keys: who may send requests, what searchers get, and what happens without the store.
 
+#[path = "support/peer.rs"]
+mod peer;
 mod support;
 
 use std::sync::Mutex;
 use std::time::Duration;
 
+use peer::Heartbeat;
+use peer::Record;
 use prost::Message;
 use serde_json::Value;
 use support::Answer;
@@ -354,39 +358,6 @@
     String::from_utf8(answer.body).expect("text")
 }
 
-/// A heartbeat of another entry, as far as the test needs it.
-#[derive(Clone, PartialEq, Message)]
-struct Heartbeat {
-    #[prost(message, repeated, tag = "1")]
-    records: Vec<Record>,
-    #[prost(fixed64, tag = "5")]
-    sent_at: u64,
-    #[prost(fixed64, tag = "6")]
-    echo: u64,
-    #[prost(uint32, optional, tag = "7")]
-    config_age_ms: Option<u32>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct Record {
-    #[prost(string, tag = "1")]
-    name: String,
-    #[prost(string, tag = "2")]
-    domain: String,
-    #[prost(string, tag = "3")]
-    ip: String,
-    #[prost(uint32, tag = "4")]
-    front_port: u32,
-    #[prost(uint32, tag = "5")]
-    peer_port: u32,
-    #[prost(uint32, tag = "6")]
-    state: u32,
-    #[prost(uint64, tag = "7")]
-    version: u64,
-    #[prost(bool, tag = "14")]
-    keys_expired: bool,
-}
-
 /// Another entry of the domain `d` that only sends heartbeats.
 struct Peer {
     socket: UdpSocket,
@@ -396,17 +367,8 @@
 impl Peer {
     async fn start() -> Peer {
         let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-        let port = u32::from(socket.local_addr().expect("an address").port());
-        let record = Record {
-            name: "vm-peer".to_owned(),
-            domain: "d".to_owned(),
-            ip: "127.0.0.1".to_owned(),
-            front_port: 9,
-            peer_port: port,
-            state: 1,
-            version: 1,
-            keys_expired: false,
-        };
+        let address = socket.local_addr().expect("an address");
+        let record = Record::new("vm-peer", "d", address);
         Peer { socket, record }
     }
 
