fix: read the configuration at the store if it does not arrive from peers

Callers were served by an older version although a later one had been confirmed, and its entry knew: heartbeats had told it.

Cause: an entry that leaves the reads to the first one of its failure domain reads the store itself only if its *listing* is old. That the configuration can't be had from peers was no reason. Other entries that lack the version too keep the listing fresh by heartbeats, so that the entry waits for as long as its fetches fail. Class of fault: the freshness of one thing stood for that of another.

Ruled out: that the entry has not heard of the version (the heartbeats carry it, and it fetches).

Change: an entry that has been behind for a second, and 0.1 s more for each further rank up to the sixth, follows the store itself. Why it works: the store is the one source that does not depend on peers, and all it takes is one read by each entry.

--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -222,8 +222,8 @@
 }
 
 /// Whether this daemon follows the configuration in the store itself: it is the first of its
-/// failure domain, it has none yet, it reads the searchers there because the first one doesn't, or
-/// it needs a proof that its configuration is the newest one.
+/// failure domain, it has none yet, it reads the searchers there because the first one doesn't, it
+/// can't get a later one from peers, or it needs a proof that its configuration is the newest one.
 fn follows_config(entry: &Entry) -> bool {
     let settings = &entry.settings.listing;
     let now = entry.now();
@@ -236,7 +236,10 @@
     }
     let took_over = |read_at| now <= read_at + 2 * settings.takeover_age;
     let rank = members.rank_in_domain(now);
-    rank == 0 || entry.last_store_read().is_some_and(took_over) || entry.needs_proof(rank)
+    rank == 0
+        || entry.last_store_read().is_some_and(took_over)
+        || lock(&entry.catch_up).reads_store(rank, now)
+        || entry.needs_proof(rank)
 }
 
 /// Keeps this daemon registered in the list of daemons, and reads that list.
--- a/crates/serve/src/catch_up.rs
+++ b/crates/serve/src/catch_up.rs
@@ -1,7 +1,7 @@
 //! Catching up with a configuration that other daemons already have.
 //!
 //! A daemon hears in heartbeats which version its peers have. [`CatchUp`] tracks since when a later
-//! one than its own is known.
+//! one than its own is known, and decides when to read the store instead of waiting for peers.
 
 use std::time::Duration;
 
@@ -13,6 +13,10 @@
     /// Time behind from which the configuration is also fetched from other failure domains. Until
     /// then the own watch, or that of the first daemon of the domain, usually delivers it.
     pub remote_delay: Duration,
+    /// Time behind from which the second daemon of a failure domain reads the store itself.
+    pub store_delay: Duration,
+    /// Added to `store_delay` for each further daemon of the domain, so that not all read at once.
+    pub store_stagger: Duration,
     /// Time behind after which it is logged, and interval between two such lines. A version usually
     /// reaches all daemons in half a second.
     pub report_interval: Duration,
@@ -22,6 +26,8 @@
     fn default() -> Self {
         CatchUpSettings {
             remote_delay: Duration::from_millis(400),
+            store_delay: Duration::from_secs(1),
+            store_stagger: Duration::from_millis(100),
             report_interval: Duration::from_secs(1),
         }
     }
@@ -107,6 +113,15 @@
         self.behind_for(now) > self.settings.remote_delay
     }
 
+    /// Whether a daemon with this rank in its failure domain, which leaves the reads to others, reads
+    /// at the store itself: what is newer has not arrived from peers in time. The age of the listing
+    /// says nothing about that, since others confirm it whatever configuration they have.
+    pub fn reads_store(&self, rank: usize, now: Time) -> bool {
+        // As with listings, the last ranks share a step.
+        let steps = rank.clamp(1, 6) as u32 - 1;
+        self.behind_for(now) > self.settings.store_delay + self.settings.store_stagger * steps
+    }
+
     /// Records that a fetch from a peer has failed.
     pub fn record_failure(&mut self) {
         if let Some(lag) = &mut self.lag {
