fix: fetch a configuration from any peer that has it, and not again from one that fails

While a small entry read the store for its failure domain, its neighbours got a new version seconds late.

Cause: all of them fetch from the peer with the newest version and the newest *listing*. That is always the one that reads the store, also when others have the version already, and a failed fetch is repeated at the same peer. Class of fault: one source without a substitute, chosen alike by all.

Ruled out: lost heartbeats, as each fetch names the version that it wants.

Change: where a configuration is wanted, the daemons that have it are ordered by a hash of both names; a peer that has failed comes last for 1.5 s. A listing alone still comes from the one that read it last. The comparison with the peers moves to tt-serve as a decision without I/O. Why it works: each entry that gets a version serves it to others, so that the capacity grows with the number of those that have it.

--- a/crates/front/src/views.rs
+++ b/crates/front/src/views.rs
@@ -27,18 +27,15 @@
 use crate::metrics;
 use crate::sync::lock;
 use tt_adapter::decode_config;
+use tt_serve::Comparison;
 use tt_serve::EvacuatedDomains;
 use tt_serve::EvacuationUpdate;
-use tt_serve::KnownVersions;
 use tt_serve::Lag;
 use tt_serve::ListingDelta;
-use tt_serve::Member;
 use tt_serve::MemberStatus;
-use tt_serve::Members;
 use tt_serve::SearcherRecord;
-use tt_serve::SyncAction;
 use tt_serve::Time;
-use tt_serve::sync_action;
+use tt_serve::Vm;
 
 /// Path of a daemon's view.
 pub(crate) const PATH: &str = "/v1/view";
@@ -87,19 +84,17 @@
             // None is newer, so that none is fetched.
             own.evacuation_revision = u64::MAX;
         }
-        let config_overdue = lock(&entry.catch_up).is_overdue(now);
-        let (confirmed, peer_to_fetch, newest) = {
+        let Comparison { confirmed, source, newest, report } = {
             let members = lock(&entry.members);
-            compare_with_peers(&entry, &members, &own, config_overdue, now)
+            lock(&entry.catch_up).compare(&members, &own, &entry.settings.listing, now)
         };
-        let lag = lock(&entry.catch_up).observe(own.versions(), newest, now);
-        if let Some(lag) = lag {
+        if let Some(lag) = report {
             log_lag(&entry, &own, &lag, now);
         }
         if let Some((revision, read_at)) = confirmed {
             entry.confirm_listing(revision, read_at);
         }
-        let Some(peer) = peer_to_fetch else { continue };
+        let Some(Vm { name, peer, .. }) = source else { continue };
         let start = Instant::now();
         let mut received = 0;
         let result = timeout(FETCH_TIMEOUT, fetch(peer, &own, &mut received)).await;
@@ -112,7 +107,7 @@
             Ok(Err(error)) => error.to_string(),
             Err(_) => "no answer in time".to_owned(),
         };
-        lock(&entry.catch_up).record_failure();
+        lock(&entry.catch_up).record_failure(name, entry.now());
         log::info!(
             "peer: view of={peer} error=\"{error}\" version={} newest={} received={received} \
              took_ms={}",
@@ -142,41 +137,6 @@
     );
 }
 
-/// Compares `own` with what the peers report. Returns the latest revision and time at which the own
-/// listing was still current, the peer to fetch from, and the newest versions that any of them has.
-/// `config_overdue` is whether these have not arrived in time.
-fn compare_with_peers(
-    entry: &Entry,
-    members: &Members,
-    own: &MemberStatus,
-    config_overdue: bool,
-    now: Time,
-) -> (Option<(u64, Time)>, Option<SocketAddr>, KnownVersions) {
-    let domain = entry.vm.domain.as_str();
-    let mut confirmed = None;
-    let mut best: Option<&Member> = None;
-    let mut newest = KnownVersions::default();
-    let preference = |member: &Member| {
-        let status = &member.status;
-        let same_domain = member.vm.domain == domain;
-        (same_domain, status.version, status.evacuation_revision, status.revision)
-    };
-    for member in members.live(now) {
-        newest = newest.max(member.status.versions());
-        match sync_action(member, domain, own, &entry.settings.listing, config_overdue, now) {
-            SyncAction::None => {}
-            SyncAction::Confirm(revision, read_at) => {
-                confirmed = confirmed.max(Some((revision, read_at)))
-            }
-            SyncAction::Fetch if best.is_none_or(|best| preference(best) < preference(member)) => {
-                best = Some(member);
-            }
-            SyncAction::Fetch => {}
-        }
-    }
-    (confirmed, best.map(|member| member.vm.peer), newest)
-}
-
 fn adopt_view(entry: &Entry, view: View) {
     // First, so that no request is planned with the configuration and without them.
     if let Some(evacuations) = view.evacuations {
--- a/crates/serve/src/catch_up.rs
+++ b/crates/serve/src/catch_up.rs
@@ -1,11 +1,23 @@
 //! Catching up with a configuration that other daemons already have.
 //!
 //! A daemon hears in heartbeats which version its peers have. [`CatchUp`] tracks since when a later
-//! one than its own is known, and decides when to read the store instead of waiting for peers.
+//! one than its own is known, chooses the peer to fetch it from, and decides when to read the store
+//! instead.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::Time;
+use crate::listing::ListingSettings;
+use crate::listing::SyncAction;
+use crate::listing::sync_action;
+use crate::members::Member;
+use crate::members::MemberStatus;
+use crate::members::Members;
+use crate::members::Vm;
 
 /// When a daemon that lacks the newest configuration does more to get it.
 #[derive(Debug, Clone, Copy)]
@@ -17,6 +29,8 @@
     pub store_delay: Duration,
     /// Added to `store_delay` for each further daemon of the domain, so that not all read at once.
     pub store_stagger: Duration,
+    /// Time for which a peer from which a fetch has failed is asked only if no other one can be.
+    pub failure_delay: Duration,
     /// Time behind after which it is logged, and interval between two such lines. A version usually
     /// reaches all daemons in half a second.
     pub report_interval: Duration,
@@ -28,13 +42,14 @@
             remote_delay: Duration::from_millis(400),
             store_delay: Duration::from_secs(1),
             store_stagger: Duration::from_millis(100),
+            failure_delay: Duration::from_millis(1500),
             report_interval: Duration::from_secs(1),
         }
     }
 }
 
 /// What a daemon has, or has heard of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct KnownVersions {
     /// Version of the configuration; 0 if there is none.
     pub config: u64,
@@ -68,17 +83,85 @@
     reported_at: Time,
 }
 
+/// What a daemon does about what its peers have.
+#[derive(Debug, Default)]
+pub struct Comparison {
+    /// The latest revision and time of a read at the store that found the own listing still current.
+    pub confirmed: Option<(u64, Time)>,
+    /// The peer to fetch from, if one has something newer.
+    pub source: Option<Vm>,
+    /// The newest of what the peers have.
+    pub newest: KnownVersions,
+    /// How far this daemon is behind, whenever that is to be logged.
+    pub report: Option<Lag>,
+}
+
 /// Whether this daemon has what its peers have, and what it has tried to get it.
 #[derive(Debug)]
 pub struct CatchUp {
     settings: CatchUpSettings,
     lag: Option<Lag>,
+    /// Until when peers are asked only if no other one can be, by name of the VM.
+    avoided: BTreeMap<String, Time>,
 }
 
 impl CatchUp {
     /// Creates the state of a daemon that has heard of nothing newer.
     pub fn new(settings: CatchUpSettings) -> CatchUp {
-        CatchUp { settings, lag: None }
+        CatchUp { settings, lag: None, avoided: BTreeMap::new() }
+    }
+
+    /// Compares `own` with what the live peers have.
+    pub fn compare(
+        &mut self,
+        members: &Members,
+        own: &MemberStatus,
+        settings: &ListingSettings,
+        now: Time,
+    ) -> Comparison {
+        self.avoided.retain(|_, until| now < *until);
+        let newest = members.live(now).map(|it| it.status.versions());
+        let newest = newest.fold(KnownVersions::default(), KnownVersions::max);
+        let report = self.observe(own.versions(), newest, now);
+        let mut comparison = Comparison { newest, report, ..Comparison::default() };
+        let mut source: Option<&Member> = None;
+        let is_overdue = self.is_overdue(now);
+        for member in members.live(now) {
+            match sync_action(member, members.domain(), own, settings, is_overdue, now) {
+                SyncAction::None => {}
+                SyncAction::Confirm(revision, read_at) => {
+                    comparison.confirmed = comparison.confirmed.max(Some((revision, read_at)));
+                }
+                SyncAction::Fetch => {
+                    let preference = |it: &Member| self.preference(it, members, own);
+                    if source.is_none_or(|best| preference(best) < preference(member)) {
+                        source = Some(member);
+                    }
+                }
+            }
+        }
+        comparison.source = source.map(|member| member.vm.clone());
+        comparison
+    }
+
+    /// Orders the peers from which something newer than `own` can be fetched; the greatest is asked.
+    ///
+    /// Only a listing is fetched from the daemon that has read it last. A configuration comes from
+    /// any that has it: all other daemons of the domain want it at the same time, and a small VM
+    /// can't send it to all of them.
+    fn preference(
+        &self,
+        member: &Member,
+        members: &Members,
+        own: &MemberStatus,
+    ) -> (bool, bool, KnownVersions, u64) {
+        let Member { vm, status, .. } = member;
+        let order = match own.versions().is_behind(status.versions()) {
+            true => xxh3_64_with_seed(vm.name.as_bytes(), xxh3_64(members.name().as_bytes())),
+            false => status.revision,
+        };
+        let is_avoided = self.avoided.contains_key(&vm.name);
+        (!is_avoided, vm.domain == members.domain(), status.versions(), order)
     }
 
     /// Records what this daemon has, and the newest of what its live peers have. Returns the lag
@@ -122,10 +205,11 @@
         self.behind_for(now) > self.settings.store_delay + self.settings.store_stagger * steps
     }
 
-    /// Records that a fetch from a peer has failed.
-    pub fn record_failure(&mut self) {
+    /// Records that a fetch from the peer on the VM `name` has failed.
+    pub fn record_failure(&mut self, name: String, now: Time) {
         if let Some(lag) = &mut self.lag {
             lag.failures += 1;
         }
+        self.avoided.insert(name, now + self.settings.failure_delay);
     }
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -67,6 +67,7 @@
 pub use capacity::EntryShare;
 pub use catch_up::CatchUp;
 pub use catch_up::CatchUpSettings;
+pub use catch_up::Comparison;
 pub use catch_up::KnownVersions;
 pub use catch_up::Lag;
 pub use config::Allowance;
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -224,6 +224,16 @@
         removed.map(|(name, _)| name).collect()
     }
 
+    /// Name of the VM of this daemon.
+    pub(crate) fn name(&self) -> &str {
+        &self.me.name
+    }
+
+    /// Failure domain of this daemon.
+    pub(crate) fn domain(&self) -> &str {
+        &self.me.domain
+    }
+
     /// Whether the daemon on the VM `name` is known.
     pub fn knows(&self, name: &str) -> bool {
         self.others.contains_key(name)
