fix: send views to a few peers at a time, and refuse the others at once

Cause: a daemon sends its view to all who ask, at once. With 42 neighbours the link and the processor of a small VM need longer for all of them than a fetch may take, so that all are given up just before their end and begin again: a congestion collapse. Heartbeats and calls to the store share the link. Class of fault: work without a bound on what runs at once, whose results are thrown away when it is late.

Change: a daemon sends views of 256 KB at a time, or a single larger one, and answers 503 to others, which ask another peer, or again 0.3 s later. Small views (changes of listings) are always sent. Views go out in pieces, so that their end is known. A fetch is given up after 0.8 s without a byte, or 3 s in all, in place of 0.8 s in all. The age of a fetched listing now counts from the request, since a fetch may take longer.

--- a/crates/front/src/daemon.rs
+++ b/crates/front/src/daemon.rs
@@ -137,7 +137,7 @@
 ) -> Response<Body> {
     match request.uri().path() {
         relay::PATH => relay::serve(entry, request, &holder).await,
-        views::PATH => views::serve(&entry, request.uri().query().unwrap_or("")),
+        views::PATH => views::serve(entry, request.uri().query().unwrap_or("")),
         status::PATH => status::serve(&entry),
         _ => answer::error(StatusCode::NOT_FOUND, "no such page", None),
     }
--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -60,6 +60,7 @@
 use tt_serve::RouteTable;
 use tt_serve::SearcherKey;
 use tt_serve::SearcherRecord;
+use tt_serve::ServedViews;
 use tt_serve::SuspectStatus;
 use tt_serve::Suspects;
 use tt_serve::Time;
@@ -119,6 +120,8 @@
     pub(crate) allowances: Mutex<Allowances>,
     /// Whether other daemons have a later configuration.
     pub(crate) catch_up: Mutex<CatchUp>,
+    /// Views that are being sent to other daemons.
+    pub(crate) served_views: Mutex<ServedViews>,
     /// When this daemon last heard from the store about the configuration.
     config_read_at: Mutex<Option<Time>>,
     /// The last part of the limits of the tier that was logged.
@@ -218,6 +221,7 @@
             requires_evacuations,
             allowances: Mutex::new(allowances),
             catch_up: Mutex::new(CatchUp::new(settings.catch_up)),
+            served_views: Mutex::new(ServedViews::new(settings.served_views)),
             config_read_at: Mutex::new(None),
             logged_share: Mutex::new(None),
             config_proof: Mutex::new(ConfigProof::new(
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -212,6 +212,16 @@
     counter!("entry_view_bytes_total", "outcome" => outcome).increment(bytes as u64);
 }
 
+/// Counts a view that was not fetched, since the peer sends to others.
+pub(crate) fn count_busy_peer() {
+    counter!("entry_views_total", "outcome" => "busy").increment(1);
+}
+
+/// Counts a view that was refused, since others are being sent.
+pub(crate) fn count_refused_view() {
+    counter!("entry_views_served_total", "content" => "refused").increment(1);
+}
+
 /// Counts a view that was sent to a peer, with or without the configuration.
 pub(crate) fn count_served_view(has_config: bool, bytes: usize) {
     let content = if has_config { "config" } else { "listing" };
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -14,6 +14,7 @@
 use tt_serve::OutageSettings;
 use tt_serve::RegistrySettings;
 use tt_serve::RetryAfterSettings;
+use tt_serve::ServedViewSettings;
 use tt_serve::SuspectSettings;
 use tt_serve::WakeSettings;
 
@@ -52,6 +53,8 @@
     pub heartbeat_interval: Duration,
     /// When a daemon that lacks the newest configuration does more to get it.
     pub catch_up: CatchUpSettings,
+    /// How much is sent to peers that catch up at the same time.
+    pub served_views: ServedViewSettings,
     /// Timeout for opening a connection to a searcher or a peer.
     pub connect_timeout: Duration,
     /// How long an attempt may continue after its request has ended: its answer still shows how
@@ -109,6 +112,7 @@
             lease_ttl: Duration::from_secs(12),
             heartbeat_interval: Duration::from_millis(400),
             catch_up: CatchUpSettings::default(),
+            served_views: ServedViewSettings::default(),
             connect_timeout: Duration::from_millis(250),
             linger_timeout: Duration::from_millis(350),
             disconnect_linger_timeout: Duration::from_millis(250),
--- a/crates/front/src/views.rs
+++ b/crates/front/src/views.rs
@@ -9,17 +9,21 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Frame;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio_stream::wrappers::ReceiverStream;
 
 use crate::answer;
 use crate::answer::Body;
@@ -35,6 +39,7 @@
 use tt_serve::MemberStatus;
 use tt_serve::SearcherRecord;
 use tt_serve::Time;
+use tt_serve::ViewKey;
 use tt_serve::Vm;
 
 /// Path of a daemon's view.
@@ -43,8 +48,18 @@
 /// Maximum size of a peer's view.
 const MAX_VIEW_BYTES: usize = 4 * 1024 * 1024;
 
-/// Timeout for fetching a peer's view.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time without any bytes of a peer's view after which the fetch is given up.
+const FETCH_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Maximum time of a fetch, however it proceeds. A configuration of the maximum size takes a second
+/// over the slowest links in use.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Usual size of a searcher's record in a view, in bytes.
+const RECORD_BYTES: usize = 200;
+
+/// Size of the pieces in which a view is sent.
+const CHUNK_BYTES: usize = 16 * 1024;
 
 /// Interval between comparisons with what the peers know.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
@@ -74,6 +89,16 @@
     Since(u64, ListingDelta),
 }
 
+impl Searchers {
+    /// Number of records and ids.
+    fn len(&self) -> usize {
+        match self {
+            Searchers::All(listing) => listing.len(),
+            Searchers::Since(_, delta) => delta.changed.len() + delta.removed.len(),
+        }
+    }
+}
+
 /// Fetches the view of a peer whenever one has a newer configuration or listing.
 pub(crate) async fn follow_peers(entry: Arc<Entry>) {
     loop {
@@ -95,25 +120,31 @@
             entry.confirm_listing(revision, read_at);
         }
         let Some(Vm { name, peer, .. }) = source else { continue };
-        let start = Instant::now();
         let mut received = 0;
-        let result = timeout(FETCH_TIMEOUT, fetch(peer, &own, &mut received)).await;
-        metrics::count_view(result.as_ref().is_ok_and(Result::is_ok), received);
-        let error = match result {
-            Ok(Ok(view)) => {
-                adopt_view(&entry, view);
+        let fetched = timeout(FETCH_TIMEOUT, fetch(peer, &own, &mut received)).await;
+        let error = match fetched.unwrap_or(Err(FetchError::Late)) {
+            Ok(view) => {
+                metrics::count_view(true, received);
+                adopt_view(&entry, view, now);
+                continue;
+            }
+            Err(FetchError::Busy) => {
+                metrics::count_busy_peer();
+                lock(&entry.catch_up).record_busy(name, entry.now());
                 continue;
             }
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "no answer in time".to_owned(),
+            Err(FetchError::Late) => "no answer in time".to_owned(),
+            Err(FetchError::Failed(error)) => error.to_string(),
         };
+        metrics::count_view(false, received);
         lock(&entry.catch_up).record_failure(name, entry.now());
+        let took = entry.now().saturating_sub(now);
         log::info!(
             "peer: view of={peer} error=\"{error}\" version={} newest={} received={received} \
              took_ms={}",
             own.version,
             newest.config,
-            start.elapsed().as_millis()
+            took.as_millis()
         );
     }
 }
@@ -137,7 +168,8 @@
     );
 }
 
-fn adopt_view(entry: &Entry, view: View) {
+/// Puts a view in force that was asked for at `asked_at`.
+fn adopt_view(entry: &Entry, view: View, asked_at: Time) {
     // First, so that no request is planned with the configuration and without them.
     if let Some(evacuations) = view.evacuations {
         entry.adopt_evacuations(EvacuationUpdate::Whole(evacuations), "peer");
@@ -151,7 +183,8 @@
         }
     }
     if let Some(age) = view.listing_age {
-        let read_at = entry.now().saturating_sub(Duration::from_millis(age));
+        // The age was stated after the request, at a time that is not known.
+        let read_at = asked_at.saturating_sub(Duration::from_millis(age));
         let listing = match view.searchers {
             Searchers::All(listing) => listing,
             Searchers::Since(digest, delta) if digest == entry.status().digest => {
@@ -164,7 +197,24 @@
     }
 }
 
-type FetchError = Box<dyn std::error::Error + Send + Sync>;
+/// Why a view was not fetched.
+#[derive(Debug)]
+enum FetchError {
+    /// The peer is sending to others.
+    Busy,
+    /// Nothing has arrived for too long.
+    Late,
+    Failed(Box<dyn std::error::Error + Send + Sync>),
+}
+
+impl FetchError {
+    fn failed<E>(error: E) -> FetchError
+    where
+        E: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        FetchError::Failed(error.into())
+    }
+}
 
 /// Fetches from a peer what it knows beyond `own`. Adds the bytes of the answer to `received`, also
 /// if the fetch is given up.
@@ -173,6 +223,28 @@
     own: &MemberStatus,
     received: &mut usize,
 ) -> Result<View, FetchError> {
+    let answered = timeout(FETCH_IDLE_TIMEOUT, ask(peer, own)).await;
+    let response = answered.map_err(|_| FetchError::Late)?.map_err(FetchError::failed)?;
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(FetchError::Busy);
+    }
+    let mut body = Limited::new(response.into_body(), MAX_VIEW_BYTES);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(FETCH_IDLE_TIMEOUT, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| FetchError::Late)? else { break };
+        let Ok(data) = frame.map_err(FetchError::failed)?.into_data() else { continue };
+        *received += data.len();
+        bytes.extend_from_slice(&data);
+    }
+    serde_json::from_slice(&bytes).map_err(FetchError::failed)
+}
+
+/// Asks a peer for its view.
+async fn ask(
+    peer: SocketAddr,
+    own: &MemberStatus,
+) -> Result<Response<Incoming>, Box<dyn std::error::Error + Send + Sync>> {
     let stream = TcpStream::connect(peer).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
@@ -186,43 +258,44 @@
     let request = Request::get(path)
         .header(hyper::header::HOST, peer.to_string())
         .body(Full::<Bytes>::default())?;
-    let response = sender.send_request(request).await?;
-    let mut body = Limited::new(response.into_body(), MAX_VIEW_BYTES);
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else { continue };
-        *received += data.len();
-        bytes.extend_from_slice(&data);
-    }
-    Ok(serde_json::from_slice(&bytes)?)
+    Ok(sender.send_request(request).await?)
 }
 
 /// Answers a peer that asks for the view. The query names the version and the digest that it has.
-pub(crate) fn serve(entry: &Entry, query: &str) -> Response<Body> {
+pub(crate) fn serve(entry: Arc<Entry>, query: &str) -> Response<Body> {
     let parameter = |name: &str| {
         let mut pairs = form_urlencoded::parse(query.as_bytes());
         pairs.find(|(key, _)| key == name).and_then(|(_, value)| value.parse::<u64>().ok())
     };
     let version = parameter("version").unwrap_or(0);
     let newer = entry.active_config().filter(|config| config.table.version > version);
+    let delta = parameter("digest").and_then(|digest| Some((digest, entry.listing_delta(digest)?)));
+    let searchers = match delta {
+        Some((digest, delta)) => Searchers::Since(digest, delta),
+        None => Searchers::All(entry.listing()),
+    };
+    let config_bytes = newer.as_ref().map_or(0, |config| config.bytes.len());
+    let bytes = config_bytes + searchers.len() * RECORD_BYTES;
+    let Some(key) = lock(&entry.served_views).start(bytes, entry.now()) else {
+        metrics::count_refused_view();
+        return answer::error(StatusCode::SERVICE_UNAVAILABLE, "sending to others", None);
+    };
+    let sending = SendingView { entry, key };
+    let entry = &sending.entry;
     let evacuations = entry.evacuations();
     let known = parameter("evacuations").unwrap_or(0);
-    let delta = parameter("digest").and_then(|digest| Some((digest, entry.listing_delta(digest)?)));
     let MemberStatus { revision, listing_read_at, .. } = entry.status();
     let view = View {
         config: newer.and_then(|config| config_text(&config.bytes)),
         evacuations: (evacuations.revision > known).then_some(evacuations),
-        searchers: match delta {
-            Some((digest, delta)) => Searchers::Since(digest, delta),
-            None => Searchers::All(entry.listing()),
-        },
+        searchers,
         revision,
         listing_age: listing_read_at.map(|read_at| age_ms(entry, read_at)),
     };
     match serde_json::to_vec(&view) {
         Ok(bytes) => {
             metrics::count_served_view(view.config.is_some(), bytes.len());
-            Response::new(answer::full_body(bytes))
+            Response::new(sending.send(Bytes::from(bytes)))
         }
         Err(error) => {
             log::error!("peer: view=\"{error}\"");
@@ -231,6 +304,38 @@
     }
 }
 
+/// A view that is being sent. Dropping it makes room for others.
+#[derive(Debug)]
+struct SendingView {
+    entry: Arc<Entry>,
+    key: ViewKey,
+}
+
+impl SendingView {
+    /// Sends `bytes` in pieces, so that this is dropped when the last one is taken, or the connection
+    /// is closed.
+    fn send(self, bytes: Bytes) -> Body {
+        let (sender, frames) = mpsc::channel(1);
+        tokio::spawn(async move {
+            let _sending = self;
+            let mut left = bytes;
+            while !left.is_empty() {
+                let chunk = left.split_to(left.len().min(CHUNK_BYTES));
+                if sender.send(Ok(Frame::data(chunk))).await.is_err() {
+                    return;
+                }
+            }
+        });
+        Body::Right(StreamBody::new(ReceiverStream::new(frames)))
+    }
+}
+
+impl Drop for SendingView {
+    fn drop(&mut self) {
+        lock(&self.entry.served_views).end(self.key);
+    }
+}
+
 /// Converts the encoded configuration to text. This succeeds, since it was decoded before.
 fn config_text(bytes: &Bytes) -> Option<String> {
     String::from_utf8(bytes.to_vec())
--- a/crates/serve/src/catch_up.rs
+++ b/crates/serve/src/catch_up.rs
@@ -4,6 +4,7 @@
 //! one than its own is known, chooses the peer to fetch it from, and decides when to read the store
 //! instead.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -31,6 +32,9 @@
     pub store_stagger: Duration,
     /// Time for which a peer from which a fetch has failed is asked only if no other one can be.
     pub failure_delay: Duration,
+    /// As `failure_delay`, for a peer that sends to others. Longer than the transfer of a usual
+    /// configuration.
+    pub busy_delay: Duration,
     /// Time behind after which it is logged, and interval between two such lines. A version usually
     /// reaches all daemons in half a second.
     pub report_interval: Duration,
@@ -43,6 +47,7 @@
             store_delay: Duration::from_secs(1),
             store_stagger: Duration::from_millis(100),
             failure_delay: Duration::from_millis(1500),
+            busy_delay: Duration::from_millis(300),
             report_interval: Duration::from_secs(1),
         }
     }
@@ -154,14 +159,15 @@
         member: &Member,
         members: &Members,
         own: &MemberStatus,
-    ) -> (bool, bool, KnownVersions, u64) {
+    ) -> (Reverse<Option<Time>>, bool, KnownVersions, u64) {
         let Member { vm, status, .. } = member;
         let order = match own.versions().is_behind(status.versions()) {
             true => xxh3_64_with_seed(vm.name.as_bytes(), xxh3_64(members.name().as_bytes())),
             false => status.revision,
         };
-        let is_avoided = self.avoided.contains_key(&vm.name);
-        (!is_avoided, vm.domain == members.domain(), status.versions(), order)
+        let avoided_until = self.avoided.get(&vm.name).copied();
+        let is_near = vm.domain == members.domain();
+        (Reverse(avoided_until), is_near, status.versions(), order)
     }
 
     /// Records what this daemon has, and the newest of what its live peers have. Returns the lag
@@ -212,4 +218,9 @@
         }
         self.avoided.insert(name, now + self.settings.failure_delay);
     }
+
+    /// Records that the peer on the VM `name` is sending to others.
+    pub fn record_busy(&mut self, name: String, now: Time) {
+        self.avoided.insert(name, now + self.settings.busy_delay);
+    }
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -39,6 +39,7 @@
 mod retry_after;
 mod retry_budget;
 mod routes;
+mod served_views;
 mod suspects;
 mod wake;
 
@@ -180,6 +181,9 @@
 pub use routes::CompiledTarget;
 pub use routes::PoolRole;
 pub use routes::RouteTable;
+pub use served_views::ServedViewSettings;
+pub use served_views::ServedViews;
+pub use served_views::ViewKey;
 pub use suspects::ContentKey;
 pub use suspects::Knowledge;
 pub use suspects::SuspectSettings;
