fix: bound interim answers by the size of a head

On an entry what is kept is bounded already; what is read and dropped was bounded by the size of the body: 320 KB of interim answers for a shard, 4 MB for a request to one searcher, parsed one by one, while other callers wait.

Change: until the head of an answer is complete, 96 KB are received, interim answers included; the size of the body is allowed once its head has arrived. Applies to searchers and to relays.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -284,7 +284,6 @@
             max_idle_time: (self.outgoing.repeat == RepeatPolicy::AtMostOnce)
                 .then_some(settings.at_most_once_idle_timeout),
             deadline: self.outgoing.deadline,
-            max_answer_bytes: self.max_answer_bytes(),
         };
         let server = self.entry.searcher_connections.server(self.searcher.key);
         let mut connection = match server.acquire(options).await {
@@ -316,6 +315,7 @@
             }
         };
         let (head, body) = response.into_parts();
+        connection.allow_body(self.max_answer_bytes());
         let statement = self.statement(&head);
         let memory = &self.entry.answer_memory;
         let Some(body) = memory.collect(body, self.max_answer_bytes()).await else {
--- a/crates/front/src/bounded.rs
+++ b/crates/front/src/bounded.rs
@@ -28,6 +28,11 @@
         self.0.store(bytes, Ordering::Relaxed);
     }
 
+    /// Allows further `bytes`.
+    pub(crate) fn extend(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+
     fn take(&self, bytes: usize) -> bool {
         let take = |left: usize| left.checked_sub(bytes);
         self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -28,6 +28,11 @@
 /// Size of the read buffer of a connection, and so the maximum size of the head of an answer.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Maximum number of bytes that are received until the head of an answer is complete, interim answers
+/// included. The start of the body arrives with the head: it fills the buffer, and a piece that waits
+/// to be taken.
+const MAX_HEAD_BYTES: usize = 3 * READ_BUFFER_BYTES;
+
 /// Connections to all servers of one kind, searchers or peers, by their key.
 #[derive(Debug)]
 pub(crate) struct Connections<K> {
@@ -92,9 +97,6 @@
     pub(crate) max_idle_time: Option<Duration>,
     /// When the request no longer needs a connection.
     pub(crate) deadline: Instant,
-    /// Maximum size of the body of the answer. A connection on which more is received, heads and
-    /// framing included, is closed.
-    pub(crate) max_answer_bytes: usize,
 }
 
 impl<K> Default for Connections<K> {
@@ -127,12 +129,11 @@
         self: &Arc<ServerConnections>,
         options: AcquireOptions,
     ) -> Result<Connection, AcquireError> {
-        let max_received_bytes = options.max_answer_bytes + 2 * READ_BUFFER_BYTES;
         loop {
             let freed = self.freed.notified();
             match self.reserve(&options) {
                 Reservation::Idle(link) => {
-                    link.allowance.reset(max_received_bytes);
+                    link.allowance.reset(MAX_HEAD_BYTES);
                     return Ok(Connection { server: self.clone(), link: Some(link) });
                 }
                 Reservation::New => {
@@ -141,7 +142,7 @@
                     let connecting = timeout(options.connect_timeout, connect(options.address));
                     return match timeout_at(options.deadline, connecting).await {
                         Ok(Ok(Some(link))) => {
-                            link.allowance.reset(max_received_bytes);
+                            link.allowance.reset(MAX_HEAD_BYTES);
                             connection.link = Some(link);
                             Ok(connection)
                         }
@@ -205,6 +206,14 @@
 }
 
 impl Connection {
+    /// Allows an answer whose head has arrived to have a body of this size, framing included. The
+    /// connection is closed when more is received.
+    pub(crate) fn allow_body(&self, max_bytes: usize) {
+        if let Some(link) = &self.link {
+            link.allowance.extend(max_bytes);
+        }
+    }
+
     /// Makes the connection available to further requests. `keep_alive` is how long the server
     /// keeps it open while idle, if known.
     pub(crate) fn release(mut self, keep_alive: Option<Duration>) {
--- a/crates/front/src/relay/client.rs
+++ b/crates/front/src/relay/client.rs
@@ -149,7 +149,6 @@
             connect_timeout: self.entry.settings.connect_timeout,
             max_idle_time: None,
             deadline: self.outgoing.deadline,
-            max_answer_bytes: MAX_MESSAGE_BYTES,
         };
         let Ok(mut connection) = server.acquire(options).await else {
             self.avoid_relay("unreachable");
@@ -164,6 +163,7 @@
             Err(error) if error.message().is_some() => return RelayOutcome::Refused,
             Err(_) => return self.connection_broken(sent_at),
         };
+        connection.allow_body(MAX_MESSAGE_BYTES);
         if response.status() != StatusCode::OK {
             let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES);
             if body.collect().await.is_ok() {
