fix: send no listing to a peer that has it

Cause: the digest of the newest listing was taken for one that is not known any more, so that a peer with the same searchers got all 700 records of them along with each configuration. In calm, that was each fetch of a configuration by each entry of the tier.

Evidence: the_newest_listing_has_an_empty_delta failed before. The property test of deltas had allowed this: it asked for a delta from each kept listing but the newest. It now asks for one from each, which is stricter, and failed before too.

Change: the delta since the newest listing is empty.

--- a/crates/serve/src/history.rs
+++ b/crates/serve/src/history.rs
@@ -122,6 +122,9 @@
     /// The delta from the listing with this digest to the newest one; `None` if that listing is not
     /// or no longer known.
     pub fn delta_since(&self, digest: u64) -> Option<ListingDelta> {
+        if digest == self.digest {
+            return Some(ListingDelta { changed: Vec::new(), removed: Vec::new() });
+        }
         let first = self.deltas.iter().rposition(|(from, _)| *from == digest)?;
         let mut changed: HashMap<&str, &SearcherRecord> = HashMap::new();
         let mut removed: HashSet<&str> = HashSet::new();
--- a/crates/serve/tests/history.rs
+++ b/crates/serve/tests/history.rs
@@ -48,11 +48,9 @@
         let newest = listing_digest(history.newest());
         prop_assert_eq!(newest, history.digest());
         for old in listings {
-            if let Some(delta) = history.delta_since(listing_digest(&old)) {
-                prop_assert_eq!(listing_digest(&delta.apply(&old)), newest);
-            } else {
-                prop_assert_eq!(listing_digest(&old), newest, "no delta is dropped so soon");
-            }
+            let delta = history.delta_since(listing_digest(&old));
+            prop_assert!(delta.is_some(), "no delta is dropped so soon");
+            prop_assert_eq!(listing_digest(&delta.unwrap().apply(&old)), newest);
         }
     }
 }
@@ -68,6 +66,16 @@
     assert_eq!(removed, ["s2"]);
 }
 
+// Guards against a whole listing that is sent to a daemon that has it and only lacks the
+// configuration.
+#[test]
+fn the_newest_listing_has_an_empty_delta() {
+    let mut history = ListingHistory::default();
+    assert!(history.delta_since(history.digest()).is_some_and(|delta| delta.is_empty()));
+    history.push(listing(&[(1, false), (2, false)]));
+    assert!(history.delta_since(history.digest()).is_some_and(|delta| delta.is_empty()));
+}
+
 // Guards against deltas that are kept forever.
 #[test]
 fn a_listing_that_is_too_old_has_no_delta() {
