fix: bound the memory of replies that the product's own daemons receive

Not to entries on the platform: endless.rs tries ten kinds, alone and at all of 100 shards, and passes. The product's own daemons bound a reply (1 MB) but not all of them together, and a head by 400 KB, so that one searcher can't exhaust a daemon, but many can.

Change: all replies of a daemon share 32 MB besides 16 KB of each, as answers at an entry do (the same code); heads are limited to 32 KB. A reply that finds no room counts as failed, and another replica is asked.

--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -20,6 +20,7 @@
 
 use crate::clock;
 use crate::settings::Policy;
+use tt_front::AnswerMemory;
 use tt_limits::SlotGrant;
 use tt_limits::SlotPolicy;
 use tt_limits::Ticket;
@@ -123,10 +124,24 @@
     }
 }
 
+/// Memory for the replies that are being received from all searchers, a quarter of that of a daemon
+/// at the size to design for.
+const REPLY_MEMORY_BYTES: usize = 32 * 1024 * 1024;
+
 /// The workers of all searchers that the documents in force name, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Workers {
     by_address: Mutex<HashMap<SocketAddr, Arc<Worker>>>,
+    replies: Arc<AnswerMemory>,
+}
+
+impl Default for Workers {
+    fn default() -> Self {
+        Workers {
+            by_address: Mutex::default(),
+            replies: Arc::new(AnswerMemory::new(REPLY_MEMORY_BYTES)),
+        }
+    }
 }
 
 impl Workers {
@@ -159,7 +174,7 @@
                 .remove(&searcher.address)
                 .or_else(|| found.get(&searcher.address).cloned())
                 .filter(|worker| worker.has_limits_of(searcher))
-                .unwrap_or_else(|| Worker::start(searcher, policy));
+                .unwrap_or_else(|| Worker::start(searcher, policy, self.replies.clone()));
             worker.set_document_state(searcher.state);
             found.insert(searcher.address, worker);
         }
--- a/crates/daemon/src/owner/client.rs
+++ b/crates/daemon/src/owner/client.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -26,6 +24,7 @@
 use crate::owner::reply::SearchBody;
 use crate::owner::reply::SnapshotGoneBody;
 use crate::owner::reply::StatusBody;
+use tt_front::AnswerMemory;
 use tt_rpc::Outcome;
 use tt_rpc::RunMode;
 use tt_rpc::SubReply;
@@ -33,6 +32,9 @@
 /// Maximum size of the body of one reply.
 const MAX_REPLY_BYTES: usize = 1024 * 1024;
 
+/// Maximum size of the head of a reply.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// Minimum timeout of a connection attempt, for documents with a very short connect time.
 const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -64,11 +66,16 @@
     let connect_timeout = (expected * 10).max(MIN_CONNECT_TIMEOUT);
     let stream = timeout(connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
-    http1::handshake(TokioIo::new(stream)).await.ok()
+    http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await.ok()
 }
 
-/// Sends one sub-query and reads the reply.
-pub(crate) async fn search(mut sender: Sender, work: &Work, deadlines: Deadlines) -> Exchange {
+/// Sends one sub-query and reads the reply, in the memory that all replies share.
+pub(crate) async fn search(
+    mut sender: Sender,
+    work: &Work,
+    deadlines: Deadlines,
+    memory: &AnswerMemory,
+) -> Exchange {
     let Some(request) = search_request(work, deadlines) else {
         return Exchange { reply: outcome(work.key, Outcome::Expired), sender: Some(sender) };
     };
@@ -83,14 +90,17 @@
             return Exchange { reply: outcome(work.key, failure), sender: None };
         }
     };
-    match read(work.key, response).await {
+    match read(work.key, response, memory).await {
         Some(reply) => Exchange { reply, sender: Some(sender) },
         None => Exchange { reply: outcome(work.key, Outcome::Failed), sender: None },
     }
 }
 
 /// Reads the status endpoint. The sender is returned if the connection can be used again.
-pub(crate) async fn status(mut sender: Sender) -> (Option<StatusBody>, Option<Sender>) {
+pub(crate) async fn status(
+    mut sender: Sender,
+    memory: &AnswerMemory,
+) -> (Option<StatusBody>, Option<Sender>) {
     let request =
         Request::builder().uri("/status").header("host", "searcher").body(Full::new(Bytes::new()));
     let Ok(request) = request else {
@@ -99,10 +109,10 @@
     let Ok(response) = sender.send_request(request).await else {
         return (None, None);
     };
-    let Ok(body) = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await else {
+    let Some(body) = memory.collect(response.into_body(), MAX_REPLY_BYTES).await else {
         return (None, None);
     };
-    (serde_json::from_slice(&body.to_bytes()).ok(), Some(sender))
+    (serde_json::from_slice(&body).ok(), Some(sender))
 }
 
 /// A reply without hits.
@@ -133,14 +143,14 @@
         .ok()
 }
 
-async fn read(key: u64, response: Response<Incoming>) -> Option<SubReply> {
+async fn read(key: u64, response: Response<Incoming>, memory: &AnswerMemory) -> Option<SubReply> {
     let status = response.status();
     let header = |name: &str| {
         response.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     };
     let executed = header("x-executed") != "no";
     let draining = header("x-searcher-state") == "draining";
-    let body = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
+    let body = memory.collect(response.into_body(), MAX_REPLY_BYTES).await?;
     let reply = match status {
         StatusCode::OK => {
             let found: SearchBody<'_> = serde_json::from_slice(&body).ok()?;
--- a/crates/daemon/src/owner/worker.rs
+++ b/crates/daemon/src/owner/worker.rs
@@ -23,6 +23,7 @@
 use crate::owner::worker::state::State;
 use crate::owner::worker::state::WakePending;
 use crate::settings::Policy;
+use tt_front::AnswerMemory;
 use tt_limits::CancelOutcome;
 use tt_limits::ConnectionSettings;
 use tt_limits::Connections;
@@ -57,14 +58,20 @@
     pub(crate) slots: u32,
     pub(crate) connections: u32,
     connect_time: Duration,
+    /// Memory for the replies of all searchers.
+    replies: Arc<AnswerMemory>,
     state: Mutex<State>,
     wake: Notify,
 }
 
 impl Worker {
     /// Starts the worker of a searcher. It uses no slot or connection before
-    /// [`Worker::set_grant`].
-    pub(crate) fn start(searcher: &Searcher, policy: Policy) -> Arc<Worker> {
+    /// [`Worker::set_grant`]. `replies` is the memory that the replies of all searchers share.
+    pub(crate) fn start(
+        searcher: &Searcher,
+        policy: Policy,
+        replies: Arc<AnswerMemory>,
+    ) -> Arc<Worker> {
         let now = Instant::now();
         let queue = QueueSettings {
             policy: match policy {
@@ -97,6 +104,7 @@
             slots: searcher.slots,
             connections: searcher.connections,
             connect_time: searcher.connect_time,
+            replies,
             state: Mutex::new(state),
             wake: Notify::new(),
         });
--- a/crates/daemon/src/owner/worker/drive.rs
+++ b/crates/daemon/src/owner/worker/drive.rs
@@ -144,7 +144,7 @@
         deadlines: Deadlines,
     ) {
         let started = Instant::now();
-        let exchange = client::search(sender, &work, deadlines).await;
+        let exchange = client::search(sender, &work, deadlines, &self.replies).await;
         self.finish(ticket, connection, exchange, &work, started);
     }
 
@@ -268,7 +268,7 @@
     }
 
     async fn poll(self: Arc<Self>, id: ConnectionId, sender: Sender) {
-        let answer = timeout(STATUS_TIMEOUT, client::status(sender)).await;
+        let answer = timeout(STATUS_TIMEOUT, client::status(sender, &self.replies)).await;
         let now = Instant::now();
         let mut guard = self.lock();
         let state = &mut *guard;
--- a/crates/front/src/bounded.rs
+++ b/crates/front/src/bounded.rs
@@ -102,7 +102,7 @@
 
 /// The memory for answers that are being received, shared by all requests.
 #[derive(Debug)]
-pub(crate) struct AnswerMemory {
+pub struct AnswerMemory {
     left: AtomicUsize,
 }
 
@@ -111,13 +111,14 @@
 const FREE_ANSWER_BYTES: usize = 16 * 1024;
 
 impl AnswerMemory {
-    pub(crate) fn new(bytes: usize) -> AnswerMemory {
+    /// Memory of this size, besides a small part of each answer.
+    pub fn new(bytes: usize) -> AnswerMemory {
         AnswerMemory { left: AtomicUsize::new(bytes) }
     }
 
     /// Receives a whole body. `None` if it breaks off, is longer than `max_bytes`, or exceeds the
     /// shared memory.
-    pub(crate) async fn collect(&self, mut body: Incoming, max_bytes: usize) -> Option<Bytes> {
+    pub async fn collect(&self, mut body: Incoming, max_bytes: usize) -> Option<Bytes> {
         let mut reservation = Reservation { memory: self, bytes: 0 };
         let mut received = BytesMut::new();
         let mut first = Bytes::new();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -39,6 +39,7 @@
 mod usage;
 mod views;
 
+pub use bounded::AnswerMemory;
 pub use caller_memory::Account;
 pub use caller_memory::Charge;
 pub use caller_memory::Holder;
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -1,18 +1,25 @@
 //! A minimal HTTP/1.1 server whose handler can refuse connections and close them without a
 //! reply.
 
+use std::convert::Infallible;
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use http_body_util::Either;
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -30,13 +37,33 @@
     pub(crate) body: Bytes,
 }
 
-/// How a call ends: with a reply, or with the connection closed without one.
+/// How a call ends.
 #[derive(Debug)]
 pub(crate) enum Answer {
+    /// With a reply.
     Reply(Response<Full<Bytes>>),
+    /// With a success whose body does not end.
+    Endless,
+    /// With the connection closed without a reply.
     Close,
 }
 
+/// A body without end.
+#[derive(Debug)]
+struct EndlessBody;
+
+impl Body for EndlessBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(&[b'0'; 4096])))))
+    }
+}
+
 /// A stand-in's handling of connections and calls.
 pub(crate) trait Handler: Send + Sync + 'static {
     /// State kept while a connection is open; dropped when it ends.
@@ -95,11 +122,13 @@
         async move {
             let (parts, body) = request.into_parts();
             let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-                return Ok::<_, Closed>(reply(StatusCode::PAYLOAD_TOO_LARGE, Bytes::new()));
+                let refused = reply(StatusCode::PAYLOAD_TOO_LARGE, Bytes::new());
+                return Ok::<_, Closed>(refused.map(Either::Left));
             };
             let call = Call { request: Request::from_parts(parts, ()), body: body.to_bytes() };
             match handler.call(call).await {
-                Answer::Reply(response) => Ok(response),
+                Answer::Reply(response) => Ok(response.map(Either::Left)),
+                Answer::Endless => Ok(Response::new(Either::Right(EndlessBody))),
                 Answer::Close => Err(Closed),
             }
         }
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -80,6 +80,8 @@
     Draining,
     /// Refuses them as not executed, with state `overloaded`.
     Shedding,
+    /// Runs them and replies with bytes without end.
+    Endless,
     /// Closes connections without a reply.
     Dead,
 }
@@ -239,6 +241,7 @@
                     inner.counts.shed += 1;
                     return refusal(StatusCode::SERVICE_UNAVAILABLE, "overloaded");
                 }
+                State::Endless => return Answer::Endless,
                 State::Ready => {}
             }
             if deadline_ms.is_some_and(|deadline| deadline <= unix_ms()) {
@@ -291,7 +294,7 @@
     fn state_name(&self) -> &'static str {
         match self.state {
             State::Ready if self.profile.is_cold(self.started.elapsed()) => "cold",
-            State::Ready => "ready",
+            State::Ready | State::Endless => "ready",
             State::Draining => "draining",
             State::Shedding => "overloaded",
             State::Dead => "dead",
