--- a/crates/front/tests/catch_up.rs
+++ b/crates/front/tests/catch_up.rs
@@ -16,6 +16,7 @@
 use support::start_store;
 use tokio::time::Instant;
 use tokio::time::sleep;
+
 use tt_standin::Fault;
 use tt_standin::Platform;
 
