--- a/crates/serve/src/catch_up.rs
+++ b/crates/serve/src/catch_up.rs
@@ -19,6 +19,7 @@
 use crate::members::MemberStatus;
 use crate::members::Members;
 use crate::members::Vm;
+use crate::versions::KnownVersions;
 
 /// When a daemon that lacks the newest configuration does more to get it.
 #[derive(Debug, Clone, Copy)]
@@ -53,29 +54,6 @@
     }
 }
 
-/// What a daemon has, or has heard of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
-pub struct KnownVersions {
-    /// Version of the configuration; 0 if there is none.
-    pub config: u64,
-    /// Store revision of the newest change of the evacuated failure domains.
-    pub evacuations: u64,
-}
-
-impl KnownVersions {
-    fn is_behind(self, newest: KnownVersions) -> bool {
-        self.config < newest.config || self.evacuations < newest.evacuations
-    }
-
-    /// The later version of each.
-    pub fn max(self, other: KnownVersions) -> KnownVersions {
-        KnownVersions {
-            config: self.config.max(other.config),
-            evacuations: self.evacuations.max(other.evacuations),
-        }
-    }
-}
-
 /// Since when a daemon knows that others have something newer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Lag {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -41,6 +41,7 @@
 mod routes;
 mod served_views;
 mod suspects;
+mod versions;
 mod wake;
 
 pub use allowances::AllowanceStatus;
@@ -69,7 +70,6 @@
 pub use catch_up::CatchUp;
 pub use catch_up::CatchUpSettings;
 pub use catch_up::Comparison;
-pub use catch_up::KnownVersions;
 pub use catch_up::Lag;
 pub use config::Allowance;
 pub use config::ApiKey;
@@ -189,6 +189,7 @@
 pub use suspects::SuspectSettings;
 pub use suspects::SuspectStatus;
 pub use suspects::Suspects;
+pub use versions::KnownVersions;
 pub use wake::WakeGuard;
 pub use wake::WakeSettings;
 
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use crate::Time;
-use crate::catch_up::KnownVersions;
 use crate::fleet::ListState;
 use crate::fleet::Tier;
 use crate::gossip::LastRound;
+use crate::versions::KnownVersions;
 
 /// Number of delegates of a failure domain: its daemons with the lowest ranks. The second one keeps
 /// the exchange going if the first fails.
