feat: log and count when the store has come back from an older copy

The logs could not tell whether a listing that was read was put in force, which era the store is in, or that it holds an earlier configuration. Answers of the store now carry their era through the adapter. New lines: store: state=older_copy, fleet: listing=ignored (the first of a series), config: state=older_in_store; new metrics: entry_store_era, entry_ignored_listings_total. No decision changes.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -61,6 +61,7 @@
 use tt_serve::SearcherKey;
 use tt_serve::SearcherRecord;
 use tt_serve::ServedViews;
+use tt_serve::StoreRevision;
 use tt_serve::SuspectStatus;
 use tt_serve::Suspects;
 use tt_serve::Time;
@@ -305,24 +306,25 @@
     }
 
     /// Adopts a listing that was read from the store at `read_at`, unless its revision is earlier
-    /// than that of the newest one. `source` is for the log.
+    /// than that of the newest one. `source` is for the log. Returns whether it did.
     pub(crate) fn adopt_listing(
         &self,
         listing: Vec<SearcherRecord>,
         revision: u64,
         read_at: Time,
         source: &str,
-    ) {
+    ) -> bool {
         self.observe_store_read(read_at);
         let mut state = lock(&self.listing_state);
         if revision < state.revision {
-            return;
+            return false;
         }
         let listed_until = state.read_at;
         state.revision = revision;
         state.history.push(listing);
         state.read_at = state.read_at.max(Some(read_at));
         self.update_registry(&mut state, listed_until, source);
+        true
     }
 
     /// Records that the newest listing was still current at `revision`, which was read at
@@ -377,6 +379,24 @@
         }
     }
 
+    /// Records the point in the history of the store that an answer of `source` tells.
+    pub(crate) fn observe_era(&self, revision: StoreRevision, source: &str) {
+        if let Some(before) = lock(&self.outage).observe_era(revision.era) {
+            log::warn!(
+                "store: state=older_copy era={} era_before={before} revision={} known={} \
+                 source={source}",
+                revision.era,
+                revision.number,
+                self.status().revision
+            );
+        }
+    }
+
+    /// The latest known era of the store.
+    pub(crate) fn store_era(&self) -> u64 {
+        lock(&self.outage).era()
+    }
+
     /// Records that this daemon itself has read the listing from the store.
     pub(crate) fn record_store_read(&self, read_at: Time) {
         lock(&self.listing_state).own_read_at = Some(read_at);
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -88,6 +88,7 @@
     loop {
         let now = entry.now();
         gauge!("entry_config_version").set(entry.config_version() as f64);
+        gauge!("entry_store_era").set(entry.store_era() as f64);
         let behind = lock(&entry.catch_up).behind_for(now);
         gauge!("entry_config_behind_seconds").set(behind.as_secs_f64());
         if let Some(read_at) = entry.listing_read_at() {
@@ -212,6 +213,11 @@
     counter!("entry_view_bytes_total", "outcome" => outcome).increment(bytes as u64);
 }
 
+/// Counts a listing that was read at the store and not put in force, since a later one is known.
+pub(crate) fn count_ignored_listing() {
+    counter!("entry_ignored_listings_total").increment(1);
+}
+
 /// Counts a view that was not fetched, since the peer sends to others.
 pub(crate) fn count_busy_peer() {
     counter!("entry_views_total", "outcome" => "busy").increment(1);
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use crate::entry::Entry;
+use crate::metrics;
 use crate::registration::Registration;
 use crate::sync::lock;
 use tt_adapter::ConfigRead;
@@ -98,6 +99,8 @@
         };
         match result {
             Ok(ConfigRead { config, bytes, evacuations, revision, ignored }) => {
+                entry.observe_era(revision, "store");
+                let revision = revision.number;
                 entry.adopt_evacuations(evacuations, "store");
                 let config = match config {
                     Ok(config) => config,
@@ -115,6 +118,7 @@
                 // A read that finds no configuration, although one is in force, proves nothing.
                 let proves = watched.is_some() || config.is_some();
                 if let Some(config) = config {
+                    log_older(&entry, config.version);
                     entry.adopt_config(&config, Bytes::from(bytes), "store");
                 }
                 entry.record_config_read(asked_at);
@@ -143,12 +147,21 @@
     }
 }
 
+/// Logs that the store has an earlier configuration than the one in force.
+fn log_older(entry: &Entry, version: u64) {
+    let in_force = entry.config_version();
+    if version < in_force {
+        log::warn!("config: state=older_in_store version={version} in_force={in_force}");
+    }
+}
+
 /// Reads the listing of searchers whenever it is this daemon's turn; other daemons get it from
 /// their peers.
 pub(crate) async fn follow_searchers(entry: Arc<Entry>, platform: Platform) {
     let mut status = StoreStatus::new("searchers");
     let mut ignored = Vec::new();
     let mut history_complete = true;
+    let mut ignored_reads = 0_u32;
     loop {
         if !is_listing_reader(&entry) {
             sleep(READ_POLL_INTERVAL).await;
@@ -177,6 +190,8 @@
                 }
                 ignored = newly_ignored;
                 entry.record_store_read(read_at);
+                entry.observe_era(revision, "store");
+                let revision = revision.number;
                 let listing = match update {
                     ListingUpdate::Whole(listing) => listing,
                     ListingUpdate::Changes(delta) if delta.is_empty() => {
@@ -185,7 +200,16 @@
                     }
                     ListingUpdate::Changes(delta) => delta.apply(&entry.listing()),
                 };
-                entry.adopt_listing(listing, revision, read_at, "store");
+                if entry.adopt_listing(listing, revision, read_at, "store") {
+                    ignored_reads = 0;
+                    continue;
+                }
+                metrics::count_ignored_listing();
+                if ignored_reads == 0 {
+                    let known = entry.status().revision;
+                    log::warn!("fleet: listing=ignored revision={revision} known={known}");
+                }
+                ignored_reads += 1;
             }
             Err(PlatformError::Compacted) => {
                 log::info!("store: calls=searchers history=dropped");
--- a/crates/serve/src/outage.rs
+++ b/crates/serve/src/outage.rs
@@ -32,6 +32,8 @@
     read_at: Option<Time>,
     /// The first one after the latest outage.
     restored_at: Option<Time>,
+    /// Era of the store; `None` before the first read.
+    era: Option<u64>,
 }
 
 impl OutageDetector {
@@ -46,6 +48,19 @@
         })
     }
 
+    /// Records the era of the store in an answer to this daemon, or to another one that tells of it.
+    /// Returns the era before if it has risen: the store has come back from an older copy.
+    pub fn observe_era(&mut self, era: u64) -> Option<u64> {
+        let before = self.era;
+        self.era = before.max(Some(era));
+        before.filter(|before| *before < era)
+    }
+
+    /// The latest known era of the store; 0 before the first read.
+    pub fn era(&self) -> u64 {
+        self.era.unwrap_or(0)
+    }
+
     /// Records that this daemon has been paused, so that it could not know of reads.
     pub fn forget_reads(&mut self) {
         self.read_at = None;
