--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub use platform::Fault;
 pub use platform::Platform;
 pub use platform::PlatformCounts;
+pub use platform::StoreCopy;
 pub use searcher::LatencyProfile;
 pub use searcher::Searcher;
 pub use searcher::SearcherCounts;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use hyper::StatusCode;
+use hyper::header::HeaderValue;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::watch;
@@ -37,6 +38,9 @@
 /// Maximum size of a value that a transaction may write.
 const MAX_VALUE_BYTES: usize = 1_048_576;
 
+/// Name of the header with the era of the store.
+const ERA_HEADER: &str = "store-era";
+
 /// How often a waiting watch checks for expired leases.
 const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -80,9 +84,15 @@
     changed: watch::Sender<u64>,
 }
 
+/// The contents of the store at one moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(State);
+
 #[derive(Debug)]
 struct Store {
     state: State,
+    /// Rises each time the store comes back from a copy.
+    era: u64,
     fault: Fault,
     /// Number of writes to come whose replies are lost.
     lost_replies: u32,
@@ -100,6 +110,7 @@
     pub async fn start(address: SocketAddr) -> std::io::Result<Platform> {
         let store = Store {
             state: State::new(),
+            era: 1,
             fault: Fault::None,
             lost_replies: 0,
             failing_key: None,
@@ -147,6 +158,22 @@
         self.shared.wake();
     }
 
+    /// Returns a copy of the contents.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.lock().state.clone())
+    }
+
+    /// Comes back from an older copy: all that was written since is lost, and revisions and ids of
+    /// leases are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut store = self.shared.lock();
+        store.state = copy.0.clone();
+        store.state.renew_all_leases(Instant::now());
+        store.era += 1;
+        drop(store);
+        self.shared.wake();
+    }
+
     /// Writes a key without a lease, as an operator or a searcher does.
     pub fn put(&self, key: &str, value: &[u8]) {
         self.shared.lock().state.put(key, Bytes::copy_from_slice(value), 0);
@@ -283,16 +310,21 @@
             return malformed();
         };
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
-        self.lock().counts.watches += 1;
+        let era = {
+            let mut store = self.lock();
+            store.counts.watches += 1;
+            store.era
+        };
         let mut changed = self.changed.subscribe();
         let deadline = Instant::now() + wait;
         loop {
             changed.borrow_and_update();
-            let (changes, revision, fault) = {
+            let (changes, revision, is_cut) = {
                 let store = self.lock();
-                (store.state.changes(prefix, after), store.state.revision(), store.fault)
+                let is_cut = store.fault == Fault::Down || store.era != era;
+                (store.state.changes(prefix, after), store.state.revision(), is_cut)
             };
-            if fault == Fault::Down {
+            if is_cut {
                 return Answer::Close;
             }
             let Some(changes) = changes else {
@@ -317,6 +349,16 @@
     }
 
     async fn call(self: &Arc<Self>, call: Call) -> Answer {
+        let mut answer = self.answer(call).await;
+        if let Answer::Reply(reply) = &mut answer {
+            reply.headers_mut().insert(ERA_HEADER, HeaderValue::from(self.lock().era));
+        }
+        answer
+    }
+}
+
+impl Shared {
+    async fn answer(&self, call: Call) -> Answer {
         let fault = self.lock().fault;
         match fault {
             Fault::None => {}
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -49,7 +49,7 @@
 }
 
 /// The contents of the store.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct State {
     items: BTreeMap<String, StoredItem>,
     leases: BTreeMap<u64, Lease>,
@@ -74,6 +74,13 @@
         }
     }
 
+    /// Renews all leases, whose ends have passed in a copy.
+    pub(super) fn renew_all_leases(&mut self, now: Instant) {
+        for lease in self.leases.values_mut() {
+            lease.expires_at = now + lease.ttl;
+        }
+    }
+
     pub(super) fn revision(&self) -> u64 {
         self.revision
     }
@@ -92,9 +99,9 @@
     }
 
     /// The changes of keys with a prefix since a revision; `None` if the history no longer reaches
-    /// back to it.
+    /// back to it, or the store is not there yet.
     pub(super) fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Change>> {
-        if after < self.compacted {
+        if after < self.compacted || after > self.revision {
             return None;
         }
         let matches = |change: &&Change| change.revision > after && change.key.starts_with(prefix);
