fix: order what is read at the store by its era first, then by the revision

Cause: listings, evacuations and watches were ordered by the revision alone. The store gives revisions out again after it has come back from an older copy, so a listing from it counted as older than the one in force, and a watch from a revision of before skipped what was written below it.

Change: StoreRevision holds the era and orders by it. A listing that is read and not adopted is followed by a pause, whatever the reason.

Ruled out: a configuration of the copy in place of a later one. Versions are the operator's, and only later ones are adopted.

Views and evacuations of entries of an earlier version can't be decoded; such entries read the store themselves until all are upgraded.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -158,7 +158,7 @@
     /// When the newest listing was read from the store, by this daemon or a peer.
     read_at: Option<Time>,
     /// Revision of the store at that time.
-    revision: u64,
+    revision: StoreRevision,
     /// When this daemon itself last read the listing from the store.
     own_read_at: Option<Time>,
 }
@@ -204,7 +204,7 @@
                 registry: Registry::new(settings.registry),
                 history: ListingHistory::default(),
                 read_at: None,
-                revision: 0,
+                revision: StoreRevision::default(),
                 own_read_at: None,
             }),
             retry_budgets: Mutex::new(HashMap::new()),
@@ -247,7 +247,7 @@
     pub(crate) fn set_boot(&self, boot: Boot) {
         let evacuates = boot.bounds.evacuation.is_some();
         *write(&self.boot) = boot;
-        if !evacuates && self.evacuation_revision() > 0 {
+        if !evacuates && self.evacuation_revision().is_known() {
             // Nothing would tell of the end of an evacuation any more.
             let mut evacuations = lock(&self.evacuations);
             *evacuations = Evacuations::default();
@@ -263,7 +263,7 @@
 
     /// The configuration in force. `None` until it and the evacuated failure domains are known.
     pub(crate) fn active_config(&self) -> Option<Arc<ActiveConfig>> {
-        if self.requires_evacuations && self.evacuates() && self.evacuation_revision() == 0 {
+        if self.requires_evacuations && self.evacuates() && !self.evacuation_revision().is_known() {
             return None;
         }
         read(&self.active_config).clone()
@@ -310,7 +310,7 @@
     pub(crate) fn adopt_listing(
         &self,
         listing: Vec<SearcherRecord>,
-        revision: u64,
+        revision: StoreRevision,
         read_at: Time,
         source: &str,
     ) -> bool {
@@ -329,7 +329,7 @@
 
     /// Records that the newest listing was still current at `revision`, which was read at
     /// `read_at`.
-    pub(crate) fn confirm_listing(&self, revision: u64, read_at: Time) {
+    pub(crate) fn confirm_listing(&self, revision: StoreRevision, read_at: Time) {
         self.observe_store_read(read_at);
         let mut state = lock(&self.listing_state);
         if (revision, Some(read_at)) <= (state.revision, state.read_at) {
--- a/crates/front/src/entry/evacuation.rs
+++ b/crates/front/src/entry/evacuation.rs
@@ -9,6 +9,7 @@
 use tt_serve::EvacuationDiff;
 use tt_serve::EvacuationUpdate;
 use tt_serve::RegionRule;
+use tt_serve::StoreRevision;
 
 impl Entry {
     /// Whether operators may evacuate failure domains of this deployment.
@@ -21,8 +22,8 @@
         rule.domains(&read(&self.boot).regions)
     }
 
-    /// Store revision of the evacuated failure domains that are known; 0 if none is.
-    pub(crate) fn evacuation_revision(&self) -> u64 {
+    /// Store revision of the evacuated failure domains that are known, if any are.
+    pub(crate) fn evacuation_revision(&self) -> StoreRevision {
         lock(&self.evacuations).newest().revision
     }
 
--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -24,6 +24,7 @@
 use tt_serve::MemberState;
 use tt_serve::MemberStatus;
 use tt_serve::ProofReport;
+use tt_serve::StoreRevision;
 use tt_serve::SuspectStatus;
 use tt_serve::Time;
 use tt_serve::Vm;
@@ -136,6 +137,12 @@
     /// Processor share of its VM, in thousandths of a core.
     #[prost(uint32, tag = "15")]
     millicores: u32,
+    /// Era of the store in which its listing was read.
+    #[prost(uint64, tag = "16")]
+    era: u64,
+    /// Era of the store of `evacuation_revision`.
+    #[prost(uint64, tag = "17")]
+    evacuation_era: u64,
 }
 
 impl Record {
@@ -156,11 +163,13 @@
             digest: status.digest,
             listing_age: status.listing_read_at.map(age),
             age: age(heard_at),
-            revision: status.revision,
+            revision: status.revision.number,
             shards: status.shards,
-            evacuation_revision: status.evacuation_revision,
+            evacuation_revision: status.evacuation_revision.number,
             keys_expired: status.keys_expired,
             millicores: status.millicores,
+            era: status.revision.era,
+            evacuation_era: status.evacuation_revision.era,
         }
     }
 
@@ -186,9 +195,12 @@
             version: self.version,
             shards: self.shards,
             digest: self.digest,
-            revision: self.revision,
+            revision: StoreRevision { era: self.era, number: self.revision },
             listing_read_at: self.listing_age.map(at),
-            evacuation_revision: self.evacuation_revision,
+            evacuation_revision: StoreRevision {
+                era: self.evacuation_era,
+                number: self.evacuation_revision,
+            },
             keys_expired: self.keys_expired,
             millicores: self.millicores,
         };
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -100,7 +100,6 @@
         match result {
             Ok(ConfigRead { config, bytes, evacuations, revision, ignored }) => {
                 entry.observe_era(revision, "store");
-                let revision = revision.number;
                 entry.adopt_evacuations(evacuations, "store");
                 let config = match config {
                     Ok(config) => config,
@@ -126,13 +125,13 @@
                     entry.prove_from_store(proof_at);
                 }
                 // The store's revisions start above 0; without one there is nothing to watch from.
-                watch_revision = Some(revision).filter(|revision| *revision > 0);
+                watch_revision = Some(revision).filter(|revision| revision.is_known());
                 if watch_revision.is_none() {
                     sleep(entry.settings.listing.retry_delay).await;
                 }
             }
-            Err(PlatformError::Compacted) => {
-                log::info!("store: calls=config history=dropped");
+            Err(error @ (PlatformError::Compacted | PlatformError::Restored)) => {
+                log_lost_history("config", &error);
                 watch_revision = None;
             }
             Err(error) => {
@@ -147,6 +146,12 @@
     }
 }
 
+/// Logs that a watch can't continue.
+fn log_lost_history(calls: &str, error: &PlatformError) {
+    let history = if *error == PlatformError::Restored { "older_copy" } else { "dropped" };
+    log::info!("store: calls={calls} history={history}");
+}
+
 /// Logs that the store has an earlier configuration than the one in force.
 fn log_older(entry: &Entry, version: u64) {
     let in_force = entry.config_version();
@@ -170,7 +175,7 @@
         let read_at = entry.now();
         // What has changed since the newest listing takes one call, the whole listing several.
         let base = entry.status().revision;
-        let result = if base == 0 || !history_complete {
+        let result = if !base.is_known() || !history_complete {
             platform
                 .read_listing()
                 .await
@@ -191,7 +196,6 @@
                 ignored = newly_ignored;
                 entry.record_store_read(read_at);
                 entry.observe_era(revision, "store");
-                let revision = revision.number;
                 let listing = match update {
                     ListingUpdate::Whole(listing) => listing,
                     ListingUpdate::Changes(delta) if delta.is_empty() => {
@@ -210,9 +214,10 @@
                     log::warn!("fleet: listing=ignored revision={revision} known={known}");
                 }
                 ignored_reads += 1;
+                sleep(entry.settings.listing.retry_delay).await;
             }
-            Err(PlatformError::Compacted) => {
-                log::info!("store: calls=searchers history=dropped");
+            Err(error @ (PlatformError::Compacted | PlatformError::Restored)) => {
+                log_lost_history("searchers", &error);
                 history_complete = false;
             }
             Err(error) => {
--- a/crates/front/src/views.rs
+++ b/crates/front/src/views.rs
@@ -1,6 +1,7 @@
 //! Views: what daemons fetch from one another instead of from the store.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +39,7 @@
 use tt_serve::ListingDelta;
 use tt_serve::MemberStatus;
 use tt_serve::SearcherRecord;
+use tt_serve::StoreRevision;
 use tt_serve::Time;
 use tt_serve::ViewKey;
 use tt_serve::Vm;
@@ -75,7 +77,7 @@
     evacuations: Option<EvacuatedDomains>,
     searchers: Searchers,
     /// Revision of the store at which the searchers were read.
-    revision: u64,
+    revision: StoreRevision,
     /// Time since the listing was read from the store, in milliseconds; `None` if there is none.
     listing_age: Option<u64>,
 }
@@ -107,7 +109,7 @@
         let mut own = entry.status();
         if !entry.evacuates() {
             // None is newer, so that none is fetched.
-            own.evacuation_revision = u64::MAX;
+            own.evacuation_revision = StoreRevision::MAX;
         }
         let Comparison { confirmed, source, newest, report } = {
             let members = lock(&entry.members);
@@ -182,6 +184,7 @@
             Err(error) => log::warn!("peer: config=\"{error}\""),
         }
     }
+    entry.observe_era(view.revision, "peer");
     if let Some(age) = view.listing_age {
         // The age was stated after the request, at a time that is not known.
         let read_at = asked_at.saturating_sub(Duration::from_millis(age));
@@ -263,13 +266,10 @@
 
 /// Answers a peer that asks for the view. The query names the version and the digest that it has.
 pub(crate) fn serve(entry: Arc<Entry>, query: &str) -> Response<Body> {
-    let parameter = |name: &str| {
-        let mut pairs = form_urlencoded::parse(query.as_bytes());
-        pairs.find(|(key, _)| key == name).and_then(|(_, value)| value.parse::<u64>().ok())
-    };
-    let version = parameter("version").unwrap_or(0);
+    let version = parameter(query, "version").unwrap_or(0);
     let newer = entry.active_config().filter(|config| config.table.version > version);
-    let delta = parameter("digest").and_then(|digest| Some((digest, entry.listing_delta(digest)?)));
+    let delta =
+        parameter(query, "digest").and_then(|digest| Some((digest, entry.listing_delta(digest)?)));
     let searchers = match delta {
         Some((digest, delta)) => Searchers::Since(digest, delta),
         None => Searchers::All(entry.listing()),
@@ -283,7 +283,7 @@
     let sending = SendingView { entry, key };
     let entry = &sending.entry;
     let evacuations = entry.evacuations();
-    let known = parameter("evacuations").unwrap_or(0);
+    let known: StoreRevision = parameter(query, "evacuations").unwrap_or_default();
     let MemberStatus { revision, listing_read_at, .. } = entry.status();
     let view = View {
         config: newer.and_then(|config| config_text(&config.bytes)),
@@ -307,6 +307,15 @@
     }
 }
 
+/// The value of a parameter of a query, if it has a valid one.
+fn parameter<T>(query: &str, name: &str) -> Option<T>
+where
+    T: FromStr,
+{
+    let mut pairs = form_urlencoded::parse(query.as_bytes());
+    pairs.find(|(key, _)| key == name).and_then(|(_, value)| value.parse().ok())
+}
+
 /// A view that is being sent. Dropping it makes room for others.
 #[derive(Debug)]
 struct SendingView {
--- a/crates/front/tests/support/peer.rs
+++ b/crates/front/tests/support/peer.rs
@@ -52,6 +52,8 @@
     pub revision: u64,
     #[prost(bool, tag = "14")]
     pub keys_expired: bool,
+    #[prost(uint64, tag = "16")]
+    pub era: u64,
 }
 
 impl Record {
@@ -135,6 +137,7 @@
     if sender.listing_age.is_some() {
         record.digest = sender.digest;
         record.revision = sender.revision + REVISIONS_AHEAD;
+        record.era = sender.era;
         record.listing_age = Some(0);
     }
 }
--- a/crates/serve/src/catch_up.rs
+++ b/crates/serve/src/catch_up.rs
@@ -19,6 +19,7 @@
 use crate::members::MemberStatus;
 use crate::members::Members;
 use crate::members::Vm;
+use crate::store_revision::StoreRevision;
 use crate::versions::KnownVersions;
 
 /// When a daemon that lacks the newest configuration does more to get it.
@@ -73,7 +74,7 @@
 #[derive(Debug, Default)]
 pub struct Comparison {
     /// The latest revision and time of a read at the store that found the own listing still current.
-    pub confirmed: Option<(u64, Time)>,
+    pub confirmed: Option<(StoreRevision, Time)>,
     /// The peer to fetch from, if one has something newer.
     pub source: Option<Vm>,
     /// The newest of what the peers have.
@@ -140,15 +141,18 @@
         member: &Member,
         members: &Members,
         own: &MemberStatus,
-    ) -> (Reverse<Option<Time>>, bool, KnownVersions, u64) {
+    ) -> (Reverse<Option<Time>>, bool, KnownVersions, StoreRevision, u64) {
         let Member { vm, status, .. } = member;
-        let order = match own.versions().is_behind(status.versions()) {
-            true => xxh3_64_with_seed(vm.name.as_bytes(), xxh3_64(members.name().as_bytes())),
-            false => status.revision,
+        let (revision, order) = match own.versions().is_behind(status.versions()) {
+            true => {
+                let seed = xxh3_64(members.name().as_bytes());
+                (StoreRevision::default(), xxh3_64_with_seed(vm.name.as_bytes(), seed))
+            }
+            false => (status.revision, 0),
         };
         let avoided_until = self.avoided.get(&vm.name).copied();
         let is_near = vm.domain == members.domain();
-        (Reverse(avoided_until), is_near, status.versions(), order)
+        (Reverse(avoided_until), is_near, status.versions(), revision, order)
     }
 
     /// Records what this daemon has, and the newest of what its live peers have. Returns the lag
--- a/crates/serve/src/evacuation.rs
+++ b/crates/serve/src/evacuation.rs
@@ -9,11 +9,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store_revision::StoreRevision;
+
 /// The evacuated domains at one revision of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct EvacuatedDomains {
-    /// The revision; 0 if the set is not known.
-    pub revision: u64,
+    /// The revision; unknown if the set is.
+    pub revision: StoreRevision,
     /// Names of the domains.
     pub domains: BTreeSet<String>,
 }
@@ -22,7 +24,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EvacuationChange {
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Name of the domain.
     pub domain: String,
     /// Whether the domain is evacuated from then on.
@@ -45,7 +47,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EvacuationDiff {
     /// Revision of the new set.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether no set was known before.
     pub is_first: bool,
     /// Domains that are evacuated now.
@@ -80,7 +82,7 @@
         let now = &self.newest;
         Some(EvacuationDiff {
             revision: now.revision,
-            is_first: before.revision == 0,
+            is_first: !before.revision.is_known(),
             started: now.domains.difference(&before.domains).cloned().collect(),
             ended: before.domains.difference(&now.domains).cloned().collect(),
         })
--- a/crates/serve/src/listing.rs
+++ b/crates/serve/src/listing.rs
@@ -9,6 +9,7 @@
 use crate::members::Member;
 use crate::members::MemberStatus;
 use crate::members::Members;
+use crate::store_revision::StoreRevision;
 
 /// When a daemon reads the store.
 #[derive(Debug, Clone, Copy)]
@@ -124,7 +125,7 @@
     /// Nothing.
     None,
     /// Its own listing was still valid at this later revision and time of the other daemon's read.
-    Confirm(u64, Time),
+    Confirm(StoreRevision, Time),
     /// Fetches a newer listing or configuration from the other daemon.
     Fetch,
 }
@@ -155,7 +156,7 @@
         return SyncAction::Fetch;
     }
     let (known, told) = (own.evacuation_revision, theirs.evacuation_revision);
-    if told > known && (same_domain || config_overdue || known == 0) {
+    if told > known && (same_domain || config_overdue || !known.is_known()) {
         return SyncAction::Fetch;
     }
     match theirs.listing_read_at {
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -11,6 +11,7 @@
 use crate::fleet::ListState;
 use crate::fleet::Tier;
 use crate::gossip::LastRound;
+use crate::store_revision::StoreRevision;
 use crate::versions::KnownVersions;
 
 /// Number of delegates of a failure domain: its daemons with the lowest ranks. The second one keeps
@@ -57,14 +58,13 @@
     pub shards: u64,
     /// Digest of its listing of searchers.
     pub digest: u64,
-    /// Store revision at which its listing was read; 0 if it has none. Unlike times, it also orders
-    /// what was read by a VM that has been suspended since.
-    pub revision: u64,
+    /// Store revision at which its listing was read; unknown if it has none. Unlike times, it also
+    /// orders what was read by a VM that has been suspended since.
+    pub revision: StoreRevision,
     /// When its listing was read at the store, on the clock of the daemon that holds this status.
     pub listing_read_at: Option<Time>,
-    /// Store revision of the newest change of the evacuated failure domains that it knows; 0 if it
-    /// knows of none.
-    pub evacuation_revision: u64,
+    /// Store revision of the newest change of the evacuated failure domains that it knows, if any.
+    pub evacuation_revision: StoreRevision,
     /// Whether it refuses requests with API keys, since a key may have been withdrawn without its
     /// knowledge.
     pub keys_expired: bool,
--- a/crates/serve/src/versions.rs
+++ b/crates/serve/src/versions.rs
@@ -1,12 +1,14 @@
 //! Versions of what operators have written.
 
+use crate::store_revision::StoreRevision;
+
 /// What a daemon has, or has heard of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct KnownVersions {
     /// Version of the configuration; 0 if there is none.
     pub config: u64,
     /// Store revision of the newest change of the evacuated failure domains.
-    pub evacuations: u64,
+    pub evacuations: StoreRevision,
 }
 
 impl KnownVersions {
--- a/crates/serve/tests/catch_up.rs
+++ b/crates/serve/tests/catch_up.rs
@@ -10,6 +10,7 @@
 use tt_serve::MemberState;
 use tt_serve::MemberStatus;
 use tt_serve::Members;
+use tt_serve::StoreRevision;
 use tt_serve::Time;
 use tt_serve::Vm;
 
@@ -82,7 +83,7 @@
         state: MemberState::Open,
         version,
         digest: 1,
-        revision,
+        revision: StoreRevision { era: 1, number: revision },
         listing_read_at: Some(ms(revision)),
         ..MemberStatus::default()
     }
--- a/crates/serve/tests/config_storm.rs
+++ b/crates/serve/tests/config_storm.rs
@@ -22,6 +22,7 @@
 use tt_serve::RepeatPolicy;
 use tt_serve::Route;
 use tt_serve::RouteTable;
+use tt_serve::StoreRevision;
 use tt_serve::Target;
 use tt_serve::Vm;
 use tt_serve::assign;
@@ -83,7 +84,7 @@
             state: MemberState::Open,
             version,
             shards: table(&mut fleet, version, shards).shards_digest,
-            revision: 1,
+            revision: StoreRevision { era: 1, number: 1 },
             listing_read_at: Some(ms(0)),
             ..MemberStatus::default()
         };
--- a/crates/serve/tests/evacuation.rs
+++ b/crates/serve/tests/evacuation.rs
@@ -46,6 +46,7 @@
 use tt_serve::SearcherKey;
 use tt_serve::SearcherRecord;
 use tt_serve::Statement;
+use tt_serve::StoreRevision;
 use tt_serve::SyncAction;
 use tt_serve::Target;
 use tt_serve::Time;
@@ -62,12 +63,18 @@
     names.iter().map(|name| (*name).to_owned()).collect()
 }
 
+/// A revision in the first era of the store.
+fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 1, number }
+}
+
 fn whole(revision: u64, names: &[&str]) -> EvacuationUpdate {
+    let revision = at(revision);
     EvacuationUpdate::Whole(EvacuatedDomains { revision, domains: domains(names) })
 }
 
 fn change(revision: u64, domain: &str, evacuated: bool) -> EvacuationChange {
-    EvacuationChange { revision, domain: domain.to_owned(), evacuated }
+    EvacuationChange { revision: at(revision), domain: domain.to_owned(), evacuated }
 }
 
 fn query(pools: &[PoolKey], min_shards: usize, repeat: RepeatPolicy) -> Query {
@@ -116,7 +123,7 @@
     evacuations.adopt(whole(7, &["b"]));
     let changes = vec![change(4, "a", true), change(6, "a", false), change(8, "c", true)];
     evacuations.adopt(EvacuationUpdate::Changes(changes));
-    assert_eq!(evacuations.newest().revision, 8);
+    assert_eq!(evacuations.newest().revision, at(8));
     assert_eq!(evacuations.newest().domains, domains(&["b", "c"]));
     assert_eq!(evacuations.adopt(EvacuationUpdate::Changes(Vec::new())), None);
     assert_eq!(evacuations.adopt(EvacuationUpdate::Unread), None);
@@ -132,26 +139,26 @@
         steps in prop::collection::vec((0..3_usize, any::<bool>(), 0..4_usize, 0..4_usize), 1..40),
     ) {
         let names = ["a", "b", "c"];
-        let mut store = EvacuatedDomains { revision: 1, domains: BTreeSet::new() };
+        let mut store = EvacuatedDomains { revision: at(1), domains: BTreeSet::new() };
         let mut log = Vec::new();
         // The first two watch the store from different revisions; the others hear of these.
         let mut daemons: Vec<Evacuations> = (0..4).map(|_| Evacuations::default()).collect();
         let mut watched = [0, 0];
         for (domain, evacuated, from, to) in steps {
-            store.revision += 1;
+            store.revision.number += 1;
             match evacuated {
                 true => store.domains.insert(names[domain].to_owned()),
                 false => store.domains.remove(names[domain]),
             };
-            log.push(change(store.revision, names[domain], evacuated));
+            log.push(change(store.revision.number, names[domain], evacuated));
             if from < 2 {
                 let update = match watched[from] {
                     0 => EvacuationUpdate::Whole(store.clone()),
                     after => EvacuationUpdate::Changes(
-                        log.iter().filter(|it| it.revision > after).cloned().collect(),
+                        log.iter().filter(|it| it.revision > at(after)).cloned().collect(),
                     ),
                 };
-                watched[from] = store.revision;
+                watched[from] = store.revision.number;
                 daemons[from].adopt(update);
                 prop_assert_eq!(daemons[from].newest(), &store);
             }
@@ -359,7 +366,7 @@
     let told = MemberStatus {
         state: MemberState::Open,
         version: 1,
-        evacuation_revision: 9,
+        evacuation_revision: at(9),
         ..MemberStatus::default()
     };
     members.update_status(vm("near", "home"), told.clone(), ms(5000));
@@ -368,7 +375,7 @@
         let member = members.live(ms(5000)).find(|it| it.vm.name == name).expect("a member");
         let own = MemberStatus {
             version: 1,
-            evacuation_revision: known,
+            evacuation_revision: if known > 0 { at(known) } else { StoreRevision::default() },
             listing_read_at: Some(ms(4900)),
             ..MemberStatus::default()
         };
--- a/crates/serve/tests/gossip.rs
+++ b/crates/serve/tests/gossip.rs
@@ -14,6 +14,7 @@
 use tt_serve::MemberState;
 use tt_serve::MemberStatus;
 use tt_serve::Members;
+use tt_serve::StoreRevision;
 use tt_serve::Time;
 use tt_serve::Vm;
 
@@ -70,7 +71,7 @@
         MemberStatus {
             state,
             version: 1,
-            revision,
+            revision: StoreRevision { era: 1, number: revision },
             listing_read_at: Some(read_at),
             ..MemberStatus::default()
         }
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -35,6 +35,7 @@
 use tt_serve::RetryBudgetSettings;
 use tt_serve::Route;
 use tt_serve::RouteTable;
+use tt_serve::StoreRevision;
 use tt_serve::Target;
 use tt_serve::TierSize;
 use tt_serve::Vm;
@@ -280,7 +281,7 @@
         state,
         version: 1,
         shards,
-        revision: 1,
+        revision: StoreRevision { era: 1, number: 1 },
         listing_read_at: Some(ms(0)),
         ..MemberStatus::default()
     }
--- a/crates/serve/tests/members.rs
+++ b/crates/serve/tests/members.rs
@@ -13,6 +13,7 @@
 use tt_serve::ReadDecision;
 use tt_serve::SearcherRecord;
 use tt_serve::SearcherState;
+use tt_serve::StoreRevision;
 use tt_serve::SyncAction;
 use tt_serve::Time;
 use tt_serve::Vm;
@@ -25,6 +26,11 @@
     Vm { name: name.to_owned(), front: address, peer: address, domain: domain.to_owned() }
 }
 
+/// A revision in the first era of the store.
+fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 1, number }
+}
+
 /// A status whose revision is the time of its listing in milliseconds.
 fn status(version: u64, digest: u64, read_at: Option<Time>) -> MemberStatus {
     let revision = read_at.map_or(0, |read_at| read_at.as_millis() as u64);
@@ -32,7 +38,7 @@
         state: MemberState::Open,
         version,
         digest,
-        revision,
+        revision: at(revision),
         listing_read_at: read_at,
         ..MemberStatus::default()
     }
@@ -101,7 +107,7 @@
     let own = status(5, 7, Some(ms(1000)));
     let cases = [
         ("x", status(5, 7, Some(ms(900))), false, SyncAction::None),
-        ("x", status(5, 7, Some(ms(1500))), false, SyncAction::Confirm(1500, ms(1500))),
+        ("x", status(5, 7, Some(ms(1500))), false, SyncAction::Confirm(at(1500), ms(1500))),
         ("x", status(5, 8, Some(ms(1500))), false, SyncAction::Fetch),
         ("x", status(6, 7, Some(ms(900))), false, SyncAction::Fetch),
         ("y", status(5, 8, Some(ms(1500))), false, SyncAction::None),
@@ -130,7 +136,7 @@
 #[test]
 fn a_listing_of_an_earlier_revision_is_not_fetched_however_recent_it_looks() {
     let own = status(5, 7, Some(ms(1000)));
-    let suspended = MemberStatus { revision: 400, ..status(5, 8, Some(ms(1900))) };
+    let suspended = MemberStatus { revision: at(400), ..status(5, 8, Some(ms(1900))) };
     let mut members = Members::new(MemberSettings::default(), vm("c", "x"));
     members.update_status(vm("a", "x"), suspended, ms(2000));
     let member = members.live(ms(2000)).next().expect("it was heard");
@@ -138,6 +144,24 @@
     assert_eq!(sync_action(member, "x", &own, &settings, false, ms(2000)), SyncAction::None);
 }
 
+// Guards against a listing from before the store came back from an older copy: its revision, which
+// is given out again, says nothing about the new one.
+#[test]
+fn a_listing_of_a_later_era_is_fetched_whatever_its_revision() {
+    let own = status(5, 7, Some(ms(1900)));
+    let restored = StoreRevision { era: 2, number: 400 };
+    let theirs = MemberStatus { revision: restored, ..status(5, 8, Some(ms(1800))) };
+    let mut members = Members::new(MemberSettings::default(), vm("c", "x"));
+    members.update_status(vm("a", "x"), theirs.clone(), ms(2000));
+    let settings = ListingSettings::default();
+    let member = members.live(ms(2000)).next().expect("it was heard");
+    assert_eq!(sync_action(member, "x", &own, &settings, false, ms(2000)), SyncAction::Fetch);
+    let mut members = Members::new(MemberSettings::default(), vm("c", "x"));
+    members.update_status(vm("a", "x"), own, ms(2000));
+    let member = members.live(ms(2000)).next().expect("it was heard");
+    assert_eq!(sync_action(member, "x", &theirs, &settings, false, ms(2000)), SyncAction::None);
+}
+
 // Guards against reads of the store by all daemons while nothing changes there. The revision stays
 // the same then, and only the time shows that the listing is still valid.
 #[test]
@@ -149,7 +173,7 @@
     let member = members.live(ms(2000)).next().expect("it was heard");
     let settings = ListingSettings::default();
     let found = sync_action(member, "x", &own, &settings, false, ms(2000));
-    assert_eq!(found, SyncAction::Confirm(1000, ms(1900)));
+    assert_eq!(found, SyncAction::Confirm(at(1000), ms(1900)));
 }
 
 // Guards against a digest that changes with each heartbeat of a searcher, or misses a change.
--- a/crates/serve/tests/served_views.rs
+++ b/crates/serve/tests/served_views.rs
@@ -11,6 +11,7 @@
 use tt_serve::Members;
 use tt_serve::ServedViewSettings;
 use tt_serve::ServedViews;
+use tt_serve::StoreRevision;
 use tt_serve::Time;
 use tt_serve::ViewKey;
 use tt_serve::Vm;
@@ -78,7 +79,13 @@
 /// The status of a daemon with this version.
 fn status(version: u64) -> MemberStatus {
     let state = MemberState::Open;
-    MemberStatus { state, version, digest: 1, revision: 1, ..MemberStatus::default() }
+    MemberStatus {
+        state,
+        version,
+        digest: 1,
+        revision: StoreRevision { era: 1, number: 1 },
+        ..MemberStatus::default()
+    }
 }
 
 impl Daemon {
