fix: keep what is known of searchers if an older copy of the store says less

What callers would see: requests to searchers that have reported that they leave, or have left, for as long as the copy lists them as ready.

Cause: the registration of a searcher that was no longer listed was taken as new whenever it was listed again; a lower sequence number with another revision of creation counted as a restart, though the start time was the same; and whether listed searchers were missing was told by the length of the listing.

Change: a record that was written before the last known one of a searcher that left is passed over, until its heartbeats advance. Of one start, only the sequence number counts. The registry itself remembers that searchers are missing.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -337,7 +337,7 @@
         }
         state.revision = revision;
         state.read_at = state.read_at.max(Some(read_at));
-        if state.registry.has_lapsed(state.history.newest()) {
+        if state.registry.has_lapsed() {
             let listed_until = state.read_at;
             self.update_registry(&mut state, listed_until, "confirmed");
         }
--- a/crates/serve/src/registry.rs
+++ b/crates/serve/src/registry.rs
@@ -86,7 +86,7 @@
 struct KnownSearcher {
     record: SearcherRecord,
     key: SearcherKey,
-    /// The latest record with an earlier start than `record`.
+    /// The latest record that was written before `record`.
     earlier: Option<SearcherRecord>,
 }
 
@@ -97,17 +97,19 @@
     known: HashMap<String, KnownSearcher>,
     /// Searchers that are no longer listed, by id.
     departed: HashMap<String, KnownSearcher>,
+    /// Whether searchers are known that the last listing lacked.
+    has_lapsed: bool,
 }
 
 impl Registry {
     /// Creates an empty registry.
     pub fn new(settings: RegistrySettings) -> Registry {
-        Registry { settings, known: HashMap::new(), departed: HashMap::new() }
+        Registry { settings, known: HashMap::new(), departed: HashMap::new(), has_lapsed: false }
     }
 
-    /// Whether searchers are kept that `listing`, the newest one, lacks.
-    pub fn has_lapsed(&self, listing: &[SearcherRecord]) -> bool {
-        self.known.len() > listing.len()
+    /// Whether searchers are kept that the newest listing lacks.
+    pub fn has_lapsed(&self) -> bool {
+        self.has_lapsed
     }
 
     /// Applies a whole listing to the fleet at the time `now`. Returns one log line for each change.
@@ -131,6 +133,7 @@
             self.apply_record(fleet, record, began_after, now, &mut changes);
         }
         let in_grace = reads.restored_at.is_some_and(|at| now < at + self.settings.outage_grace);
+        self.has_lapsed = in_grace && !absent.is_empty();
         if !in_grace {
             for id in absent {
                 if let Some(known) = self.known.remove(&id) {
@@ -151,6 +154,13 @@
         now: Time,
         changes: &mut Vec<String>,
     ) {
+        if let Some(departed) = self.departed.get_mut(&record.id)
+            && is_outdated(&departed.record, &record)
+            && !is_advancing(departed.earlier.as_ref(), &record)
+        {
+            departed.earlier = Some(record);
+            return;
+        }
         let departed = self.departed.remove(&record.id);
         let mut former = departed
             .filter(|it| is_same_incarnation(&it.record, &record))
@@ -249,6 +259,16 @@
     })
 }
 
+/// Whether a record of a searcher that is no longer listed was written before the last one that was
+/// known of it. The store holds such records after it has come back from an older copy.
+fn is_outdated(departed: &SearcherRecord, new: &SearcherRecord) -> bool {
+    match compare(departed, new) {
+        Relation::Stale => true,
+        Relation::Same => is_same_incarnation(departed, new) && departed.sequence == new.sequence,
+        Relation::Restarted => false,
+    }
+}
+
 /// Compares a record with the known one of the same id. A delayed heartbeat must not undo what a
 /// later one has reported.
 fn compare(known: &SearcherRecord, new: &SearcherRecord) -> Relation {
@@ -256,6 +276,9 @@
     match (known.started_unix_ms, new.started_unix_ms) {
         (Some(before), Some(after)) if after < before => Relation::Stale,
         (Some(before), Some(after)) if after > before => Relation::Restarted,
+        // Of one start, the sequence tells. The revision of the creation may have been given out
+        // again.
+        (Some(_), Some(_)) if new.sequence < known.sequence => Relation::Stale,
         _ if new.sequence < known.sequence && new.create_revision == known.create_revision => {
             Relation::Stale
         }
--- a/crates/serve/tests/registry.rs
+++ b/crates/serve/tests/registry.rs
@@ -107,3 +107,55 @@
     let chosen = fleet.choose(pool, PoolRole::Equal, &[], ms(30), ms(1000)).expect("one is there");
     assert_eq!(chosen.address, address);
 }
+
+// Guards against requests to searchers that have left, because the store has come back from a copy
+// in which they are still listed.
+#[test]
+fn a_searcher_that_left_is_not_used_again_because_an_older_copy_lists_it() {
+    let (mut fleet, mut registry) = (fleet(), registry());
+    let mut adopt = |fleet: &mut Fleet, listing, at| {
+        registry.adopt(fleet, listing, EarlierReads::default(), ms(at));
+    };
+    adopt(&mut fleet, vec![record("s", 7)], 0);
+    adopt(&mut fleet, Vec::new(), 1000);
+    // As it was seen last, and as it was before it lapsed and was registered again.
+    adopt(&mut fleet, vec![record("s", 7)], 2000);
+    assert!(!has_open(&mut fleet));
+    let lapsed = SearcherRecord { create_revision: 3, ..record("s", 4) };
+    adopt(&mut fleet, vec![lapsed], 3000);
+    assert!(!has_open(&mut fleet));
+    let earlier = SearcherRecord { started_unix_ms: Some(900), ..record("s", 20) };
+    adopt(&mut fleet, vec![earlier], 4000);
+    assert!(!has_open(&mut fleet));
+    // It lives: it has written again since.
+    adopt(&mut fleet, vec![record("s", 8)], 5000);
+    assert!(has_open(&mut fleet));
+}
+
+// Guards against the end of a drain because the store has come back from a copy that is older than
+// the report, and in which the registration was created at another revision.
+#[test]
+fn a_drain_holds_if_an_older_copy_lists_the_searcher_as_ready() {
+    let (mut fleet, mut registry) = (fleet(), registry());
+    let drained = SearcherRecord { state: SearcherState::Draining, ..record("s", 9) };
+    registry.adopt(&mut fleet, vec![drained], EarlierReads::default(), ms(0));
+    let copied = SearcherRecord { create_revision: 3, ..record("s", 4) };
+    let restored = EarlierReads { restored_at: Some(ms(1000)), ..EarlierReads::default() };
+    registry.adopt(&mut fleet, vec![copied], restored, ms(1000));
+    assert!(!has_open(&mut fleet));
+}
+
+// Guards against a searcher that stays known after the grace period, because the listing is as long
+// as before: it lists another one that left long ago.
+#[test]
+fn a_lapsed_searcher_is_remembered_beside_an_outdated_one() {
+    let (mut fleet, mut registry) = (fleet(), registry());
+    let none = EarlierReads::default();
+    registry.adopt(&mut fleet, vec![record("a", 7), record("b", 7)], none, ms(0));
+    registry.adopt(&mut fleet, vec![record("b", 8)], none, ms(1000));
+    let restored = EarlierReads { restored_at: Some(ms(2000)), ..none };
+    registry.adopt(&mut fleet, vec![record("a", 5)], restored, ms(2000));
+    assert!(registry.has_lapsed() && has_open(&mut fleet));
+    registry.adopt(&mut fleet, vec![record("a", 5)], restored, ms(4400));
+    assert!(!registry.has_lapsed() && !has_open(&mut fleet));
+}
