fix: take a later era of the store for an outage, however short

What callers would see: searchers that run get no requests until they have registered again, if the store was away for less than 2.4 s and its copy lacks them. An outage was told by the time between two reads alone.

Change: the first sign of a later era, in an answer of the store, a listing of a peer or a heartbeat, starts the grace period in which searchers that are no longer listed are kept. Test failed before for lack of the era.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -314,6 +314,7 @@
         read_at: Time,
         source: &str,
     ) -> bool {
+        self.observe_era(revision, source);
         self.observe_store_read(read_at);
         let mut state = lock(&self.listing_state);
         if revision < state.revision {
@@ -330,6 +331,7 @@
     /// Records that the newest listing was still current at `revision`, which was read at
     /// `read_at`.
     pub(crate) fn confirm_listing(&self, revision: StoreRevision, read_at: Time) {
+        self.observe_era(revision, "confirmed");
         self.observe_store_read(read_at);
         let mut state = lock(&self.listing_state);
         if (revision, Some(read_at)) <= (state.revision, state.read_at) {
@@ -381,7 +383,8 @@
 
     /// Records the point in the history of the store that an answer of `source` tells.
     pub(crate) fn observe_era(&self, revision: StoreRevision, source: &str) {
-        if let Some(before) = lock(&self.outage).observe_era(revision.era) {
+        let risen_from = lock(&self.outage).observe_era(revision.era, self.now());
+        if let Some(before) = risen_from {
             log::warn!(
                 "store: state=older_copy era={} era_before={before} revision={} known={} \
                  source={source}",
@@ -535,6 +538,7 @@
         if vm.name == self.vm.name {
             return;
         }
+        self.observe_era(status.revision, "peer");
         if let Some(read_at) = status.listing_read_at {
             self.observe_store_read(read_at);
         }
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -195,7 +195,6 @@
                 }
                 ignored = newly_ignored;
                 entry.record_store_read(read_at);
-                entry.observe_era(revision, "store");
                 let listing = match update {
                     ListingUpdate::Whole(listing) => listing,
                     ListingUpdate::Changes(delta) if delta.is_empty() => {
--- a/crates/front/src/views.rs
+++ b/crates/front/src/views.rs
@@ -184,7 +184,6 @@
             Err(error) => log::warn!("peer: config=\"{error}\""),
         }
     }
-    entry.observe_era(view.revision, "peer");
     if let Some(age) = view.listing_age {
         // The age was stated after the request, at a time that is not known.
         let read_at = asked_at.saturating_sub(Duration::from_millis(age));
--- a/crates/serve/src/outage.rs
+++ b/crates/serve/src/outage.rs
@@ -4,6 +4,9 @@
 //! While the store serves any daemon it serves searchers too, and a registration that is removed
 //! then is removed for good. So only a time in which no daemon of the tier has read the store
 //! counts.
+//!
+//! A store that has come back from an older copy lacks registrations, too, until they are written
+//! again. Its era tells.
 
 use std::time::Duration;
 
@@ -30,7 +33,7 @@
 pub struct OutageDetector {
     /// The latest one.
     read_at: Option<Time>,
-    /// The first one after the latest outage.
+    /// The first one after the latest outage, or the first sign of a later era.
     restored_at: Option<Time>,
     /// Era of the store; `None` before the first read.
     era: Option<u64>,
@@ -49,11 +52,16 @@
     }
 
     /// Records the era of the store in an answer to this daemon, or to another one that tells of it.
-    /// Returns the era before if it has risen: the store has come back from an older copy.
-    pub fn observe_era(&mut self, era: u64) -> Option<u64> {
+    /// Returns the era before if it has risen: the store has come back from an older copy, which
+    /// counts as an outage however short it was.
+    pub fn observe_era(&mut self, era: u64, now: Time) -> Option<u64> {
         let before = self.era;
         self.era = before.max(Some(era));
-        before.filter(|before| *before < era)
+        let risen_from = before.filter(|before| *before < era);
+        if risen_from.is_some() {
+            self.restored_at = Some(now);
+        }
+        risen_from
     }
 
     /// The latest known era of the store; 0 before the first read.
--- a/crates/serve/tests/outage.rs
+++ b/crates/serve/tests/outage.rs
@@ -77,3 +77,19 @@
     let decision = read_decision(&last, &ListingSettings::default(), Some(ms(0)), age);
     assert_eq!(decision, ReadDecision::Read);
 }
+
+// Guards against taking searchers for gone, since their registrations are missing after the store
+// has come back from an older copy within a moment.
+#[test]
+fn a_later_era_counts_as_an_outage_however_short() {
+    let mut detector = OutageDetector::default();
+    assert_eq!(detector.observe_era(1, ms(0)), None);
+    detector.observe(&OutageSettings::default(), ms(900));
+    assert_eq!(detector.observe_era(2, ms(1500)), Some(1));
+    detector.observe(&OutageSettings::default(), ms(1500));
+    assert_eq!(detector.restored_at(), Some(ms(1500)));
+    // Late news of the earlier era, and more of the later one, change nothing.
+    assert_eq!(detector.observe_era(1, ms(1600)), None);
+    assert_eq!(detector.observe_era(2, ms(1700)), None);
+    assert_eq!((detector.restored_at(), detector.era()), (Some(ms(1500)), 2));
+}
