fix: keep leases apart that the store gave out in different eras

What callers would see: the limits of searchers are divided among a daemon that has left, or by one daemon too few, since the list of daemons is wrong. After the store has come back from an older copy it gives out ids of leases again. A daemon whose lease was lost renewed that of another one; its record stayed missing, or was bound to the other's lease, and its end removed the other one from the list.

--- a/crates/front/src/registration.rs
+++ b/crates/front/src/registration.rs
@@ -21,26 +21,23 @@
         Registration { platform, record, lease: None }
     }
 
-    /// Registers the daemon for `ttl`, or renews its lease. If the lease has already expired,
-    /// the next call registers it again.
+    /// Registers the daemon for `ttl`, or renews its lease. If the lease has ended, or the store has
+    /// lost it, registers the daemon again.
     ///
     /// # Errors
     ///
     /// Any [`PlatformError`] of the store; the next call tries again.
     pub async fn renew(&mut self, ttl: Duration) -> Result<(), PlatformError> {
-        let Some(lease) = self.lease else {
-            let granted = self.platform.grant_lease(ttl).await?;
-            self.platform.put_member(&self.record, granted).await?;
-            self.lease = Some(granted);
-            return Ok(());
-        };
-        match self.platform.renew_lease(lease).await {
-            Err(PlatformError::LeaseEnded) => {
-                self.lease = None;
-                Ok(())
+        if let Some(lease) = self.lease {
+            match self.platform.renew_lease(lease).await {
+                Err(PlatformError::LeaseEnded | PlatformError::Restored) => self.lease = None,
+                result => return result,
             }
-            result => result,
         }
+        let granted = self.platform.grant_lease(ttl).await?;
+        self.platform.put_member(&self.record, granted).await?;
+        self.lease = Some(granted);
+        Ok(())
     }
 
     /// Writes the record again under the current lease. Does nothing without one.
