fix: keep evacuations that the store has lost until they can have been written again

What callers would see: requests to searchers of an evacuated failure domain, from the moment at which the store is back from a copy that is older than the evacuation until operators have written it again.

Change: with a set of a later era, what was evacuated before holds for 2.3 s beside it, unless the store tells of a change of that domain. Peers are told what the store holds, and do the same. Both tests fail without the change: the set of the copy replaced the one before.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -251,7 +251,7 @@
             // Nothing would tell of the end of an evacuation any more.
             let mut evacuations = lock(&self.evacuations);
             *evacuations = Evacuations::default();
-            lock(&self.fleet).set_evacuated(&evacuations.newest().domains, self.now());
+            lock(&self.fleet).set_evacuated(&evacuations.domains(), self.now());
             log::info!("evacuation: state=off");
         }
     }
--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -235,6 +235,7 @@
         {
             entry.observe_life();
             entry.observe_keys();
+            entry.observe_evacuations();
             // So is a flood, which other daemons would admit until they hear of it.
             if Instant::now() >= earliest && usage::is_urgent(&entry) {
                 break;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -103,7 +103,7 @@
         gauge!("entry_primaries_known").set(entry.share().primaries as f64);
         let ejected = lock(&entry.fleet).ejected_count(now);
         gauge!("entry_searchers_ejected").set(ejected as f64);
-        gauge!("entry_domains_evacuated").set(entry.evacuations().domains.len() as f64);
+        gauge!("entry_domains_evacuated").set(entry.evacuated_domains().len() as f64);
         let counts = lock(&entry.fleet).withheld_counts();
         let WithheldCounts { limit, leaving, rest, evacuated, cold } = counts;
         let counts = [
--- a/crates/front/src/status.rs
+++ b/crates/front/src/status.rs
@@ -11,7 +11,6 @@
 use crate::sync::lock;
 use crate::usage;
 use tt_serve::Availability;
-use tt_serve::EvacuatedDomains;
 use tt_serve::Member;
 use tt_serve::MemberStatus;
 use tt_serve::MemoryStatus;
@@ -46,8 +45,6 @@
             "heard_ms_ago": member.heard_at.map(age),
         })
     };
-    let EvacuatedDomains { revision: evacuation_revision, domains: evacuated } =
-        entry.evacuations();
     let others: Vec<Value> = lock(&entry.members).live(now).map(daemon).collect();
     let searchers: Vec<Value> = lock(&entry.fleet).status(now).iter().map(searcher).collect();
     json!({
@@ -61,7 +58,10 @@
             "expired": entry.keys_expired(),
             "proof_age_ms": entry.proof_age().map(|age| age.as_millis() as u64),
         },
-        "evacuations": { "revision": evacuation_revision, "domains": evacuated },
+        "evacuations": {
+            "revision": entry.evacuation_revision(),
+            "domains": entry.evacuated_domains(),
+        },
         "listing": { "revision": revision, "age_ms": listing_read_at.map(age) },
         "limits": { "daemons": daemons, "domains": domains },
         "memory": entry.accounts.all().map(|account| memory(account)),
--- a/crates/front/tests/older_copy.rs
+++ b/crates/front/tests/older_copy.rs
@@ -129,3 +129,19 @@
     store.put("op/evacuate/west", b"{}");
     wait_evacuated(&entry, &["east", "west"]).await;
 }
+
+// Guards against requests to an evacuated domain whose evacuation the store has lost, before the
+// operator could write it again; and against one that never ends, since the operator has taken the
+// domain back.
+#[tokio::test]
+async fn evacuation_that_the_store_lost_holds_for_a_while() {
+    let (store, _searchers) = start_two_searchers().await;
+    let entry = start_evacuating_entry(&store).await;
+    let copy = store.copy();
+    store.put("op/evacuate/east", b"{}");
+    wait_evacuated(&entry, &["east"]).await;
+    store.restore(&copy);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(evacuated_domains(&entry).await, ["east"]);
+    wait_evacuated(&entry, &[]).await;
+}
--- a/crates/front/tests/registration.rs
+++ b/crates/front/tests/registration.rs
@@ -1,6 +1,5 @@
 //! Registrations of daemons under leases that the store gives out again.
 
-#[allow(dead_code)]
 mod support;
 
 use std::time::Duration;
--- a/crates/serve/src/evacuation.rs
+++ b/crates/serve/src/evacuation.rs
@@ -3,14 +3,22 @@
 //! The platform's store is the source of truth. Daemons that read it pass the set on to the others.
 //! Each set is the content of the store at one revision, so that of two sets the one with the later
 //! revision is valid, whichever way it came.
+//!
+//! A store that has come back from an older copy lacks the latest evacuations until the operators
+//! have written them again. Until then those that were known before hold too.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Time;
 use crate::store_revision::StoreRevision;
 
+/// Time in which operators write again what the store has lost. As long as searchers have for it.
+const REWRITE_PERIOD: Duration = Duration::from_millis(2300);
+
 /// The evacuated domains at one revision of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct EvacuatedDomains {
@@ -50,52 +58,91 @@
     pub revision: StoreRevision,
     /// Whether no set was known before.
     pub is_first: bool,
-    /// Domains that are evacuated now.
+    /// Domains that have begun to count as evacuated.
     pub started: Vec<String>,
-    /// Domains that were evacuated before.
+    /// Domains that no longer count as evacuated.
     pub ended: Vec<String>,
 }
 
+/// Domains whose evacuation the store may have lost.
+#[derive(Debug)]
+struct Unconfirmed {
+    domains: BTreeSet<String>,
+    until: Time,
+}
+
 /// The newest set that a daemon knows.
 #[derive(Debug, Default)]
 pub struct Evacuations {
     newest: EvacuatedDomains,
+    unconfirmed: Option<Unconfirmed>,
 }
 
 impl Evacuations {
-    /// The newest set.
+    /// The newest set, as the store holds it.
     pub fn newest(&self) -> &EvacuatedDomains {
         &self.newest
     }
 
+    /// The domains that count as evacuated.
+    pub fn domains(&self) -> BTreeSet<String> {
+        let unconfirmed = self.unconfirmed.iter().flat_map(|it| &it.domains);
+        self.newest.domains.iter().chain(unconfirmed).cloned().collect()
+    }
+
     /// Adopts what is newer than the known set. `None` if nothing is.
-    pub fn adopt(&mut self, update: EvacuationUpdate) -> Option<EvacuationDiff> {
+    pub fn adopt(&mut self, update: EvacuationUpdate, now: Time) -> Option<EvacuationDiff> {
+        let before = self.domains();
         let next = match update {
             EvacuationUpdate::Unread => return None,
             EvacuationUpdate::Whole(next) => next,
             EvacuationUpdate::Changes(changes) => self.with_changes(changes),
         };
-        if next.revision <= self.newest.revision {
+        let known = self.newest.revision;
+        if next.revision <= known {
             return None;
         }
-        let before = std::mem::replace(&mut self.newest, next);
-        let now = &self.newest;
-        Some(EvacuationDiff {
-            revision: now.revision,
-            is_first: !before.revision.is_known(),
-            started: now.domains.difference(&before.domains).cloned().collect(),
-            ended: before.domains.difference(&now.domains).cloned().collect(),
-        })
+        if known.is_known() && known.era < next.revision.era {
+            let until = now + REWRITE_PERIOD;
+            self.unconfirmed = Some(Unconfirmed { domains: before.clone(), until });
+        }
+        self.newest = next;
+        Some(EvacuationDiff { is_first: !known.is_known(), ..self.diff(&before) })
+    }
+
+    /// Ends evacuations that have not been written again in time. To be called at short intervals.
+    /// `None` if nothing becomes different.
+    pub fn end_unconfirmed(&mut self, now: Time) -> Option<EvacuationDiff> {
+        if self.unconfirmed.as_ref().is_none_or(|it| now < it.until) {
+            return None;
+        }
+        let before = self.domains();
+        self.unconfirmed = None;
+        Some(self.diff(&before)).filter(|diff| !diff.ended.is_empty())
+    }
+
+    /// What has become different since the domains `before` counted as evacuated.
+    fn diff(&self, before: &BTreeSet<String>) -> EvacuationDiff {
+        let domains = self.domains();
+        EvacuationDiff {
+            revision: self.newest.revision,
+            is_first: false,
+            started: domains.difference(before).cloned().collect(),
+            ended: before.difference(&domains).cloned().collect(),
+        }
     }
 
     /// The known set after those changes that it doesn't contain yet.
-    fn with_changes(&self, changes: Vec<EvacuationChange>) -> EvacuatedDomains {
+    fn with_changes(&mut self, changes: Vec<EvacuationChange>) -> EvacuatedDomains {
         let mut next = self.newest.clone();
         for EvacuationChange { revision, domain, evacuated } in changes {
             // A peer may have told of the change already, and of later ones.
             if revision <= self.newest.revision {
                 continue;
             }
+            if let Some(unconfirmed) = &mut self.unconfirmed {
+                unconfirmed.domains.remove(&domain);
+            }
             match evacuated {
                 true => next.domains.insert(domain),
                 false => next.domains.remove(&domain),
--- a/crates/serve/tests/evacuation.rs
+++ b/crates/serve/tests/evacuation.rs
@@ -103,14 +103,14 @@
 #[test]
 fn a_set_of_an_earlier_revision_never_replaces_a_later_one() {
     let mut evacuations = Evacuations::default();
-    let diff = evacuations.adopt(whole(5, &[])).expect("the first set");
+    let diff = evacuations.adopt(whole(5, &[]), ms(0)).expect("the first set");
     assert!(diff.is_first && diff.started.is_empty());
-    let diff = evacuations.adopt(whole(9, &["a"])).expect("a later set");
+    let diff = evacuations.adopt(whole(9, &["a"]), ms(0)).expect("a later set");
     assert_eq!((diff.is_first, diff.started), (false, vec!["a".to_owned()]));
-    assert_eq!(evacuations.adopt(whole(5, &[])), None);
-    assert_eq!(evacuations.adopt(whole(9, &[])), None);
+    assert_eq!(evacuations.adopt(whole(5, &[]), ms(0)), None);
+    assert_eq!(evacuations.adopt(whole(9, &[]), ms(0)), None);
     assert_eq!(evacuations.newest().domains, domains(&["a"]));
-    let diff = evacuations.adopt(whole(12, &[])).expect("a later set");
+    let diff = evacuations.adopt(whole(12, &[]), ms(0)).expect("a later set");
     assert_eq!(diff.ended, ["a".to_owned()]);
 }
 
@@ -119,14 +119,43 @@
 #[test]
 fn changes_that_the_known_set_contains_are_ignored() {
     let mut evacuations = Evacuations::default();
-    evacuations.adopt(whole(3, &[]));
-    evacuations.adopt(whole(7, &["b"]));
+    evacuations.adopt(whole(3, &[]), ms(0));
+    evacuations.adopt(whole(7, &["b"]), ms(0));
     let changes = vec![change(4, "a", true), change(6, "a", false), change(8, "c", true)];
-    evacuations.adopt(EvacuationUpdate::Changes(changes));
+    evacuations.adopt(EvacuationUpdate::Changes(changes), ms(0));
     assert_eq!(evacuations.newest().revision, at(8));
     assert_eq!(evacuations.newest().domains, domains(&["b", "c"]));
-    assert_eq!(evacuations.adopt(EvacuationUpdate::Changes(Vec::new())), None);
-    assert_eq!(evacuations.adopt(EvacuationUpdate::Unread), None);
+    assert_eq!(evacuations.adopt(EvacuationUpdate::Changes(Vec::new()), ms(0)), None);
+    assert_eq!(evacuations.adopt(EvacuationUpdate::Unread, ms(0)), None);
+}
+
+// Guards against requests to an evacuated domain, because the store has come back from a copy that is
+// older than the evacuation; against a domain that stays evacuated, although operators have taken it
+// back; and against sets whose revisions were given out again.
+#[test]
+fn an_evacuation_that_the_store_lost_holds_until_it_is_written_again() {
+    let later = |number, names: &[&str]| {
+        let revision = StoreRevision { era: 2, number };
+        EvacuationUpdate::Whole(EvacuatedDomains { revision, domains: domains(names) })
+    };
+    let mut evacuations = Evacuations::default();
+    evacuations.adopt(whole(9, &["a", "b", "c"]), ms(0));
+    evacuations.adopt(later(4, &["a", "d"]), ms(1000));
+    assert_eq!(evacuations.newest().domains, domains(&["a", "d"]));
+    assert_eq!(evacuations.domains(), domains(&["a", "b", "c", "d"]));
+    assert_eq!(evacuations.adopt(whole(10, &[]), ms(1100)), None, "of the earlier era");
+    let written = |number, domain: &str, evacuated| EvacuationChange {
+        revision: StoreRevision { era: 2, number },
+        domain: domain.to_owned(),
+        evacuated,
+    };
+    let changes = vec![written(5, "b", true), written(6, "a", false)];
+    evacuations.adopt(EvacuationUpdate::Changes(changes), ms(2000));
+    assert_eq!(evacuations.domains(), domains(&["b", "c", "d"]));
+    assert_eq!(evacuations.end_unconfirmed(ms(3200)), None);
+    let ended = evacuations.end_unconfirmed(ms(3300)).map(|diff| diff.ended);
+    assert_eq!(ended, Some(vec!["c".to_owned()]));
+    assert_eq!(evacuations.domains(), domains(&["b", "d"]));
 }
 
 proptest! {
@@ -159,16 +188,16 @@
                     ),
                 };
                 watched[from] = store.revision.number;
-                daemons[from].adopt(update);
+                daemons[from].adopt(update, ms(0));
                 prop_assert_eq!(daemons[from].newest(), &store);
             }
             let told = daemons[from].newest().clone();
-            daemons[to].adopt(EvacuationUpdate::Whole(told));
+            daemons[to].adopt(EvacuationUpdate::Whole(told), ms(0));
         }
-        daemons[0].adopt(EvacuationUpdate::Whole(store.clone()));
+        daemons[0].adopt(EvacuationUpdate::Whole(store.clone()), ms(0));
         let last = daemons[0].newest().clone();
         for daemon in &mut daemons {
-            daemon.adopt(EvacuationUpdate::Whole(last.clone()));
+            daemon.adopt(EvacuationUpdate::Whole(last.clone()), ms(0));
             prop_assert_eq!(daemon.newest(), &store);
         }
     }
