fix: let an older copy of the store prove the configuration for a short time only

What callers would see: a withdrawn key is served for longer than the revocation bound. An entry that lacked the withdrawal read the copy, which lacks it too, took that for a proof that its configuration is the newest one, and was cut off before operators had written the withdrawal again.

Change: while the store may not have got back what it has lost (2.3 s from the first sign of the later era), an answer proves as much as lets keys be served for 1.5 s: an entry which the store answers goes on, one that is cut off stops. A process that starts meanwhile doesn't know of the era before, and takes the copy for the truth, unless a peer tells of a later version. The test has no counterpart before: there was one kind of answer.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -108,7 +108,7 @@
     /// Notified when the process wakes from a pause.
     pub(crate) woken: Notify,
     /// Whether the store has been down, or only this daemon's calls have failed.
-    outage: Mutex<OutageDetector>,
+    pub(crate) outage: Mutex<OutageDetector>,
     /// Contents of requests under which searchers have ended.
     suspects: Mutex<Suspects>,
     /// Notified when other daemons must be told of such a content.
--- a/crates/front/src/proof.rs
+++ b/crates/front/src/proof.rs
@@ -62,7 +62,14 @@
     /// Records an answer of the store to a call that was made at `called_at`, on the clock of
     /// [`Entry::proof_time`]. What it returned must be in force.
     pub(crate) fn prove_from_store(&self, called_at: Time) {
-        let renewed = lock(&self.config_proof).renew_from_store(called_at);
+        let is_rewriting = lock(&self.outage).is_rewriting(self.now());
+        let bound = self.revocation_bound();
+        let mut proof = lock(&self.config_proof);
+        let renewed = match is_rewriting {
+            true => proof.renew_from_older_copy(called_at, bound),
+            false => proof.renew_from_store(called_at),
+        };
+        drop(proof);
         if renewed {
             self.announce_proof("store");
         }
--- a/crates/serve/src/config_proof.rs
+++ b/crates/serve/src/config_proof.rs
@@ -44,6 +44,9 @@
     pub max_confirmation: Duration,
     /// Minimum interval between calls to the store that such requests cause.
     pub confirmation_interval: Duration,
+    /// How long keys are served after an answer of a store that may not have got back what it has
+    /// lost. Longer than `max_watch`, so that an entry which the store answers goes on.
+    pub rewrite_hold: Duration,
 }
 
 impl Default for ConfigProofSettings {
@@ -60,6 +63,7 @@
             spread_time: Duration::from_millis(300),
             max_confirmation: Duration::from_millis(700),
             confirmation_interval: Duration::from_secs(1),
+            rewrite_hold: Duration::from_millis(1500),
         }
     }
 }
@@ -124,6 +128,17 @@
         self.renew(called_at)
     }
 
+    /// As [`ConfigProof::renew_from_store`], if the store has come back from an older copy and may lack
+    /// a version that it has acknowledged. The proof is so old that keys are served for
+    /// [`ConfigProofSettings::rewrite_hold`] only: an entry that is cut off then can't learn of a
+    /// withdrawn key that is written again.
+    pub fn renew_from_older_copy(&mut self, called_at: Time, bound: Option<Duration>) -> bool {
+        let bound = bound.unwrap_or(self.settings.default_bound);
+        let serving = bound.mul_f64(self.settings.serving_ratio);
+        let age = serving.saturating_sub(self.settings.rewrite_hold);
+        called_at.checked_sub(age).is_some_and(|at| self.renew(at))
+    }
+
     /// Records a heartbeat of another daemon that had `their_version` in force, while this one has
     /// `own_version`. Returns whether the proof is later than before.
     ///
--- a/crates/serve/src/evacuation.rs
+++ b/crates/serve/src/evacuation.rs
@@ -8,17 +8,14 @@
 //! have written them again. Until then those that were known before hold too.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::Time;
+use crate::outage::REWRITE_PERIOD;
 use crate::store_revision::StoreRevision;
 
-/// Time in which operators write again what the store has lost. As long as searchers have for it.
-const REWRITE_PERIOD: Duration = Duration::from_millis(2300);
-
 /// The evacuated domains at one revision of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct EvacuatedDomains {
--- a/crates/serve/src/outage.rs
+++ b/crates/serve/src/outage.rs
@@ -12,6 +12,10 @@
 
 use crate::Time;
 
+/// Time after the store has come back in which operators and searchers write again what it has lost.
+/// The platform gives about two seconds.
+pub(crate) const REWRITE_PERIOD: Duration = Duration::from_millis(2300);
+
 /// When the store counts as having been down.
 #[derive(Debug, Clone, Copy)]
 pub struct OutageSettings {
@@ -37,6 +41,8 @@
     restored_at: Option<Time>,
     /// Era of the store; `None` before the first read.
     era: Option<u64>,
+    /// When the latest rise of the era was noticed.
+    risen_at: Option<Time>,
 }
 
 impl OutageDetector {
@@ -60,10 +66,17 @@
         let risen_from = before.filter(|before| *before < era);
         if risen_from.is_some() {
             self.restored_at = Some(now);
+            self.risen_at = Some(now);
         }
         risen_from
     }
 
+    /// Whether the store may still lack, at `now`, what it has lost with its era before: that has not
+    /// been written again yet.
+    pub fn is_rewriting(&self, now: Time) -> bool {
+        self.risen_at.is_some_and(|at| now < at + REWRITE_PERIOD)
+    }
+
     /// The latest known era of the store; 0 before the first read.
     pub fn era(&self) -> u64 {
         self.era.unwrap_or(0)
--- a/crates/serve/src/registry.rs
+++ b/crates/serve/src/registry.rs
@@ -16,6 +16,7 @@
 use crate::fleet::Searcher;
 use crate::fleet::SearcherKey;
 use crate::fleet::Succession;
+use crate::outage::REWRITE_PERIOD;
 
 /// The record of one searcher in a listing.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -66,7 +67,7 @@
 impl Default for RegistrySettings {
     fn default() -> Self {
         RegistrySettings {
-            outage_grace: Duration::from_millis(2300),
+            outage_grace: REWRITE_PERIOD,
             // As long as the platform gives lapsed registrations to be written again.
             registration_delay: Duration::from_secs(2),
         }
--- a/crates/serve/tests/config_proof.rs
+++ b/crates/serve/tests/config_proof.rs
@@ -32,6 +32,25 @@
     assert_eq!(proof.proven_at(), Some(ms(100)));
 }
 
+// Guards against withdrawn keys at an entry that reads an older copy of the store, which lacks the
+// withdrawal, and is cut off before it is written again; and against keys that are refused meanwhile
+// at an entry which the store answers.
+#[test]
+fn proof_from_an_older_copy_holds_for_a_short_time() {
+    let mut proof = proof(7, ms(0));
+    proof.renew_from_store(ms(14_000));
+    assert!(proof.renew_from_older_copy(ms(17_100), Some(BOUND)));
+    assert!(proof.is_fresh(Some(BOUND), ms(18_600)));
+    assert!(!proof.is_fresh(Some(BOUND), ms(18_601)));
+    // It is no proof of the time of the call: a key that is not known may have been lost.
+    assert!(proof.proven_at() < Some(ms(17_000)));
+    proof.renew_from_older_copy(ms(18_100), Some(BOUND));
+    assert!(proof.is_fresh(Some(BOUND), ms(19_500)));
+    // A proof of before that holds for longer stays.
+    proof.renew_from_store(ms(19_400));
+    assert!(!proof.renew_from_older_copy(ms(19_500), Some(BOUND)));
+}
+
 // Guards against a proof that is dated by the arrival of a heartbeat: it may have been in transit or
 // in a buffer for any time.
 #[test]
--- a/crates/serve/tests/outage.rs
+++ b/crates/serve/tests/outage.rs
@@ -89,6 +89,7 @@
     detector.observe(&OutageSettings::default(), ms(1500));
     assert_eq!(detector.restored_at(), Some(ms(1500)));
     // Late news of the earlier era, and more of the later one, change nothing.
+    assert!(!detector.is_rewriting(ms(3800)) && detector.is_rewriting(ms(3700)));
     assert_eq!(detector.observe_era(1, ms(1600)), None);
     assert_eq!(detector.observe_era(2, ms(1700)), None);
     assert_eq!((detector.restored_at(), detector.era()), (Some(ms(1500)), 2));
