internal: let the soak bring the store back from an older copy

A new fault of the soak: a copy of the store is taken, and 0.2 to 1.8 s later the store comes back from it; 0.7 s after that the operator and the searchers write again what was lost.

--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -21,6 +21,10 @@
 use crate::support::searcher::Searcher;
 use tt_standin::Fault;
 use tt_standin::Platform;
+use tt_standin::StoreCopy;
+
+/// Time after the store has come back from a copy until what it has lost is written again.
+const REWRITE_DELAY: Duration = Duration::from_millis(700);
 
 /// Everything that faults are injected into.
 #[derive(Debug)]
@@ -44,12 +48,25 @@
     pub domain: String,
     /// Start of its newest incarnation, in Unix milliseconds.
     pub born: u64,
+    /// Sequence number of its last heartbeat.
+    pub sequence: u64,
+    /// The state that it is registered with, if it is.
+    pub state: Option<&'static str>,
 }
 
 impl Target {
-    pub fn register(&self, store: &Platform, state: &str, sequence: u64) {
-        let incarnation = Incarnation { state, born: self.born, sequence };
-        self.searcher.register_as(store, &self.pool, &self.domain, incarnation);
+    /// Registers it with this state, or removes its registration.
+    pub fn register(&mut self, store: &Platform, state: Option<&'static str>) {
+        self.state = state;
+        self.sequence += 1;
+        let Target { searcher, pool, domain, born, sequence, .. } = self;
+        match state {
+            Some(state) => {
+                let incarnation = Incarnation { state, born: *born, sequence: *sequence };
+                searcher.register_as(store, pool, domain, incarnation);
+            }
+            None => searcher.unregister(store),
+        }
     }
 }
 
@@ -60,6 +77,10 @@
     ResumeVm(usize),
     StoreProxy,
     StoreFault,
+    /// The store comes back from this copy.
+    RestoreStore(StoreCopy),
+    /// What the operator and the searchers have written is written again.
+    Rewrite,
     SearcherProxy(usize),
     SearcherBehavior(usize),
     RestartSearcher(usize),
@@ -104,7 +125,7 @@
     let vm = rng.random_range(0..targets.vms.len());
     let searcher = rng.random_range(0..targets.searchers.len());
     let restart_due = undo.iter().any(|(_, it)| matches!(it, Undo::StartVm(it) if *it == vm));
-    let description = match rng.random_range(0..12) {
+    let description = match rng.random_range(0..13) {
         0 if !restart_due => {
             targets.vms[vm].signal(Signal::SIGKILL);
             undo.push((until, Undo::StartVm(vm)));
@@ -156,15 +177,15 @@
             .iter()
             .any(|(_, it)| matches!(it, Undo::RestartSearcher(it) if *it == searcher)) =>
         {
-            let target = &targets.searchers[searcher];
-            if rng.random_bool(0.5) {
-                target.register(&targets.store, "draining", 3);
-            } else {
-                target.searcher.unregister(&targets.store);
-            }
+            let state = rng.random_bool(0.5).then_some("draining");
+            targets.searchers[searcher].register(&targets.store, state);
             undo.push((until, Undo::RestartSearcher(searcher)));
             format!("searcher {searcher} drains or leaves")
         }
+        12 if !undo.iter().any(|(_, it)| matches!(it, Undo::RestoreStore(_) | Undo::Rewrite)) => {
+            undo.push((until, Undo::RestoreStore(targets.store.copy())));
+            "store copied, and comes back from the copy".to_owned()
+        }
         _ => return None,
     };
     Some(description)
@@ -249,6 +270,19 @@
                 targets.store.set_fault(Fault::None);
                 targets.store.lose_replies(0);
             }
+            Undo::RestoreStore(copy) => {
+                targets.store.restore(&copy);
+                // Late enough that entries read the copy, in time for those that lost their
+                // registrations.
+                remaining.push((at + REWRITE_DELAY, Undo::Rewrite));
+            }
+            Undo::Rewrite => {
+                let newest = config(targets.version, &SHARDS, MIN_SHARD_RATIO);
+                targets.store.put("op/config", &newest);
+                for target in &mut targets.searchers {
+                    target.register(&targets.store, target.state);
+                }
+            }
             Undo::SearcherProxy(searcher) => targets.searchers[searcher].proxy.set(Mode::Pass),
             Undo::SearcherBehavior(searcher) => {
                 let Target { searcher, normal_behavior, .. } = &targets.searchers[searcher];
@@ -258,7 +292,8 @@
             Undo::RestartSearcher(searcher) => {
                 let target = &mut targets.searchers[searcher];
                 target.born += 1;
-                target.register(&targets.store, "ready", 1);
+                target.sequence = 0;
+                target.register(&targets.store, Some("ready"));
             }
         }
     }
--- a/crates/daemon/tests/soak/harness.rs
+++ b/crates/daemon/tests/soak/harness.rs
@@ -159,8 +159,17 @@
             let proxy = Proxy::start(searcher.address).await;
             searcher.address = proxy.address;
             let pool = (*pool).to_owned();
-            let target = Target { searcher, proxy, normal_behavior, pool, domain, born: 5 };
-            target.register(store, "ready", 2);
+            let mut target = Target {
+                searcher,
+                proxy,
+                normal_behavior,
+                pool,
+                domain,
+                born: 5,
+                sequence: 1,
+                state: None,
+            };
+            target.register(store, Some("ready"));
             searchers.push(target);
         }
     }
