fix: tell daemons that join of contents under which searchers end

An entry that had started again sent the content to all shards while the others refused it.

Cause: a change of what is known was told for 2 s only, so that a daemon that started later, or was cut off then, never heard of it. Nor could it be told later: a daemon could not tell an old observation from a new one.

Change: each observation starts a new round, and the latest round counts whichever way it comes; its age goes with it, so that all forget it at the same time. Beside the news, each heartbeat tells two of the older contents in turn (36 bytes), until 30 s before they are forgotten.

Ruled out: sending all contents to a daemon that asks for all records. One that was cut off doesn't ask.

--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -81,6 +81,12 @@
     /// How long requests with it are refused, in milliseconds.
     #[prost(uint32, tag = "3")]
     refused_ms: u32,
+    /// Number of observations; 0 from entries that don't count them.
+    #[prost(uint32, tag = "4")]
+    round: u32,
+    /// Time since the last observation, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    age_ms: u32,
 }
 
 /// Stands for daemons of one failure domain that have no record in the heartbeat.
@@ -295,10 +301,16 @@
             Knowledge::Suspect => 1,
             Knowledge::Deadly => 2,
         },
-        refused_ms: u32::try_from(status.refused_for.as_millis()).unwrap_or(u32::MAX),
+        refused_ms: millis(status.refused_for),
+        round: status.round,
+        age_ms: millis(status.age),
     }
 }
 
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Asks a daemon for all records that it has.
 async fn request_records(entry: &Entry, socket: &UdpSocket, target: SocketAddr) {
     // No domain has an empty name, so the heartbeat describes the daemons of the own domain.
@@ -383,7 +395,7 @@
             None => log::warn!("peer: from={from} malformed=record"),
         }
     }
-    for SuspectRecord { key, knowledge, refused_ms } in heartbeat.suspects {
+    for SuspectRecord { key, knowledge, refused_ms, round, age_ms } in heartbeat.suspects {
         let knowledge = match knowledge {
             0 => Knowledge::Harmless,
             1 => Knowledge::Suspect,
@@ -397,6 +409,8 @@
             key: ContentKey(key),
             knowledge,
             refused_for: Duration::from_millis(u64::from(refused_ms)),
+            round,
+            age: Duration::from_millis(u64::from(age_ms)),
         });
     }
     let mut is_complete = true;
--- a/crates/serve/src/suspects.rs
+++ b/crates/serve/src/suspects.rs
@@ -4,7 +4,12 @@
 //! Once several searchers have ended under one and none has survived it, others with its content are
 //! refused until these searchers may have started again. Then, or at once if only one has ended, one
 //! is tried at a single searcher. If that one ends too, they are refused for longer.
+//!
+//! Each observation of a content starts a new round, which orders what daemons have heard of it. What
+//! is still known is told again and again, a little with each heartbeat: daemons start, or have been
+//! cut off when it was news.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::hash::Hasher;
@@ -28,6 +33,11 @@
     pub trial_period: Duration,
     /// How long each change is told to other daemons: with each heartbeat, since some are lost.
     pub tell_period: Duration,
+    /// Number of older contents that are told again in each heartbeat, in turn.
+    pub max_retold: usize,
+    /// Time before a content is forgotten from which it is not told again, so that daemons don't keep
+    /// it alive among themselves.
+    pub retell_margin: Duration,
     /// Maximum number of contents that are remembered.
     pub max_contents: usize,
     /// Maximum number of contents in one heartbeat.
@@ -41,6 +51,8 @@
             hold_period: Duration::from_secs(5),
             trial_period: Duration::from_secs(600),
             tell_period: Duration::from_secs(2),
+            max_retold: 2,
+            retell_margin: Duration::from_secs(30),
             max_contents: 1000,
             max_told: 32,
         }
@@ -61,7 +73,7 @@
 }
 
 /// What is known of a content.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Knowledge {
     /// A searcher has survived it after others had ended under it.
     Harmless,
@@ -80,12 +92,20 @@
     pub knowledge: Knowledge,
     /// How long requests with it are still refused.
     pub refused_for: Duration,
+    /// Number of observations so far; those of a later round replace those of an earlier one.
+    pub round: u32,
+    /// Time since the last observation.
+    pub age: Duration,
 }
 
 #[derive(Debug)]
 struct Record {
     knowledge: Knowledge,
+    round: u32,
+    /// When the observation was made.
     changed_at: Time,
+    /// When this daemon made it, or heard of it.
+    learned_at: Time,
     refused_until: Time,
 }
 
@@ -94,12 +114,14 @@
 pub struct Suspects {
     settings: SuspectSettings,
     records: HashMap<ContentKey, Record>,
+    /// The content that was told again last.
+    retold: Option<ContentKey>,
 }
 
 impl Suspects {
     /// Creates an empty table.
     pub fn new(settings: SuspectSettings) -> Suspects {
-        Suspects { settings, records: HashMap::new() }
+        Suspects { settings, records: HashMap::new(), retold: None }
     }
 
     /// How much of a request with this content may be sent at once; an error with the time for which
@@ -124,6 +146,7 @@
     pub fn record(&mut self, key: ContentKey, effect: Effect, ended: u32, now: Time) -> bool {
         let known = self.records.get(&key).filter(|it| !self.is_forgotten(it, now));
         let is_refused = known.is_some_and(|it| it.refused_until > now);
+        let round = known.map_or(0, |it| it.round) + 1;
         let known = known.map(|it| it.knowledge);
         // A single searcher may have ended by itself.
         let is_held = ended > 1;
@@ -141,23 +164,17 @@
             Knowledge::Suspect if is_held => self.settings.hold_period,
             Knowledge::Suspect | Knowledge::Harmless => Duration::ZERO,
         };
-        self.insert(SuspectStatus { key, knowledge, refused_for }, now);
+        let age = Duration::ZERO;
+        self.insert(SuspectStatus { key, knowledge, refused_for, round, age }, now);
         known != Some(knowledge) || !refused_for.is_zero()
     }
 
     /// Applies what another daemon tells. Returns whether that is new and others must be told.
     pub fn learn(&mut self, told: SuspectStatus, now: Time) -> bool {
         let known = self.records.get(&told.key).filter(|it| !self.is_forgotten(it, now));
-        let is_news = match (known, told.knowledge) {
-            (Some(Record { knowledge: Knowledge::Suspect, .. }), Knowledge::Harmless) => true,
-            (_, Knowledge::Harmless) => false,
-            (None, _) => true,
-            // A searcher that has survived it here outweighs others that have ended.
-            (Some(Record { knowledge: Knowledge::Harmless, .. }), Knowledge::Suspect) => false,
-            (Some(known), _) if known.knowledge == told.knowledge => {
-                known.refused_until <= now && told.refused_for > self.settings.tell_period
-            }
-            (Some(known), _) => known.knowledge < told.knowledge,
+        let is_news = match known {
+            None => told.knowledge != Knowledge::Harmless,
+            Some(known) => known.rank() < (told.round, told.knowledge.weight()),
         };
         if !is_news {
             return false;
@@ -167,18 +184,30 @@
         true
     }
 
-    /// The contents to tell other daemons of, the newest first.
-    pub fn told(&self, now: Time) -> Vec<SuspectStatus> {
-        let is_new = |it: &&Record| now < it.changed_at + self.settings.tell_period;
-        let mut told: Vec<(Time, SuspectStatus)> = self
-            .records
-            .iter()
-            .filter(|(_, it)| is_new(it))
-            .map(|(&key, it)| (it.changed_at, it.status(key, now)))
-            .collect();
-        told.sort_by_key(|(changed_at, status)| (std::cmp::Reverse(*changed_at), status.key));
+    /// The contents to tell other daemons of: the newest first, then some of the others in turn.
+    pub fn told(&mut self, now: Time) -> Vec<SuspectStatus> {
+        let (new, older): (Vec<_>, Vec<_>) =
+            self.records.iter().partition(|(_, it)| self.is_new(it, now));
+        let mut told: Vec<(Time, SuspectStatus)> =
+            new.into_iter().map(|(&key, it)| (it.learned_at, it.status(key, now))).collect();
+        told.sort_by_key(|(learned_at, status)| (Reverse(*learned_at), status.key));
         told.truncate(self.settings.max_told);
-        told.into_iter().map(|(_, status)| status).collect()
+        let mut told: Vec<SuspectStatus> = told.into_iter().map(|(_, status)| status).collect();
+
+        let is_retold = |(_, it): &(&ContentKey, &Record)| {
+            it.is_dangerous() && now + self.settings.retell_margin < self.forgotten_at(it)
+        };
+        let mut retold: Vec<SuspectStatus> =
+            older.into_iter().filter(is_retold).map(|(&key, it)| it.status(key, now)).collect();
+        retold.sort_by_key(|status| (Some(status.key) <= self.retold, status.key));
+        retold.truncate(self.settings.max_retold);
+        self.retold = retold.last().map(|status| status.key).or(self.retold);
+        told.append(&mut retold);
+        told
+    }
+
+    fn is_new(&self, record: &Record, now: Time) -> bool {
+        now < record.learned_at + self.settings.tell_period
     }
 
     /// All contents that are suspect or deadly, by key.
@@ -195,9 +224,16 @@
     }
 
     fn insert(&mut self, status: SuspectStatus, now: Time) {
-        let SuspectStatus { key, knowledge, refused_for } = status;
-        let trial_period = self.settings.trial_period;
-        self.records.retain(|_, it| now < it.changed_at + trial_period);
+        let SuspectStatus { key, knowledge, refused_for, round, age } = status;
+        let forgotten: Vec<ContentKey> = self
+            .records
+            .iter()
+            .filter(|(_, it)| self.is_forgotten(it, now))
+            .map(|it| *it.0)
+            .collect();
+        for key in forgotten {
+            self.records.remove(&key);
+        }
         if self.records.len() >= self.settings.max_contents && !self.records.contains_key(&key) {
             let oldest = self.records.iter().min_by_key(|(key, it)| (it.changed_at, **key));
             if let Some(oldest) = oldest.map(|(&key, _)| key) {
@@ -205,11 +241,29 @@
             }
         }
         let refused_until = now + refused_for;
-        self.records.insert(key, Record { knowledge, changed_at: now, refused_until });
+        let changed_at = now.saturating_sub(age);
+        let record = Record { knowledge, round, changed_at, learned_at: now, refused_until };
+        self.records.insert(key, record);
     }
 
     fn is_forgotten(&self, record: &Record, now: Time) -> bool {
-        now >= record.changed_at + self.settings.trial_period
+        now >= self.forgotten_at(record)
+    }
+
+    fn forgotten_at(&self, record: &Record) -> Time {
+        record.changed_at + self.settings.trial_period
+    }
+}
+
+impl Knowledge {
+    /// Of two observations in one round the one with the greater weight counts: a searcher that has
+    /// survived outweighs others that have ended before, but not one that has ended in a trial.
+    fn weight(self) -> u32 {
+        match self {
+            Knowledge::Suspect => 0,
+            Knowledge::Harmless => 1,
+            Knowledge::Deadly => 2,
+        }
     }
 }
 
@@ -222,7 +276,17 @@
     }
 
     fn status(&self, key: ContentKey, now: Time) -> SuspectStatus {
-        let refused_for = self.refused_until.saturating_sub(now);
-        SuspectStatus { key, knowledge: self.knowledge, refused_for }
+        SuspectStatus {
+            key,
+            knowledge: self.knowledge,
+            refused_for: self.refused_until.saturating_sub(now),
+            round: self.round,
+            age: now.saturating_sub(self.changed_at),
+        }
+    }
+
+    /// Orders what is known by how much it counts.
+    fn rank(&self) -> (u32, u32) {
+        (self.round, self.knowledge.weight())
     }
 }
