fix: let one daemon at a time try a content under which searchers end

Change: a daemon claims a content before it tries it. The claim goes to the others at once, as news does, and they refuse the content until its outcome is known, for 2 s at most. The daemons become free to claim one after the other within a second, in an order that differs from content to content, so that claims seldom cross. A content under which one searcher has ended, maybe by itself, is tried without a claim, as before.

Ruled out: one daemon that alone may try a content. Requests with it may not come to that one, so that a content which a crash has put under suspicion would stay refused.

--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -34,6 +34,7 @@
 use tt_serve::Allowances;
 use tt_serve::CallerWait;
 use tt_serve::CatchUp;
+use tt_serve::Claim;
 use tt_serve::Config;
 use tt_serve::ConfigProof;
 use tt_serve::ContentKey;
@@ -68,6 +69,7 @@
 use tt_serve::Trust;
 use tt_serve::Vm;
 use tt_serve::WakeGuard;
+use tt_serve::turn_delay;
 
 /// Interval between checks whether everything has been read after a pause.
 const WAKE_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -558,6 +560,25 @@
         lock(&self.suspects).trust(content, self.now())
     }
 
+    /// Claims a content under suspicion for the request `id`, which is about to be sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time for which it is refused, since another one is tried.
+    pub(crate) fn claim_trial(&self, id: &str, content: ContentKey) -> Result<(), Duration> {
+        let now = self.now();
+        let delay = {
+            let members = lock(&self.members);
+            let others = members.open_members(now).map(|it| it.vm.name.as_str());
+            turn_delay(&self.settings.suspects, content, &self.vm.name, others)
+        };
+        if lock(&self.suspects).claim_trial(content, delay, now)? == Claim::Made {
+            log::info!("suspect: id={id} content={:016x} trial=claimed", content.0);
+            self.suspects_changed.notify_one();
+        }
+        Ok(())
+    }
+
     /// Records what the request `id` with this content has done to `ended` searchers.
     pub(crate) fn record_effect(&self, id: &str, content: ContentKey, effect: Effect, ended: u32) {
         if !lock(&self.suspects).record(content, effect, ended, self.now()) {
--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -87,6 +87,9 @@
     /// Time since the last observation, in milliseconds.
     #[prost(uint32, tag = "5")]
     age_ms: u32,
+    /// Whether only one entry at a time may try it.
+    #[prost(bool, tag = "6")]
+    is_held: bool,
 }
 
 /// Stands for daemons of one failure domain that have no record in the heartbeat.
@@ -304,6 +307,7 @@
         refused_ms: millis(status.refused_for),
         round: status.round,
         age_ms: millis(status.age),
+        is_held: status.is_held,
     }
 }
 
@@ -395,7 +399,7 @@
             None => log::warn!("peer: from={from} malformed=record"),
         }
     }
-    for SuspectRecord { key, knowledge, refused_ms, round, age_ms } in heartbeat.suspects {
+    for SuspectRecord { key, knowledge, refused_ms, round, age_ms, is_held } in heartbeat.suspects {
         let knowledge = match knowledge {
             0 => Knowledge::Harmless,
             1 => Knowledge::Suspect,
@@ -410,6 +414,7 @@
             knowledge,
             refused_for: Duration::from_millis(u64::from(refused_ms)),
             round,
+            is_held,
             age: Duration::from_millis(u64::from(age_ms)),
         });
     }
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -244,6 +244,11 @@
                 Some(self.time_left()),
             );
         };
+        if trust == Trust::Trial
+            && let Err(refused_for) = self.entry.claim_trial(&id, content)
+        {
+            return self.refuse_deadly(&id, content, refused_for);
+        }
         let mut headers = head.headers;
         answer::remove_connection_headers(&mut headers);
         headers.remove(header::EXPECT);
--- a/crates/serve/src/suspects.rs
+++ b/crates/serve/src/suspects.rs
@@ -3,7 +3,9 @@
 //! A request is known by its content, since callers repeat it under another id and at another daemon.
 //! Once several searchers have ended under one and none has survived it, others with its content are
 //! refused until these searchers may have started again. Then, or at once if only one has ended, one
-//! is tried at a single searcher. If that one ends too, they are refused for longer.
+//! is tried at a single searcher. If that one ends too, they are refused for longer. The daemon that
+//! tries one claims it first, and the daemons become free to do so one after the other, so that not
+//! each of them tries it.
 //!
 //! Each observation of a content starts a new round, which orders what daemons have heard of it. What
 //! is still known is told again and again, a little with each heartbeat: daemons start, or have been
@@ -16,6 +18,7 @@
 use std::time::Duration;
 
 use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Time;
 use crate::query::Effect;
@@ -31,6 +34,15 @@
     pub hold_period: Duration,
     /// How long a content is tried at one searcher first, after searchers have ended under it.
     pub trial_period: Duration,
+    /// How long other requests with a content are refused while one is tried, unless its outcome is
+    /// known before.
+    pub claim_period: Duration,
+    /// Time after the end of a refusal in which the daemons become free to try a content, one after
+    /// the other.
+    pub turn_period: Duration,
+    /// Maximum time between the turns of two daemons. Longer than it takes for the claim of one to
+    /// reach the others.
+    pub max_turn: Duration,
     /// How long each change is told to other daemons: with each heartbeat, since some are lost.
     pub tell_period: Duration,
     /// Number of older contents that are told again in each heartbeat, in turn.
@@ -50,6 +62,9 @@
             refusal_period: Duration::from_secs(30),
             hold_period: Duration::from_secs(5),
             trial_period: Duration::from_secs(600),
+            claim_period: Duration::from_secs(2),
+            turn_period: Duration::from_secs(1),
+            max_turn: Duration::from_millis(200),
             tell_period: Duration::from_secs(2),
             max_retold: 2,
             retell_margin: Duration::from_secs(30),
@@ -83,6 +98,36 @@
     Deadly,
 }
 
+/// Whether a request with a content under suspicion had to be announced to other daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Claim {
+    /// No.
+    NotNeeded,
+    /// Yes: they must be told at once.
+    Made,
+}
+
+/// How much later than the first daemon the one on `me` may try a content, once it is no longer
+/// refused. The order differs from content to content. All of `others` are live.
+pub fn turn_delay<'a, I>(
+    settings: &SuspectSettings,
+    key: ContentKey,
+    me: &str,
+    others: I,
+) -> Duration
+where
+    I: Iterator<Item = &'a str>,
+{
+    let order = |name: &str| xxh3_64_with_seed(name.as_bytes(), key.0);
+    let own = order(me);
+    let (mut before, mut daemons) = (0, 1);
+    for name in others {
+        daemons += 1;
+        before += u32::from((order(name), name) < (own, me));
+    }
+    before * settings.max_turn.min(settings.turn_period / daemons)
+}
+
 /// A content as shown to operators and told to other daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SuspectStatus {
@@ -92,8 +137,11 @@
     pub knowledge: Knowledge,
     /// How long requests with it are still refused.
     pub refused_for: Duration,
-    /// Number of observations so far; those of a later round replace those of an earlier one.
+    /// Number of observations and claims so far; those of a later round replace those of an earlier
+    /// one.
     pub round: u32,
+    /// Whether only one daemon at a time may try it: several searchers have ended under it.
+    pub is_held: bool,
     /// Time since the last observation.
     pub age: Duration,
 }
@@ -102,6 +150,7 @@
 struct Record {
     knowledge: Knowledge,
     round: u32,
+    is_held: bool,
     /// When the observation was made.
     changed_at: Time,
     /// When this daemon made it, or heard of it.
@@ -141,6 +190,40 @@
         }
     }
 
+    /// Claims the content for a request that is to be sent although the content is under suspicion.
+    /// While one is tried, here or by a daemon that has claimed it, others are refused. `turn_delay`
+    /// is how much later than the first daemon this one may try it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time until it may be tried here.
+    pub fn claim_trial(
+        &mut self,
+        key: ContentKey,
+        turn_delay: Duration,
+        now: Time,
+    ) -> Result<Claim, Duration> {
+        let claim_period = self.settings.claim_period;
+        let Some(record) = self.records.get_mut(&key).filter(|it| it.is_dangerous()) else {
+            return Ok(Claim::NotNeeded);
+        };
+        if record.refused_until > now {
+            return Err(record.refused_until - now);
+        }
+        // A single searcher may have ended by itself: its content is not worth the wait.
+        if !record.is_held {
+            return Ok(Claim::NotNeeded);
+        }
+        let turn_at = record.refused_until + turn_delay;
+        if turn_at > now {
+            return Err(turn_at - now);
+        }
+        record.round += 1;
+        record.refused_until = now + claim_period;
+        record.learned_at = now;
+        Ok(Claim::Made)
+    }
+
     /// Records what a request with this content has done to `ended` searchers. Returns whether that
     /// changes what is known and other daemons must be told.
     pub fn record(&mut self, key: ContentKey, effect: Effect, ended: u32, now: Time) -> bool {
@@ -165,7 +248,8 @@
             Knowledge::Suspect | Knowledge::Harmless => Duration::ZERO,
         };
         let age = Duration::ZERO;
-        self.insert(SuspectStatus { key, knowledge, refused_for, round, age }, now);
+        let is_held = is_held || knowledge == Knowledge::Deadly;
+        self.insert(SuspectStatus { key, knowledge, refused_for, round, is_held, age }, now);
         known != Some(knowledge) || !refused_for.is_zero()
     }
 
@@ -224,7 +308,7 @@
     }
 
     fn insert(&mut self, status: SuspectStatus, now: Time) {
-        let SuspectStatus { key, knowledge, refused_for, round, age } = status;
+        let SuspectStatus { key, knowledge, refused_for, round, is_held, age } = status;
         let forgotten: Vec<ContentKey> = self
             .records
             .iter()
@@ -242,7 +326,8 @@
         }
         let refused_until = now + refused_for;
         let changed_at = now.saturating_sub(age);
-        let record = Record { knowledge, round, changed_at, learned_at: now, refused_until };
+        let record =
+            Record { knowledge, round, is_held, changed_at, learned_at: now, refused_until };
         self.records.insert(key, record);
     }
 
@@ -281,6 +366,7 @@
             knowledge: self.knowledge,
             refused_for: self.refused_until.saturating_sub(now),
             round: self.round,
+            is_held: self.is_held,
             age: now.saturating_sub(self.changed_at),
         }
     }
--- a/crates/serve/tests/deadly.rs
+++ b/crates/serve/tests/deadly.rs
@@ -10,6 +10,7 @@
 use common::ms;
 
 use tt_serve::AttemptOutcome;
+use tt_serve::Claim;
 use tt_serve::ContentKey;
 use tt_serve::Effect;
 use tt_serve::Failure;
@@ -26,6 +27,7 @@
 use tt_serve::Time;
 use tt_serve::Trust;
 use tt_serve::Verdict;
+use tt_serve::turn_delay;
 
 const SHARDS: usize = 20;
 
@@ -284,6 +286,7 @@
         knowledge: Knowledge::Suspect,
         refused_for: ms(5000),
         round: 1,
+        is_held: true,
         age: ms(20),
     };
     assert!(!there.learn(late, ms(20)));
@@ -327,6 +330,50 @@
     assert_eq!(suspects.told(later).len(), settings.max_retold);
 }
 
+// Guards against as many trials as there are daemons, each of which takes a content for free at the
+// same moment, and against a content that is never tried again since the daemon whose turn it is gets
+// no request with it, or ends.
+#[test]
+fn a_content_is_tried_by_one_daemon_at_a_time() {
+    let settings = SuspectSettings::default();
+    let names: Vec<String> = (0..36).map(|index| format!("vm-{index}")).collect();
+    let delay = |index: usize| {
+        let others = names.iter().filter(|it| **it != names[index]).map(String::as_str);
+        turn_delay(&settings, key(1), &names[index], others)
+    };
+    let mut daemons: Vec<Suspects> = names.iter().map(|_| Suspects::new(settings)).collect();
+    for suspects in &mut daemons {
+        suspects.record(key(1), Effect::Suspect, 2, ms(0));
+    }
+    // A request comes to each daemon in turn, 30 times a second in all, and what one daemon tells
+    // reaches the others 100 ms later.
+    let mut trials = Vec::new();
+    let mut under_way: Vec<(Time, SuspectStatus)> = Vec::new();
+    for step in 0..300_usize {
+        let now = settings.hold_period + ms(33 * step as u64);
+        let (arrived, later) = under_way.into_iter().partition(|(at, _)| *at <= now);
+        under_way = later;
+        let arrived: Vec<(Time, SuspectStatus)> = arrived;
+        for suspects in &mut daemons {
+            for &(_, told) in &arrived {
+                suspects.learn(told, now);
+            }
+        }
+        let index = step % daemons.len();
+        if daemons[index].trust(key(1), now) == Ok(Trust::Trial)
+            && daemons[index].claim_trial(key(1), delay(index), now) == Ok(Claim::Made)
+        {
+            trials.push(now);
+            under_way.extend(daemons[index].told(now).into_iter().map(|it| (now + ms(100), it)));
+        }
+    }
+    // The first trial ends without an outcome, so that another one follows after the claim.
+    let first: Vec<&Time> = trials.iter().filter(|at| **at < trials[0] + ms(1000)).collect();
+    assert!(first.len() <= 2, "{trials:?}");
+    assert!(trials[0] <= settings.hold_period + settings.turn_period, "{trials:?}");
+    assert!(trials.iter().any(|at| *at >= trials[0] + settings.claim_period), "{trials:?}");
+}
+
 // Guards against a daemon that starts, or was cut off, and sends a content to all shards although
 // others know for long that it ends searchers; and against contents that are known for ever, since
 // daemons go on telling one another.
