--- a/crates/front/src/entry.rs
+++ b/crates/front/src/entry.rs
@@ -607,6 +607,11 @@
         lock(&self.suspects).told(self.now())
     }
 
+    /// The contents to tell a daemon of that has just started.
+    pub(crate) fn suspects_for_joining(&self) -> Vec<SuspectStatus> {
+        lock(&self.suspects).told_to_joining(self.now())
+    }
+
     /// All contents under which searchers have ended.
     pub(crate) fn suspects(&self) -> Vec<SuspectStatus> {
         lock(&self.suspects).status(self.now())
--- a/crates/front/src/heartbeats.rs
+++ b/crates/front/src/heartbeats.rs
@@ -322,15 +322,19 @@
     send(entry, socket, target, heartbeat).await;
 }
 
-/// Sends all records to a daemon that asks for them: it has just started, or a summary did not
-/// match its records.
+/// Sends all records, and the contents under which searchers end, to a daemon that asks for them: it
+/// has just started, or a summary did not match its records.
 async fn send_all_records(entry: &Entry, socket: &UdpSocket, target: SocketAddr) {
     let now = entry.now();
     let others: Vec<Record> =
         lock(&entry.members).live(now).map(|member| record(member, now)).collect();
+    // A daemon that starts may get requests with such contents at once.
+    let mut suspects: Vec<SuspectRecord> =
+        entry.suspects_for_joining().into_iter().map(suspect_record).collect();
     // Sends a heartbeat even without other records: it carries the own one.
     for records in others.chunks(MAX_DATAGRAM_RECORDS).chain(others.is_empty().then_some(&[][..])) {
-        let heartbeat = Heartbeat { records: records.to_vec(), ..Heartbeat::default() };
+        let suspects = std::mem::take(&mut suspects);
+        let heartbeat = Heartbeat { records: records.to_vec(), suspects, ..Heartbeat::default() };
         send(entry, socket, target, heartbeat).await;
     }
 }
--- a/crates/front/tests/deadly.rs
+++ b/crates/front/tests/deadly.rs
@@ -7,15 +7,19 @@
 use serde_json::Value;
 use support::Answer;
 use support::Entry;
+use support::Start;
 use support::config::config;
 use support::get;
 use support::searcher::Behavior;
 use support::searcher::Searcher;
 use support::start_entry;
+use support::start_entry_as;
 use support::start_ready_entry;
 use support::start_store;
 use tokio::time::sleep;
 
+use tt_standin::Platform;
+
 const POOLS: [&str; 4] = ["p0", "p1", "p2", "p3"];
 
 /// Part of the target of the requests that end searchers.
@@ -23,6 +27,7 @@
 
 /// Two entries, and two searchers of each shard and of the pool `one`, one near each entry.
 struct Tier {
+    store: Platform,
     entries: [Entry; 2],
     searchers: Vec<Searcher>,
 }
@@ -43,7 +48,7 @@
         let seeds = vec![near.boot.peer];
         let far = start_entry("far-vm", "far", store.address(), seeds).await;
         far.wait_ready().await;
-        let tier = Tier { entries: [near, far], searchers };
+        let tier = Tier { store, entries: [near, far], searchers };
         // They know one another.
         for entry in &tier.entries {
             while status(entry).await["daemons"][0]["state"] != "Open" {
@@ -95,6 +100,23 @@
     }
 }
 
+// Guards against an entry that starts, takes a query for harmless that others have refused for long,
+// and sends it to all shards.
+#[tokio::test]
+async fn an_entry_that_starts_refuses_what_others_know_to_end_searchers() {
+    let tier = Tier::start().await;
+    tier.entries[0].ask("/all/deadly", "first").await;
+    // Longer than a change is told to all.
+    sleep(Duration::from_millis(2500)).await;
+    let ended = tier.ended_count();
+    let seeds = vec![tier.entries[0].boot.peer];
+    let store = tier.store.address();
+    let started = start_entry_as(Start::Again, "new-vm", "near", store, seeds).await;
+    started.wait_ready().await;
+    assert_eq!(started.ask("/all/deadly", "again").await.status, 503);
+    assert_eq!(tier.ended_count(), ended);
+}
+
 // Guards against a query that ends more searchers than the three that the users' issue allows.
 #[tokio::test]
 async fn deadly_query_over_many_shards_ends_three_searchers_at_most() {
--- a/crates/serve/src/suspects.rs
+++ b/crates/serve/src/suspects.rs
@@ -278,11 +278,11 @@
         told.truncate(self.settings.max_told);
         let mut told: Vec<SuspectStatus> = told.into_iter().map(|(_, status)| status).collect();
 
-        let is_retold = |(_, it): &(&ContentKey, &Record)| {
-            it.is_dangerous() && now + self.settings.retell_margin < self.forgotten_at(it)
-        };
-        let mut retold: Vec<SuspectStatus> =
-            older.into_iter().filter(is_retold).map(|(&key, it)| it.status(key, now)).collect();
+        let mut retold: Vec<SuspectStatus> = older
+            .into_iter()
+            .filter(|(_, it)| self.is_retold(it, now))
+            .map(|(&key, it)| it.status(key, now))
+            .collect();
         retold.sort_by_key(|status| (Some(status.key) <= self.retold, status.key));
         retold.truncate(self.settings.max_retold);
         self.retold = retold.last().map(|status| status.key).or(self.retold);
@@ -290,6 +290,19 @@
         told
     }
 
+    /// What to tell a daemon that starts: the newest of the contents that are dangerous.
+    pub fn told_to_joining(&self, now: Time) -> Vec<SuspectStatus> {
+        let records = self.records.iter().filter(|(_, it)| self.is_retold(it, now));
+        let mut told: Vec<SuspectStatus> = records.map(|(&key, it)| it.status(key, now)).collect();
+        told.sort_by_key(|status| (status.age, status.key));
+        told.truncate(self.settings.max_told);
+        told
+    }
+
+    fn is_retold(&self, record: &Record, now: Time) -> bool {
+        record.is_dangerous() && now + self.settings.retell_margin < self.forgotten_at(record)
+    }
+
     fn is_new(&self, record: &Record, now: Time) -> bool {
         now < record.learned_at + self.settings.tell_period
     }
