fix: refuse a content for ten minutes after it has ended searchers in two trials

What callers would see: BUDGET broken after some minutes: a deadly content was tried again each 30 s, and each trial ends a searcher, where three tries are allowed after the third crash.

Change: if a trial that a daemon has claimed ends a searcher and the content was deadly before, it is refused for ten minutes, not 30 s. Requests that were under way as several searchers ended are no trials. A deadly content is remembered for ten minutes beyond its refusal, so that it isn't sent to all shards when that ends. The test failed before: there was one refusal period.

--- a/crates/serve/src/suspects.rs
+++ b/crates/serve/src/suspects.rs
@@ -29,10 +29,14 @@
 pub struct SuspectSettings {
     /// How long requests with a deadly content are refused. Then one is tried again.
     pub refusal_period: Duration,
+    /// As `refusal_period`, after it has ended searchers in two trials. Long enough that an operator
+    /// can find its cause.
+    pub long_refusal: Duration,
     /// How long requests with a content are refused under which several searchers have ended: about
     /// the time in which these are registered again.
     pub hold_period: Duration,
-    /// How long a content is tried at one searcher first, after searchers have ended under it.
+    /// How long a content is tried at one searcher first, after searchers have ended under it; if it
+    /// is deadly, after the end of its refusal.
     pub trial_period: Duration,
     /// How long other requests with a content are refused while one is tried, unless its outcome is
     /// known before.
@@ -60,6 +64,7 @@
     fn default() -> Self {
         SuspectSettings {
             refusal_period: Duration::from_secs(30),
+            long_refusal: Duration::from_secs(600),
             hold_period: Duration::from_secs(5),
             trial_period: Duration::from_secs(600),
             claim_period: Duration::from_secs(2),
@@ -156,6 +161,8 @@
     /// When this daemon made it, or heard of it.
     learned_at: Time,
     refused_until: Time,
+    /// Whether it is refused because this daemon tries it.
+    is_claimed: bool,
 }
 
 /// The contents that this daemon knows of.
@@ -221,6 +228,7 @@
         record.round += 1;
         record.refused_until = now + claim_period;
         record.learned_at = now;
+        record.is_claimed = true;
         Ok(Claim::Made)
     }
 
@@ -230,6 +238,8 @@
         let known = self.records.get(&key).filter(|it| !self.is_forgotten(it, now));
         let is_refused = known.is_some_and(|it| it.refused_until > now);
         let round = known.map_or(0, |it| it.round) + 1;
+        let is_second_trial =
+            known.is_some_and(|it| it.is_claimed && it.knowledge == Knowledge::Deadly);
         let known = known.map(|it| it.knowledge);
         // A single searcher may have ended by itself.
         let is_held = ended > 1;
@@ -243,6 +253,7 @@
             (Effect::Deadly, _) => Knowledge::Deadly,
         };
         let refused_for = match knowledge {
+            Knowledge::Deadly if is_second_trial => self.settings.long_refusal,
             Knowledge::Deadly => self.settings.refusal_period,
             Knowledge::Suspect if is_held => self.settings.hold_period,
             Knowledge::Suspect | Knowledge::Harmless => Duration::ZERO,
@@ -263,7 +274,7 @@
         if !is_news {
             return false;
         }
-        let refused_for = told.refused_for.min(self.settings.refusal_period);
+        let refused_for = told.refused_for.min(self.settings.long_refusal);
         self.insert(SuspectStatus { refused_for, ..told }, now);
         true
     }
@@ -339,8 +350,15 @@
         }
         let refused_until = now + refused_for;
         let changed_at = now.saturating_sub(age);
-        let record =
-            Record { knowledge, round, is_held, changed_at, learned_at: now, refused_until };
+        let record = Record {
+            knowledge,
+            round,
+            is_held,
+            changed_at,
+            learned_at: now,
+            refused_until,
+            is_claimed: false,
+        };
         self.records.insert(key, record);
     }
 
@@ -349,7 +367,11 @@
     }
 
     fn forgotten_at(&self, record: &Record) -> Time {
-        record.changed_at + self.settings.trial_period
+        let refused_until = match record.knowledge {
+            Knowledge::Deadly => record.refused_until,
+            Knowledge::Suspect | Knowledge::Harmless => Time::ZERO,
+        };
+        record.changed_at.max(refused_until) + self.settings.trial_period
     }
 }
 
--- a/crates/serve/tests/deadly.rs
+++ b/crates/serve/tests/deadly.rs
@@ -249,6 +249,36 @@
     assert!(suspects.record(key(1), Effect::Suspect, 2, forgotten));
 }
 
+// Guards against trials without end, each of which ends a searcher, and against a long refusal of a
+// content because its requests were under way when several searchers ended by themselves.
+#[test]
+fn a_content_that_ends_searchers_in_two_trials_is_refused_for_long() {
+    let settings = SuspectSettings::default();
+    let (mut here, mut joining) = (Suspects::new(settings), Suspects::new(settings));
+    for _ in 0..3 {
+        here.record(key(1), Effect::Deadly, 2, ms(0));
+    }
+    assert_eq!(here.trust(key(1), ms(0)), Err(settings.refusal_period));
+    let mut now = settings.refusal_period;
+    for refusal in [settings.long_refusal, settings.long_refusal] {
+        assert_eq!(here.trust(key(1), now), Ok(Trust::Trial));
+        assert_eq!(here.claim_trial(key(1), ms(0), now), Ok(Claim::Made));
+        here.record(key(1), Effect::Deadly, 1, now);
+        assert_eq!(here.trust(key(1), now), Err(refusal));
+        // A daemon that joins much later refuses it for the rest.
+        now += refusal - ms(60_000);
+        for told in here.told_to_joining(now) {
+            joining.learn(told, now);
+        }
+        assert_eq!(joining.trust(key(1), now), Err(ms(60_000)));
+        now += ms(60_000);
+    }
+    // A searcher survives it: it is usual again.
+    assert_eq!(here.claim_trial(key(1), ms(0), now), Ok(Claim::Made));
+    here.record(key(1), Effect::Harmless, 0, now);
+    assert_eq!(here.trust(key(1), now), Ok(Trust::Usual));
+}
+
 // Guards against refusing all requests with one content, maybe all of a route, since one searcher has
 // ended by itself.
 #[test]
