fix: hand callers no answer of a searcher whose status is none

The users saw 000 on other systems: here the parser of answers rejects it, as 099, and the caller gets 502. But it accepts 101 and all statuses beyond 599, and these were handed on as the searcher's.

Change: a status outside of 200 to 599 ends an attempt as one whose effect is not known, with the cause NoStatus, and its connection isn't used again; what its head states of the searcher is ignored.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -120,6 +120,8 @@
     CutShort,
     /// The answer carries the id of another request.
     OtherRequest,
+    /// The status is none that ends a request.
+    NoStatus,
     /// Another searcher has the address now.
     Moved,
     /// The searcher declined to run the request because it is overloaded.
@@ -325,7 +327,7 @@
         let reply = Reply { status: head.status, headers: head.headers, body };
         let keep_alive = keep_alive(&reply.headers);
         let mut result = AttemptResult { statement, ..self.classify(reply) };
-        if result.cause != Cause::OtherRequest {
+        if !matches!(result.cause, Cause::OtherRequest | Cause::NoStatus) {
             result.latency = (result.outcome == AttemptOutcome::Answer).then(|| sent_at.elapsed());
             connection.release(keep_alive);
         }
@@ -342,8 +344,9 @@
     /// What the head of an answer says of the searcher that the request was sent to. `None` if it
     /// answers another request or comes from another searcher.
     fn statement(&self, head: &hyper::http::response::Parts) -> Option<Statement> {
-        let is_own =
-            self.is_echoed(&head.headers) && head.status != StatusCode::MISDIRECTED_REQUEST;
+        let is_own = self.is_echoed(&head.headers)
+            && is_final(head.status)
+            && head.status != StatusCode::MISDIRECTED_REQUEST;
         is_own.then(|| decode_statement(head.status, &head.headers))
     }
 
@@ -383,6 +386,9 @@
         if !self.is_echoed(&reply.headers) {
             return AttemptResult::failure(AttemptOutcome::Unknown, Cause::OtherRequest);
         }
+        if !is_final(reply.status) {
+            return AttemptResult::failure(AttemptOutcome::Unknown, Cause::NoStatus);
+        }
         if reply.status == StatusCode::MISDIRECTED_REQUEST {
             return AttemptResult::failure(AttemptOutcome::Refused, Cause::Moved);
         }
@@ -413,6 +419,12 @@
     }
 }
 
+/// Whether a status is one that ends a request. The parser of answers rejects those below 100 and
+/// those without three digits, but accepts any others.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns how long an idle connection may be reused, if the searcher announces a timeout.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/front/tests/searchers.rs
+++ b/crates/front/tests/searchers.rs
@@ -242,3 +242,25 @@
     let entry = start_ready_entry("vm", "d", &store).await;
     assert_eq!(entry.ask("/one/", "r1").await.status, 200);
 }
+
+// Guards against handing callers an answer whose status is none: a searcher in trouble may send 000,
+// or one beyond those that are defined, or a final answer that is none. Whether it has run the
+// request is not known then.
+#[tokio::test]
+async fn a_status_that_is_none_is_not_handed_to_callers() {
+    let store = store(&["p0"], 0.5).await;
+    let behavior = Behavior::Answer(records(&[1]));
+    let one = Searcher::start(&store, "s0", "one", "d", behavior.clone()).await;
+    let shard = Searcher::start(&store, "s1", "p0", "d", behavior).await;
+    let entry = start_ready_entry("vm", "d", &store).await;
+    for status in [0, 99, 101, 600, 999] {
+        for searcher in [&one, &shard] {
+            searcher.set_behavior(Behavior::FailWith(status));
+        }
+        for path in ["/one/x", "/once/x", "/all/x"] {
+            let answer = entry.ask(path, &format!("{status}{path}")).await;
+            assert_eq!(answer.status, 502, "{path} after {status}");
+            assert_eq!(answer.header("x-server-stamp"), None);
+        }
+    }
+}
--- a/crates/front/tests/support/searcher.rs
+++ b/crates/front/tests/support/searcher.rs
@@ -46,7 +46,7 @@
     ShedFor(&'static str),
     /// Answers with status 500.
     Fail,
-    /// Runs the request and answers with this status.
+    /// Runs the request and answers with this status, which may be none.
     FailWith(u16),
     /// Answers as another searcher that has its address now (421).
     Moved,
@@ -354,7 +354,7 @@
 }
 
 fn empty_answer(code: u16, id: &str, headers: &str) -> Vec<u8> {
-    format!("HTTP/1.1 {code} x\r\nX-Request-Id: {id}\r\n{headers}Content-Length: 0\r\n\r\n")
+    format!("HTTP/1.1 {code:03} x\r\nX-Request-Id: {id}\r\n{headers}Content-Length: 0\r\n\r\n")
         .into_bytes()
 }
 
