fix: take the unknown era of a daemon that starts for none

A daemon that has read nothing yet tells a revision without an era; the first era that is read counted as a rise, so that for 2.3 s proofs were short and searchers that were no longer listed were kept.

Change: an era of 0 is unknown and is passed over. The test failed before.

--- a/crates/serve/src/outage.rs
+++ b/crates/serve/src/outage.rs
@@ -59,8 +59,11 @@
 
     /// Records the era of the store in an answer to this daemon, or to another one that tells of it.
     /// Returns the era before if it has risen: the store has come back from an older copy, which
-    /// counts as an outage however short it was.
+    /// counts as an outage however short it was. An era of 0 is unknown: a daemon that starts tells it.
     pub fn observe_era(&mut self, era: u64, now: Time) -> Option<u64> {
+        if era == 0 {
+            return None;
+        }
         let before = self.era;
         self.era = before.max(Some(era));
         let risen_from = before.filter(|before| *before < era);
--- a/crates/serve/src/store_revision.rs
+++ b/crates/serve/src/store_revision.rs
@@ -13,7 +13,7 @@
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
 )]
 pub struct StoreRevision {
-    /// Era of the store, from 1.
+    /// Era of the store, from 1; 0 if it is unknown.
     pub era: u64,
     /// Number of changes before this point, as the store counts them. Above 0 if known.
     pub number: u64,
--- a/crates/serve/tests/outage.rs
+++ b/crates/serve/tests/outage.rs
@@ -83,7 +83,10 @@
 #[test]
 fn a_later_era_counts_as_an_outage_however_short() {
     let mut detector = OutageDetector::default();
+    // A daemon that starts, and one of an earlier version, tell no era.
+    assert_eq!(detector.observe_era(0, ms(0)), None);
     assert_eq!(detector.observe_era(1, ms(0)), None);
+    assert!(!detector.is_rewriting(ms(0)));
     detector.observe(&OutageSettings::default(), ms(900));
     assert_eq!(detector.observe_era(2, ms(1500)), Some(1));
     detector.observe(&OutageSettings::default(), ms(1500));
